--- /dev/null
+++ b/filbertdrift/__main__.py
@@ -0,0 +1,5 @@
+"""Runs the command line."""
+
+from filbertdrift.cli import main
+
+main()
--- /dev/null
+++ b/filbertdrift/admin.py
@@ -0,0 +1,257 @@
+"""The operators' and the target's HTTP interface of a node."""
+
+import asyncio
+import socket
+from typing import Annotated
+
+import uvicorn
+from litestar import Litestar, Response, get, post
+from litestar.datastructures import State
+from litestar.exceptions import HTTPException
+from pydantic import BaseModel, ConfigDict, Field
+
+from filbertdrift.errors import LogAnswerLost, LogUnavailable
+from filbertdrift.explain import (
+    FleetReport,
+    RequestReport,
+    StatusReport,
+    TargetReport,
+    VerdictReport,
+    explain_request,
+    explain_targets,
+    explain_verdicts,
+    report_fleet,
+    report_status,
+)
+from filbertdrift.gen import ttypes
+from filbertdrift.metrics import NodeCollector, expose
+from filbertdrift.network import split_address
+from filbertdrift.node import ANNOUNCEMENT_S, Announcement, Node
+from filbertdrift.settings import Address
+
+METRICS_TYPE = 'text/plain; version=0.0.4; charset=utf-8'
+MAX_BODY_BYTES = 4 * 1024 * 1024
+
+_UNAVAILABLE = 503
+
+
+class _Body(BaseModel):
+    model_config = ConfigDict(extra='forbid')
+
+
+class AnnounceBody(_Body):
+    """A target's announcement."""
+
+    service: str = Field(min_length=1, max_length=128)
+    address: Address
+    slots: int = Field(ge=1, le=100_000)
+    connections: int = Field(default=100, ge=1, le=100_000)
+
+
+class LeaseBody(_Body):
+    """How long an announcement holds without renewal."""
+
+    renew_within_s: float
+
+
+class FileBody(_Body):
+    """One file of a change; no content means removal."""
+
+    name: str
+    content: str | None
+
+
+class PublishBody(_Body):
+    """A change to publish."""
+
+    record_id: Annotated[str, Field(min_length=8, max_length=64)]
+    base_offset: int
+    files: list[FileBody]
+    author: str = ''
+    raise_rules: int = 0
+
+
+class PublishedBody(_Body):
+    """What became of a published change."""
+
+    accepted: bool
+    verdict: VerdictReport
+    appends: int
+
+
+class FilesBody(_Body):
+    """The files in force on a node."""
+
+    offset: int
+    digest: str
+    files: dict[str, str]
+
+
+@post('/announce', status_code=200)
+async def announce(data: AnnounceBody, state: State) -> LeaseBody:
+    """Take or renew the announcement of the target beside this node."""
+    node: Node = state['node']
+    node.announce(
+        Announcement(data.service, data.address, data.slots, data.connections),
+    )
+    return LeaseBody(renew_within_s=ANNOUNCEMENT_S)
+
+
+@post('/withdraw', status_code=200)
+async def withdraw(state: State) -> LeaseBody:
+    """Take the announcement back."""
+    node: Node = state['node']
+    node.withdraw()
+    return LeaseBody(renew_within_s=0)
+
+
+@post('/publish', status_code=200)
+async def publish(data: PublishBody, state: State) -> PublishedBody:
+    """Publish a change and say what became of it."""
+    node: Node = state['node']
+    record = ttypes.ConfigRecord(
+        record_id=data.record_id,
+        base_offset=data.base_offset,
+        files=[
+            ttypes.ConfigFile(file.name, file.content) for file in data.files
+        ],
+        author=data.author,
+        raise_rules=data.raise_rules,
+    )
+    try:
+        published = await node.publisher.publish(record)
+    except LogAnswerLost as exc:
+        raise HTTPException(
+            detail=f'unknown: {exc}',
+            status_code=_UNAVAILABLE,
+        ) from exc
+    except LogUnavailable as exc:
+        raise HTTPException(
+            detail=f'not published: {exc}',
+            status_code=_UNAVAILABLE,
+        ) from exc
+    return PublishedBody(
+        accepted=published.is_accepted,
+        verdict=explain_verdicts([published.verdict])[0],
+        appends=published.appends,
+    )
+
+
+@get('/files')
+async def files(state: State) -> FilesBody:
+    """Return the files in force on this node."""
+    node: Node = state['node']
+    config = node.keeper.state
+    return FilesBody(
+        offset=config.offset,
+        digest=config.digest.hex(),
+        files=config.contents(),
+    )
+
+
+@get('/status')
+async def status(state: State) -> StatusReport:
+    """Return the state of this node."""
+    return report_status(state['node'])
+
+
+@get('/fleet')
+async def fleet(state: State, offset: int = 0) -> FleetReport:
+    """Ping every node and return which configuration each has in force."""
+    return await report_fleet(state['node'], offset)
+
+
+@get('/verdicts')
+async def verdicts(state: State) -> list[VerdictReport]:
+    """Return what became of the last changes."""
+    node: Node = state['node']
+    return explain_verdicts(node.keeper.state.verdicts)
+
+
+@get('/targets')
+async def targets(state: State, service: str = '') -> list[TargetReport]:
+    """Return why each target gets work from this node or does not."""
+    return explain_targets(state['node'], service)
+
+
+@get('/requests/{request_id:str}')
+async def request_report(state: State, request_id: str) -> RequestReport:
+    """Return what became of one request that entered at this node."""
+    return explain_request(state['node'], request_id)
+
+
+@get('/metrics')
+async def metrics(state: State) -> Response[bytes]:
+    """Return counters and histograms for a scraper."""
+    collector: NodeCollector = state['collector']
+    return Response(expose(collector), media_type=METRICS_TYPE)
+
+
+class AdminServer:
+    """Serves the operators' interface in the node's event loop.
+
+    Args:
+        node: The node.
+        collector: Its metrics.
+        address: Where to listen.
+    """
+
+    def __init__(
+        self,
+        node: Node,
+        collector: NodeCollector,
+        address: str,
+    ) -> None:
+        """Build the application."""
+        app = Litestar(
+            route_handlers=[
+                announce,
+                withdraw,
+                publish,
+                files,
+                status,
+                fleet,
+                verdicts,
+                targets,
+                request_report,
+                metrics,
+            ],
+            state=State({'node': node, 'collector': collector}),
+            openapi_config=None,
+            request_max_body_size=MAX_BODY_BYTES,
+            logging_config=None,
+        )
+        host, port = split_address(address)
+        self._server = uvicorn.Server(
+            uvicorn.Config(
+                app,
+                host=host,
+                port=port,
+                log_config=None,
+                access_log=False,
+                lifespan='off',
+                timeout_graceful_shutdown=1,
+            ),
+        )
+        self._task: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        """Listen.
+
+        Raises:
+            OSError: The address cannot be bound.
+        """
+        config = self._server.config
+        config.load()
+        self._server.lifespan = config.lifespan_class(config)
+        sock = socket.create_server((config.host, config.port))
+        await self._server.startup(sockets=[sock])
+        self._task = asyncio.create_task(self._server.main_loop())
+
+    async def stop(self) -> None:
+        """Stop listening and close the connections."""
+        self._server.should_exit = True
+        if self._task:
+            await self._task
+            await self._server.shutdown()
+
--- /dev/null
+++ b/filbertdrift/caller.py
@@ -0,0 +1,427 @@
+"""The callers' port: HTTP/1.1 in, the outcome of each request out."""
+
+import asyncio
+import contextlib
+import uuid
+from collections.abc import Awaitable, Callable
+from typing import Protocol
+
+from filbertdrift import http1
+from filbertdrift.errors import (
+    FilbertdriftError,
+    MalformedMessage,
+    RequestNotRun,
+    RequestUnknown,
+)
+from filbertdrift.forward import EntryRequest, ForwardedAnswer, Outcome
+from filbertdrift.http1 import BodyPart, Headers, RequestHead
+from filbertdrift.serving import REQUEST_ID_HEADER, TIMEOUT_HEADER
+from filbertdrift.snapshot import Route, Snapshot
+
+MS_PER_S = 1000
+FIRST_CHUNK_BYTES = 64 * 1024
+IDLE_TIMEOUT_S = 75.0
+LINGER_S = 1.0
+FIRST_CHUNK_TIMEOUT_S = 10.0
+NO_CONFIG_COME_BACK_MS = 500
+
+OUTCOME_HEADER = b'x-filbertdrift-outcome'
+REASON_HEADER = b'x-filbertdrift-reason'
+COME_BACK_HEADER = b'retry-after-ms'
+DEPTH_HEADER = b'x-filbertdrift-depth'
+
+_OWN_HEADERS = frozenset((TIMEOUT_HEADER, DEPTH_HEADER, REQUEST_ID_HEADER))
+_CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
+_LAST_CHUNK = b'0\r\n\r\n'
+
+
+class RequestHandler(Protocol):
+    """What the callers' port needs from the node."""
+
+    @property
+    def snapshot(self) -> Snapshot | None:
+        """Return what requests are routed by, None before the first."""
+
+    async def forward(
+        self,
+        snapshot: Snapshot,
+        route: Route,
+        req: EntryRequest,
+    ) -> ForwardedAnswer:
+        """Return the answer to a request."""
+
+
+class CallerServer:
+    """Accepts callers' connections.
+
+    Args:
+        handler: Answers the requests.
+        generation: Makes request ids of this start of the node unique.
+    """
+
+    def __init__(self, handler: RequestHandler) -> None:
+        """Start without connections."""
+        self.in_progress = 0
+        self.bad_requests = 0
+        self.aborted_answers = 0
+        self._handler = handler
+        self._server: asyncio.Server | None = None
+        self._connections: set['_CallerConnection'] = set()
+        self._is_closing = False
+
+    async def start(self, host: str, port: int) -> None:
+        """Listen for callers.
+
+        Raises:
+            OSError: The address cannot be bound.
+        """
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(self._protocol, host, port)
+
+    async def drain(self) -> None:
+        """Stop accepting and end every connection between requests."""
+        self._is_closing = True
+        if self._server:
+            self._server.close()
+        for conn in list(self._connections):
+            conn.close_after_answer()
+        await asyncio.sleep(LINGER_S)
+        for conn in list(self._connections):
+            conn.close_if_idle()
+        while self._connections:
+            await asyncio.sleep(0.02)
+
+    def close(self) -> None:
+        """Abort all connections."""
+        if self._server:
+            self._server.close()
+        for conn in list(self._connections):
+            conn.abort()
+
+    async def serve(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        """Serve one connection until it ends."""
+        conn = _CallerConnection(self, self._handler, reader, writer)
+        if self._is_closing:
+            conn.close_after_answer()
+        self._connections.add(conn)
+        try:
+            await conn.run()
+        finally:
+            self._connections.discard(conn)
+
+    def _protocol(self) -> asyncio.Protocol:
+        reader = asyncio.StreamReader(limit=FIRST_CHUNK_BYTES)
+        return _CallerProtocol(reader, self.serve)
+
+
+class _CallerProtocol(asyncio.StreamReaderProtocol):
+    """Cancels the work for a caller that has gone."""
+
+    def __init__(
+        self,
+        reader: asyncio.StreamReader,
+        serve: Callable[
+            [asyncio.StreamReader, asyncio.StreamWriter],
+            Awaitable[None],
+        ],
+    ) -> None:
+        """Keep the server's coroutine function."""
+        super().__init__(reader, self._connected)
+        self._serve = serve
+        self._serving: asyncio.Task[None] | None = None
+
+    def eof_received(self) -> bool:
+        """Take a closed sending side as a caller that has gone."""
+        super().eof_received()
+        self._stop()
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """End the connection's task."""
+        super().connection_lost(exc)
+        self._stop()
+
+    async def _connected(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        self._serving = asyncio.current_task()
+        with contextlib.suppress(asyncio.CancelledError):
+            await self._serve(reader, writer)
+
+    def _stop(self) -> None:
+        if self._serving and not self._serving.done():
+            self._serving.cancel()
+
+
+class _CallerConnection:
+    """One caller's connection."""
+
+    def __init__(
+        self,
+        server: CallerServer,
+        handler: RequestHandler,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        """Start between requests."""
+        self._server = server
+        self._handler = handler
+        self._writer = writer
+        self._messages = http1.RequestReader(reader, 'caller')
+        self._is_closing = False
+        self._is_idle = False
+        self._task = asyncio.current_task()
+
+    async def run(self) -> None:
+        """Serve requests until the caller or the node closes."""
+        try:
+            while True:
+                head = await self._next_head()
+                if head is None:
+                    break
+                await self._serve(head)
+                if self._is_closing:
+                    break
+        except http1.HeadTooLarge as exc:
+            await self._reject(431, exc)
+        except MalformedMessage as exc:
+            await self._reject(400, exc)
+        except (FilbertdriftError, OSError, TimeoutError):
+            self._writer.transport.abort()
+        finally:
+            self._writer.close()
+
+    def close_after_answer(self) -> None:
+        """End the connection with the answer to the next request."""
+        self._is_closing = True
+
+    def close_if_idle(self) -> None:
+        """End the connection now unless a request is in progress."""
+        self._is_closing = True
+        if self._is_idle and self._task:
+            self._task.cancel()
+
+    def abort(self) -> None:
+        """End the connection at once."""
+        self._writer.transport.abort()
+
+    async def _next_head(self) -> RequestHead | None:
+        self._is_idle = True
+        try:
+            async with asyncio.timeout(IDLE_TIMEOUT_S):
+                return await self._messages.head()
+        finally:
+            self._is_idle = False
+
+    async def _serve(self, head: RequestHead) -> None:
+        self._server.in_progress += 1
+        try:
+            await self._answer(head)
+        finally:
+            self._server.in_progress -= 1
+
+    async def _answer(self, head: RequestHead) -> None:
+        snapshot = self._handler.snapshot
+        if snapshot is None:
+            await self._refuse(
+                head,
+                RequestNotRun(
+                    'this node has no configuration yet',
+                    come_back_ms=NO_CONFIG_COME_BACK_MS,
+                    step='route',
+                ),
+            )
+            return
+        route = snapshot.match(head.method, head.path)
+        if route is None:
+            await self._plain(head, 404, 'no route matches', Outcome.NOT_RUN)
+            return
+        try:
+            answer = await self._forward(snapshot, route, head)
+        except (RequestNotRun, RequestUnknown) as exc:
+            await self._refuse(head, exc)
+            return
+        try:
+            await self._pass_on(head, route, answer)
+        finally:
+            answer.close()
+
+    async def _forward(
+        self,
+        snapshot: Snapshot,
+        route: Route,
+        head: RequestHead,
+    ) -> ForwardedAnswer:
+        if http1.find_header(head.headers, b'expect'):
+            self._writer.write(_CONTINUE)
+        async with asyncio.timeout(FIRST_CHUNK_TIMEOUT_S):
+            first = await self._first_part()
+        req = entry_request(route, head, first, self._messages.part)
+        return await self._handler.forward(snapshot, route, req)
+
+    async def _first_part(self) -> BodyPart:
+        part = await self._messages.part()
+        chunks = [part.chunk]
+        size_bytes = len(part.chunk)
+        while not part.end and size_bytes < FIRST_CHUNK_BYTES:
+            part = await self._messages.part()
+            chunks.append(part.chunk)
+            size_bytes += len(part.chunk)
+        return BodyPart(b''.join(chunks), part.end)
+
+    async def _pass_on(
+        self,
+        head: RequestHead,
+        route: Route,
+        answer: ForwardedAnswer,
+    ) -> None:
+        part = answer.first_part
+        headers = list(answer.headers)
+        headers.append((OUTCOME_HEADER, Outcome.ANSWERED.value.encode()))
+        is_bodiless = head.method == 'HEAD' or answer.status in {204, 304}
+        is_chunked = self._frame(headers, part, is_bodiless=is_bodiless)
+        self._end_headers(head, headers)
+        raw = http1.response_bytes(answer.status, headers)
+        self._writer.write(raw + _coded(part, is_chunked=is_chunked))
+        while not part.end:
+            try:
+                part = await answer.part(route.policy.stall_s)
+            except RequestUnknown:
+                self._server.aborted_answers += 1
+                self._writer.transport.abort()
+                raise
+            self._writer.write(_coded(part, is_chunked=is_chunked))
+            await self._drain(route.policy.stall_s)
+        await self._drain(route.policy.stall_s)
+
+    def _frame(
+        self,
+        headers: Headers,
+        part: BodyPart,
+        *,
+        is_bodiless: bool,
+    ) -> bool:
+        if is_bodiless or http1.find_header(headers, b'content-length'):
+            return False
+        if part.end:
+            headers.append((b'content-length', b'%d' % len(part.chunk)))
+            return False
+        headers.append((b'transfer-encoding', b'chunked'))
+        return True
+
+    async def _drain(self, stall_s: float) -> None:
+        async with asyncio.timeout(stall_s):
+            await self._writer.drain()
+
+    def _end_headers(self, head: RequestHead, headers: Headers) -> None:
+        if self._is_closing or not head.keep_alive:
+            self._is_closing = True
+            headers.append((b'connection', b'close'))
+
+    async def _refuse(
+        self,
+        head: RequestHead,
+        exc: RequestNotRun | RequestUnknown,
+    ) -> None:
+        if isinstance(exc, RequestNotRun):
+            seconds = -(-exc.come_back_ms // MS_PER_S)
+            come_back: Headers = [
+                (b'retry-after', b'%d' % seconds),
+                (COME_BACK_HEADER, b'%d' % exc.come_back_ms),
+            ]
+            await self._plain(head, 503, str(exc), Outcome.NOT_RUN, come_back)
+            return
+        status = 504 if 'deadline' in exc.reason else 502
+        await self._plain(head, status, str(exc), Outcome.UNKNOWN)
+
+    async def _plain(
+        self,
+        head: RequestHead,
+        status: int,
+        reason: str,
+        outcome: Outcome,
+        extra: Headers | None = None,
+    ) -> None:
+        text = f'{reason}\n'.encode()
+        headers: Headers = [
+            (b'content-type', b'text/plain; charset=utf-8'),
+            (b'content-length', b'%d' % len(text)),
+            (OUTCOME_HEADER, outcome.value.encode()),
+            (REASON_HEADER, _header_safe(reason)),
+            *(extra or ()),
+        ]
+        if not self._messages.parsed().end:
+            self._is_closing = True
+        self._end_headers(head, headers)
+        body = b'' if head.method == 'HEAD' else text
+        self._writer.write(http1.response_bytes(status, headers) + body)
+        await self._writer.drain()
+
+    async def _reject(self, status: int, exc: FilbertdriftError) -> None:
+        self._server.bad_requests += 1
+        self._is_closing = True
+        head = RequestHead('GET', '', [], keep_alive=False)
+        with contextlib.suppress(OSError):
+            await self._plain(head, status, str(exc), Outcome.NOT_RUN)
+
+
+def entry_request(
+    route: Route,
+    head: RequestHead,
+    first: BodyPart,
+    read_body: Callable[[], Awaitable[BodyPart]],
+) -> EntryRequest:
+    """Return a caller's request with its deadline.
+
+    Args:
+        route: The request's route.
+        head: Its head.
+        first: The beginning of its body.
+        read_body: Returns the next part of its body.
+    """
+    now = asyncio.get_running_loop().time()
+    timeout_s = route.policy.timeout_s
+    asked_ms = http1.find_header(head.headers, TIMEOUT_HEADER)
+    if asked_ms.isdigit():
+        timeout_s = min(timeout_s, int(asked_ms) / MS_PER_S)
+    request_id = http1.find_header(head.headers, REQUEST_ID_HEADER)
+    request_id = request_id or uuid.uuid4().hex
+    depth = http1.find_header(head.headers, DEPTH_HEADER)
+    depth_count = int(depth) if depth.isdigit() else 0
+    headers = [
+        header
+        for header in http1.end_to_end(head.headers)
+        if header[0] not in _OWN_HEADERS
+    ]
+    headers.append((REQUEST_ID_HEADER, request_id.encode('latin-1')))
+    headers.append((DEPTH_HEADER, b'%d' % (depth_count + 1)))
+    return EntryRequest(
+        request_id=request_id,
+        method=head.method,
+        path=head.path,
+        headers=headers,
+        first_chunk=first.chunk,
+        is_whole=first.end,
+        read_body=read_body,
+        deadline=now + timeout_s,
+        customer=http1.find_header(head.headers, route.policy.customer_header),
+        is_inner=depth_count > 0,
+    )
+
+
+def _coded(part: BodyPart, *, is_chunked: bool) -> bytes:
+    if not is_chunked:
+        return part.chunk
+    raw = http1.chunk_bytes(part.chunk) if part.chunk else b''
+    return raw + _LAST_CHUNK if part.end else raw
+
+
+def _header_safe(text: str) -> bytes:
+    line = ' '.join(text.split())
+    return line.encode('ascii', 'replace')
--- /dev/null
+++ b/filbertdrift/chooser.py
@@ -0,0 +1,188 @@
+"""Choice of a target by what this node has seen of each.
+
+Observed outcomes and the load carried back on answers decide; announced
+health does not. Targets of the own failure domain come first, and others
+before the own domain would queue. Of two random candidates the less loaded
+one is taken, so that callers do not herd onto the least loaded target.
+"""
+
+import random
+from collections.abc import Collection, Sequence
+from dataclasses import dataclass
+
+from filbertdrift.members import Member
+
+SPILL_PERMILLE = 800
+LOAD_HALF_LIFE_S = 0.5
+FIRST_EJECTION_S = 0.5
+MAX_EJECTION_S = 30.0
+FAILURES_TO_EJECT = 3
+SLOW_START_S = 5.0
+SLOW_START_PENALTY_PERMILLE = 300
+OWN_REQUEST_PERMILLE = 1000
+LATENCY_WEIGHT = 0.2
+SLOW_FACTOR = 3.0
+MIN_SLOW_LATENCY_S = 0.05
+
+
+@dataclass(slots=True)
+class Observed:
+    """What this node has seen of one target."""
+
+    generation: int
+    first_seen_at: float
+    in_flight: int = 0
+    load_permille: int = 0
+    load_at: float = 0.0
+    latency_s: float = 0.0
+    failures: int = 0
+    ejections: int = 0
+    ejected_until: float = 0.0
+
+
+class TargetChooser:
+    """Chooses targets for the requests that enter at this node.
+
+    Args:
+        domain: This node's failure domain.
+        region: This node's region.
+        rng: Draws the candidates.
+    """
+
+    def __init__(self, domain: str, region: str, rng: random.Random) -> None:
+        """Start without observations."""
+        self._domain = domain
+        self._region = region
+        self._rng = rng
+        self._observed: dict[str, Observed] = {}
+        self.unreachable_domains: set[str] = set()
+
+    def choose(
+        self,
+        endpoints: Sequence[Member],
+        tried: Collection[str],
+        now: float,
+    ) -> Member | None:
+        """Return the target for a request.
+
+        Args:
+            endpoints: The members that have a target of the service.
+            tried: Nodes that this request has tried already.
+            now: The time on the event loop's clock.
+
+        Returns:
+            A member, or None if there is nothing left to try.
+        """
+        untried = [found for found in endpoints if found.node not in tried]
+        usable = [found for found in untried if self._is_usable(found, now)]
+        candidates = usable or untried
+        for near in (self._is_local, self._is_in_region):
+            group = [found for found in candidates if near(found)]
+            best = self._better_of_two(group, now)
+            if best and self._score(best, now) < SPILL_PERMILLE:
+                return best
+        return self._better_of_two(candidates, now)
+
+    def began(self, member: Member, now: float) -> None:
+        """Note that a request was sent to a target."""
+        self._seen(member, now).in_flight += 1
+
+    def ended(self, member: Member, now: float) -> None:
+        """Note that a request to a target is over."""
+        seen = self._seen(member, now)
+        seen.in_flight = max(seen.in_flight - 1, 0)
+
+    def answered(
+        self,
+        member: Member,
+        load_permille: int,
+        latency_s: float,
+        now: float,
+    ) -> None:
+        """Note an answer and the load it carried."""
+        seen = self._seen(member, now)
+        seen.load_permille = load_permille
+        seen.load_at = now
+        seen.failures = 0
+        seen.ejections = 0
+        seen.ejected_until = 0
+        if not seen.latency_s:
+            seen.latency_s = latency_s
+        seen.latency_s += LATENCY_WEIGHT * (latency_s - seen.latency_s)
+
+    def refused(self, member: Member, load_permille: int, now: float) -> None:
+        """Note that the target's gate refused a request."""
+        seen = self._seen(member, now)
+        seen.load_permille = max(load_permille, SPILL_PERMILLE)
+        seen.load_at = now
+
+    def failed(self, member: Member, now: float, *, unreachable: bool) -> None:
+        """Note a failure.
+
+        Args:
+            member: The target's member.
+            now: The time on the event loop's clock.
+            unreachable: The node itself did not answer.
+        """
+        seen = self._seen(member, now)
+        seen.failures += 1
+        if unreachable or seen.failures >= FAILURES_TO_EJECT:
+            span_s = FIRST_EJECTION_S * 2**seen.ejections
+            jitter = 0.5 + self._rng.random()
+            seen.ejections += 1
+            seen.ejected_until = now + min(span_s, MAX_EJECTION_S) * jitter
+            seen.failures = 0
+
+    def forget_missing(self, known: Collection[str]) -> None:
+        """Drop observations of members that are gone."""
+        for node in list(self._observed):
+            if node not in known:
+                self._observed.pop(node)
+
+    def observed(self, node: str) -> Observed | None:
+        """Return what was seen of a target."""
+        return self._observed.get(node)
+
+    def _is_usable(self, member: Member, now: float) -> bool:
+        if member.domain in self.unreachable_domains:
+            return False
+        seen = self._observed.get(member.node)
+        if seen is None or seen.generation != member.generation:
+            return True
+        return now >= seen.ejected_until
+
+    def _is_local(self, member: Member) -> bool:
+        return member.domain == self._domain
+
+    def _is_in_region(self, member: Member) -> bool:
+        return member.region == self._region
+
+    def _better_of_two(
+        self,
+        group: Sequence[Member],
+        now: float,
+    ) -> Member | None:
+        if not group:
+            return None
+        if len(group) == 1:
+            return group[0]
+        pair = self._rng.sample(group, 2)
+        return min(pair, key=lambda found: self._score(found, now))
+
+    def _score(self, member: Member, now: float) -> float:
+        seen = self._observed.get(member.node)
+        if seen is None or seen.generation != member.generation:
+            return SLOW_START_PENALTY_PERMILLE
+        age = now - seen.load_at
+        load = seen.load_permille * 0.5 ** (age / LOAD_HALF_LIFE_S)
+        own = seen.in_flight * OWN_REQUEST_PERMILLE / max(member.slots, 1)
+        cold = max(1 - (now - seen.first_seen_at) / SLOW_START_S, 0)
+        penalty = cold * SLOW_START_PENALTY_PERMILLE
+        return max(load, own) + penalty
+
+    def _seen(self, member: Member, now: float) -> Observed:
+        seen = self._observed.get(member.node)
+        if seen is None or seen.generation != member.generation:
+            seen = Observed(member.generation, first_seen_at=now)
+            self._observed[member.node] = seen
+        return seen
--- /dev/null
+++ b/filbertdrift/configfile.py
@@ -0,0 +1,352 @@
+"""Operators' configuration files: parsing, merging and checking.
+
+A folder holds small INI files. They are merged in the order of their names:
+a key in a later file replaces the same key of the same section in an earlier
+one. The merged sections are checked against typed models.
+"""
+
+import configparser
+import difflib
+import functools
+import re
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass
+from typing import Annotated, Literal
+
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+from pydantic import field_validator
+
+from filbertdrift.errors import ConfigInvalid
+
+RULES_SUPPORTED = 2
+RULES_FIRST = 1
+MAX_FILE_BYTES = 256 * 1024
+MAX_TIMEOUT_MS = 3_600_000
+PARSE_CACHE_FILES = 4096
+NAME_PATTERN = re.compile(r'^[A-Za-z0-9][A-Za-z0-9._-]{0,127}$')
+
+Importance = Literal['critical', 'normal', 'bulk']
+IMPORTANCE_RANK: Mapping[str, int] = {'critical': 0, 'normal': 1, 'bulk': 2}
+
+
+@dataclass(frozen=True, slots=True)
+class Problem:
+    """One error in the configuration and how to mend it."""
+
+    file: str
+    section: str
+    key: str
+    reason: str
+
+    def __str__(self) -> str:
+        """Return one line for a person."""
+        place = self.file
+        if self.section:
+            place = f'{place} [{self.section}]'
+        if self.key:
+            place = f'{place} {self.key}'
+        return f'{place}: {self.reason}'
+
+
+@dataclass(frozen=True, slots=True)
+class Value:
+    """A value and the file that set it last."""
+
+    text: str
+    file: str
+
+
+@dataclass(frozen=True, slots=True)
+class Section:
+    """The keys of one section and the file that named it first."""
+
+    file: str
+    entries: dict[str, Value]
+
+
+class _Model(BaseModel):
+    model_config = ConfigDict(extra='forbid', frozen=True)
+
+
+def _split_words(text: object) -> object:
+    if isinstance(text, str):
+        return tuple(text.replace(',', ' ').split())
+    return text
+
+
+Words = tuple[str, ...]
+
+
+class RouteModel(_Model):
+    """A route: which requests go to which target set under which policy."""
+
+    path: str = Field(pattern=r'^/[^\s?#]*$')
+    methods: Words = ()
+    targets: str
+    policy: str
+
+    _split = field_validator('methods', mode='before')(_split_words)
+
+    @field_validator('methods')
+    @classmethod
+    def _upper(cls, methods: Words) -> Words:
+        return tuple(method.upper() for method in methods)
+
+
+class TargetsModel(_Model):
+    """A target set: the targets of one service and the contract with them."""
+
+    service: str = Field(min_length=1)
+    probe_path: str = Field(default='', pattern=r'^(/\S*)?$')
+    probe_interval_ms: int = Field(default=2000, ge=100, le=MAX_TIMEOUT_MS)
+    slow_start_ms: int = Field(default=5000, ge=0, le=MAX_TIMEOUT_MS)
+    refusal_statuses: Annotated[
+        tuple[int, ...],
+        Field(description='statuses that promise the request was not run'),
+    ] = ()
+
+    _split = field_validator('refusal_statuses', mode='before')(_split_words)
+
+
+class PolicyModel(_Model):
+    """A request policy: time limits, retries and importance."""
+
+    timeout_ms: int = Field(default=10_000, ge=1, le=MAX_TIMEOUT_MS)
+    stall_ms: int = Field(default=5000, ge=10, le=MAX_TIMEOUT_MS)
+    idempotent_methods: Words = ('GET', 'HEAD', 'OPTIONS')
+    retries: int = Field(default=2, ge=0, le=10)
+    importance: Importance = 'normal'
+    idempotency_key: Literal['ignored', 'honoured', 'required'] = 'ignored'
+    customer_header: str = Field(default='', pattern=r'^[A-Za-z0-9-]*$')
+
+    _split = field_validator('idempotent_methods', mode='before')(
+        _split_words,
+    )
+
+
+@dataclass(frozen=True, slots=True)
+class MergedConfig:
+    """All sections of a folder after merging and checking."""
+
+    routes: Mapping[str, RouteModel]
+    targets: Mapping[str, TargetsModel]
+    policies: Mapping[str, PolicyModel]
+
+
+_KINDS: Mapping[str, type[_Model]] = {
+    'route': RouteModel,
+    'targets': TargetsModel,
+    'policy': PolicyModel,
+}
+
+
+@functools.lru_cache(maxsize=PARSE_CACHE_FILES)
+def parse_file(name: str, content: str) -> Mapping[str, Section]:
+    """Parse one INI file.
+
+    Args:
+        name: The file's name, for messages.
+        content: The file's text.
+
+    Returns:
+        Sections by title, each with values by key.
+
+    Raises:
+        ConfigInvalid: The name or the text is not acceptable.
+    """
+    if not NAME_PATTERN.match(name):
+        raise ConfigInvalid(f'{name!r}: not a file name: use letters, digits')
+    if len(content.encode()) > MAX_FILE_BYTES:
+        raise ConfigInvalid(f'{name}: longer than {MAX_FILE_BYTES} bytes')
+    parser = configparser.RawConfigParser(
+        delimiters=('=',),
+        comment_prefixes=('#', ';'),
+        default_section='\0',
+        strict=True,
+    )
+    try:
+        parser.read_string(content, source=name)
+    except configparser.Error as exc:
+        reason = ' '.join(str(exc).split())
+        raise ConfigInvalid(f'{name}: {reason}') from exc
+    return {
+        title: Section(
+            name,
+            {key: Value(text, name) for key, text in parser.items(title)},
+        )
+        for title in parser.sections()
+    }
+
+
+def merge(files: Mapping[str, str]) -> dict[str, Section]:
+    """Merge files in the order of their names.
+
+    Args:
+        files: Contents by file name.
+
+    Returns:
+        Sections by title.
+
+    Raises:
+        ConfigInvalid: A file cannot be parsed; the reason lists all such.
+    """
+    merged: dict[str, Section] = {}
+    reasons = []
+    for name in sorted(files):
+        try:
+            sections = parse_file(name, files[name])
+        except ConfigInvalid as exc:
+            reasons.append(exc.reason)
+            continue
+        for title, section in sections.items():
+            known = merged.setdefault(title, Section(section.file, {}))
+            known.entries.update(section.entries)
+    if reasons:
+        raise ConfigInvalid('\n'.join(reasons))
+    return merged
+
+
+def check(files: Mapping[str, str], rules: int = RULES_SUPPORTED) -> MergedConfig:
+    """Merge files and check the result.
+
+    Args:
+        files: Contents by file name.
+        rules: The level of validation rules to judge by.
+
+    Returns:
+        The checked configuration.
+
+    Raises:
+        ConfigInvalid: The reason lists every problem, one a line.
+    """
+    merged = merge(files)
+    problems: list[Problem] = []
+    found: dict[str, dict[str, _Model]] = {kind: {} for kind in _KINDS}
+    for title in sorted(merged):
+        _check_section(title, merged[title], found, problems)
+    problems.extend(_check_references(merged, found))
+    for rule in _RULES[:rules]:
+        problems.extend(rule(merged, found))
+    if problems:
+        raise ConfigInvalid('\n'.join(str(problem) for problem in problems))
+    return MergedConfig(
+        routes=found['route'],  # type: ignore[arg-type]
+        targets=found['targets'],  # type: ignore[arg-type]
+        policies=found['policy'],  # type: ignore[arg-type]
+    )
+
+
+def suggest(word: str, known: Iterable[str]) -> str:
+    """Return a hint with the nearest known name.
+
+    Args:
+        word: The unknown name.
+        known: The names that are allowed.
+
+    Returns:
+        Text to put behind an error message.
+    """
+    options = sorted(known)
+    nearest = difflib.get_close_matches(word, options, n=1)
+    if nearest:
+        return f'did you mean {nearest[0]!r}?'
+    return f'known: {", ".join(options)}' if options else 'none are known'
+
+
+def _check_section(
+    title: str,
+    section: Section,
+    found: dict[str, dict[str, _Model]],
+    problems: list[Problem],
+) -> None:
+    kind, _, name = title.partition(' ')
+    file = section.file
+    if kind not in _KINDS:
+        hint = suggest(kind, _KINDS)
+        problems.append(Problem(file, title, '', f'unknown kind; {hint}'))
+        return
+    if not NAME_PATTERN.match(name):
+        reason = f'write [{kind} NAME] with letters, digits, dots or dashes'
+        problems.append(Problem(file, title, '', reason))
+        return
+    model = _KINDS[kind]
+    try:
+        found[kind][name] = model.model_validate(
+            {key: entry.text for key, entry in section.entries.items()},
+        )
+    except ValidationError as exc:
+        problems.extend(_explain(title, section, model, exc))
+
+
+def _explain(
+    title: str,
+    section: Section,
+    model: type[BaseModel],
+    exc: ValidationError,
+) -> Iterable[Problem]:
+    for error in exc.errors():
+        key = str(error['loc'][0])
+        entry = section.entries.get(key)
+        file = entry.file if entry else section.file
+        reason = error['msg']
+        if error['type'] == 'extra_forbidden':
+            reason = f'unknown key; {suggest(key, model.model_fields)}'
+        elif error['type'] == 'missing':
+            reason = 'missing; add this key'
+        elif entry:
+            reason = f'{reason}, got {entry.text!r}'
+        yield Problem(file, title, key, reason)
+
+
+def _check_references(
+    merged: Mapping[str, Section],
+    found: Mapping[str, Mapping[str, _Model]],
+) -> Iterable[Problem]:
+    for name, route in found['route'].items():
+        title = f'route {name}'
+        for key, kind in (('targets', 'targets'), ('policy', 'policy')):
+            wanted = getattr(route, key)
+            if wanted not in found[kind] and f'{kind} {wanted}' not in merged:
+                hint = suggest(wanted, found[kind])
+                reason = f'no section [{kind} {wanted}]; {hint}'
+                file = merged[title].entries[key].file
+                yield Problem(file, title, key, reason)
+
+
+def _rule_idempotent_post(
+    merged: Mapping[str, Section],
+    found: Mapping[str, Mapping[str, _Model]],
+) -> Iterable[Problem]:
+    """Rules 1: a key that is required contradicts an idempotent POST."""
+    for name, policy in found['policy'].items():
+        required = getattr(policy, 'idempotency_key') == 'required'
+        if required and 'POST' in getattr(policy, 'idempotent_methods'):
+            title = f'policy {name}'
+            file = merged[title].file
+            reason = 'POST cannot be idempotent where a key is required'
+            yield Problem(file, title, 'idempotent_methods', reason)
+
+
+def _rule_same_match(
+    merged: Mapping[str, Section],
+    found: Mapping[str, Mapping[str, _Model]],
+) -> Iterable[Problem]:
+    """Rules 2: two routes may not match the same path and method."""
+    seen: dict[tuple[str, str], str] = {}
+    for name in sorted(found['route']):
+        route = found['route'][name]
+        path = getattr(route, 'path')
+        for method in getattr(route, 'methods') or ('*',):
+            other = seen.setdefault((path, method), name)
+            if other != name:
+                title = f'route {name}'
+                file = merged[title].entries['path'].file
+                reason = f'{method} {path} is matched by [route {other}]'
+                yield Problem(file, title, 'path', f'{reason} already')
+
+
+_Rule = Callable[
+    [Mapping[str, Section], Mapping[str, Mapping[str, _Model]]],
+    Iterable[Problem],
+]
+_RULES: tuple[_Rule, ...] = (_rule_idempotent_post, _rule_same_match)
--- /dev/null
+++ b/filbertdrift/daemon.py
@@ -0,0 +1,136 @@
+"""The process of one node: settings, logs, signals, the event loop."""
+
+import asyncio
+import random
+import signal
+import sys
+import time
+from collections.abc import Mapping
+
+import uvloop
+from loguru import logger
+
+from filbertdrift.admin import AdminServer
+from filbertdrift.errors import SettingsError
+from filbertdrift.log import open_log
+from filbertdrift.metrics import NodeCollector
+from filbertdrift.network import TcpNetwork, split_address
+from filbertdrift.node import Identity, Node
+from filbertdrift.profile import PROFILES
+from filbertdrift.settings import LoggingSection, Settings
+from filbertdrift.target import HttpTarget
+
+MS_PER_S = 1000
+TEXT_FORMAT = '{time:YYYY-MM-DDTHH:mm:ss.SSS} {level} {extra[node]} {message}'
+
+
+def run_node(settings: Settings) -> None:
+    """Run one node until it is told to end.
+
+    Args:
+        settings: Its checked settings.
+
+    Raises:
+        SettingsError: An address cannot be bound.
+    """
+    configure_logging(settings.logging, settings.node.peer_address)
+    uvloop.run(_run(settings))
+
+
+def configure_logging(section: LoggingSection, node: str) -> None:
+    """Send log lines to standard error as text or JSON.
+
+    Args:
+        section: Level and format.
+        node: The node's address, added to each line.
+    """
+    logger.remove()
+    logger.configure(extra={'node': node})
+    logger.add(
+        sys.stderr,
+        level=section.level,
+        format=TEXT_FORMAT,
+        serialize=section.format == 'json',
+    )
+
+
+def build_node(settings: Settings) -> Node:
+    """Return a node over sockets.
+
+    Args:
+        settings: Its checked settings.
+    """
+    identity = Identity(
+        address=settings.node.peer_address,
+        domain=settings.node.domain,
+        region=settings.node.region,
+        generation=int(time.time() * MS_PER_S),
+    )
+    return Node(
+        identity=identity,
+        network=TcpNetwork(identity.address),
+        log=open_log(settings.log.url),
+        profile=PROFILES[settings.control.profile],
+        seeds=settings.peers.seeds,
+        open_target=HttpTarget,
+        checkpoint_interval_s=settings.log.checkpoint_interval_s,
+        rng=random.Random(),  # noqa: S311
+    )
+
+
+def build_collector(node: Node) -> NodeCollector:
+    """Return the metrics of a node."""
+    collector = NodeCollector()
+    sources: Mapping[str, object] = {
+        'requests': node.forwarder.counters,
+        'served': node.server.counters,
+        'membership': node.membership.counters,
+        'distribution': node.keeper.counters,
+        'node': node.counters,
+        'log': node.log.counters,
+    }
+    for name, source in sources.items():
+        collector.add_counters(name, source)
+    counters = node.network.counters
+    collector.add_labelled('control_sent_bytes', counters.sent_bytes)
+    collector.add_labelled('control_sent_messages', counters.sent_messages)
+    collector.add_labelled('received_messages', counters.received_messages)
+    collector.add_gauge('config_offset', lambda: node.keeper.state.offset)
+    collector.add_gauge('members', lambda: len(node.membership.table))
+    collector.add_gauge('peer_links', lambda: len(node.links))
+    return collector
+
+
+async def _run(settings: Settings) -> None:
+    node = build_node(settings)
+    admin = AdminServer(
+        node,
+        build_collector(node),
+        settings.node.admin_address,
+    )
+    await _listen(node, admin, settings)
+    stopping = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopping.set)
+    logger.info('started')
+    await stopping.wait()
+    await node.drain()
+    await admin.stop()
+    await node.stop()
+    logger.info('stopped')
+
+
+async def _listen(node: Node, admin: AdminServer, settings: Settings) -> None:
+    step = 'peer_address'
+    try:
+        await node.start()
+        step = 'admin_address'
+        await admin.start()
+        step = 'caller_address'
+        host, port = split_address(settings.node.caller_address)
+        await node.callers.start(host, port)
+    except OSError as exc:
+        address = getattr(settings.node, step)
+        reason = f'[node] {step}: cannot listen on {address}: {exc.strerror}'
+        raise SettingsError(reason, step='start') from exc
--- /dev/null
+++ b/filbertdrift/forward.py
@@ -0,0 +1,450 @@
+"""The entry side of a request: routing, forwarding, retries, the outcome."""
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from enum import Enum
+
+from filbertdrift import http1
+from filbertdrift.chooser import TargetChooser
+from filbertdrift.errors import (
+    MalformedMessage,
+    PeerUnavailable,
+    RequestNotRun,
+    RequestUnknown,
+)
+from filbertdrift.gen import ttypes
+from filbertdrift.link import CallStream, LinkPool, PeerLink
+from filbertdrift.members import Member
+from filbertdrift.snapshot import Route, Snapshot
+
+MS_PER_S = 1000
+COME_BACK_MS = 200
+COME_BACK_SPREAD_MS = 300
+RETRY_BUDGET_SHARE = 0.1
+RETRY_BUDGET_MAX = 20.0
+
+
+class Outcome(Enum):
+    """What a caller is told about its request."""
+
+    ANSWERED = 'answered'
+    NOT_RUN = 'not-run'
+    UNKNOWN = 'unknown'
+
+
+@dataclass(slots=True)
+class EntryRequest:
+    """A request as it entered at this node.
+
+    Args:
+        request_id: Names the request in logs, traces and the target.
+        method: Upper case.
+        path: The request target, query included.
+        headers: End-to-end headers.
+        first_chunk: The beginning of the body.
+        is_whole: True if the body ends with the first chunk.
+        read_body: Returns the next part of the body.
+        deadline: When the caller gives up, on the loop's clock.
+        customer: Whose request it is, empty if unknown.
+        is_inner: The caller is itself serving a request of this system.
+    """
+
+    request_id: str
+    method: str
+    path: str
+    headers: http1.Headers
+    first_chunk: bytes
+    is_whole: bool
+    read_body: Callable[[], Awaitable[http1.BodyPart]]
+    deadline: float
+    customer: str = ''
+    is_inner: bool = False
+    tried: list[str] = field(default_factory=list)
+    is_body_taken: bool = False
+
+
+@dataclass(slots=True)
+class ForwardCounters:
+    """What became of the requests that entered at this node."""
+
+    answered: int = 0
+    not_run: int = 0
+    unknown: int = 0
+    retries: int = 0
+    retries_denied: int = 0
+
+
+class RetryBudget:
+    """Lets retries be a share of requests only, so they cannot multiply."""
+
+    def __init__(self) -> None:
+        """Start full."""
+        self._tokens = RETRY_BUDGET_MAX
+
+    def earn(self) -> None:
+        """Add the share of one request."""
+        self._tokens = min(
+            self._tokens + RETRY_BUDGET_SHARE,
+            RETRY_BUDGET_MAX,
+        )
+
+    def spend(self) -> bool:
+        """Take one retry; False if there is none."""
+        if self._tokens < 1:
+            return False
+        self._tokens -= 1
+        return True
+
+
+class ForwardedAnswer:
+    """The answer to a forwarded request, whose body may still be coming.
+
+    Args:
+        opened: The message that opened the answer.
+        call: The call that brings the rest.
+        close: Ends the call.
+    """
+
+    def __init__(
+        self,
+        opened: ttypes.AnswerOpen,
+        call: CallStream,
+        close: Callable[[], None],
+    ) -> None:
+        """Keep the parts."""
+        self.status: int = opened.status
+        self.headers: http1.Headers = [
+            (header.name, header.content) for header in opened.headers or ()
+        ]
+        self.first_part = http1.BodyPart(opened.body or b'', bool(opened.end))
+        self._call = call
+        self._close = close
+
+    async def part(self, stall_s: float) -> http1.BodyPart:
+        """Return the next part of the body.
+
+        Args:
+            stall_s: How long the body may stand still.
+
+        Raises:
+            RequestUnknown: The answer is cut short.
+        """
+        try:
+            async with asyncio.timeout(stall_s):
+                body = await self._call.receive()
+        except (TimeoutError, PeerUnavailable) as exc:
+            raise RequestUnknown(
+                repr(exc),
+                step='read answer',
+                peer=self._call.peer,
+            ) from exc
+        if not isinstance(body, ttypes.BodyChunk):
+            raise RequestUnknown(
+                'answer cut short',
+                step='read answer',
+                peer=self._call.peer,
+            )
+        chunk = body.body or b''
+        if not body.end:
+            await self._call.grant(len(chunk))
+        return http1.BodyPart(chunk, bool(body.end))
+
+    def close(self) -> None:
+        """End the call; an unfinished answer is cancelled."""
+        self._close()
+
+
+class Forwarder:
+    """Forwards requests to the nodes beside their targets.
+
+    Args:
+        links: Connections to the other nodes.
+        chooser: Chooses the target.
+        rng: Spreads the times to come back.
+    """
+
+    def __init__(
+        self,
+        links: LinkPool,
+        chooser: TargetChooser,
+        rng: random.Random,
+    ) -> None:
+        """Start with a full retry budget."""
+        self.counters = ForwardCounters()
+        self._links = links
+        self._chooser = chooser
+        self._rng = rng
+        self._budget = RetryBudget()
+
+    async def forward(
+        self,
+        snapshot: Snapshot,
+        route: Route,
+        req: EntryRequest,
+    ) -> ForwardedAnswer:
+        """Return the answer of a target.
+
+        Args:
+            snapshot: What the request began with.
+            route: Its route.
+            req: The request.
+
+        Returns:
+            The opened answer; close must be called.
+
+        Raises:
+            RequestNotRun: It was certainly not handed to a target.
+            RequestUnknown: It may have run.
+        """
+        self._budget.earn()
+        attempts = 1 + route.policy.retries
+        while True:
+            attempts -= 1
+            member = self._choose(snapshot, route, req)
+            try:
+                return await self._attempt(member, route, req)
+            except RequestNotRun:
+                if not attempts or not self._may_retry(req):
+                    raise
+            except RequestUnknown:
+                if not attempts or not self._may_repeat(route, req):
+                    raise
+            self.counters.retries += 1
+
+    def _choose(
+        self,
+        snapshot: Snapshot,
+        route: Route,
+        req: EntryRequest,
+    ) -> Member:
+        now = asyncio.get_running_loop().time()
+        service = route.targets.service
+        endpoints = snapshot.endpoints[service]
+        member = self._chooser.choose(endpoints, req.tried, now)
+        if member is None:
+            raise RequestNotRun(
+                f'no target of {service} is left to try',
+                come_back_ms=self._come_back_ms(),
+                step='choose target',
+            )
+        req.tried.append(member.node)
+        return member
+
+    async def _attempt(
+        self,
+        member: Member,
+        route: Route,
+        req: EntryRequest,
+    ) -> ForwardedAnswer:
+        loop = asyncio.get_running_loop()
+        started_at = loop.time()
+        self._chooser.began(member, started_at)
+        try:
+            link = self._links.ready(member.node)
+            if link is None:
+                link = await self._open_link(member)
+            call = link.begin()
+        except PeerUnavailable as exc:
+            self._chooser.ended(member, loop.time())
+            self._chooser.failed(member, loop.time(), unreachable=True)
+            raise self._not_run(exc) from exc
+        attempt = _Attempt(link, call, member, route, req)
+        try:
+            answer = await attempt.run(self._opening(member, route, req))
+        except BaseException as exc:
+            link.end(call, cancel=True)
+            self._chooser.ended(member, loop.time())
+            self._observe_failure(member, exc)
+            raise
+        now = loop.time()
+        self._chooser.answered(
+            member,
+            answer.load_permille or 0,
+            now - started_at,
+            now,
+        )
+        return ForwardedAnswer(
+            answer,
+            call,
+            lambda: self._close(member, link, call, attempt),
+        )
+
+    async def _open_link(self, member: Member) -> PeerLink:
+        return await self._links.link(member.node)
+
+    def _close(
+        self,
+        member: Member,
+        link: PeerLink,
+        call: CallStream,
+        attempt: '_Attempt',
+    ) -> None:
+        attempt.stop_upload()
+        link.end(call, cancel=True)
+        self._chooser.ended(member, asyncio.get_running_loop().time())
+
+    def _opening(
+        self,
+        member: Member,
+        route: Route,
+        req: EntryRequest,
+    ) -> ttypes.RequestOpen:
+        remaining_s = req.deadline - asyncio.get_running_loop().time()
+        policy = route.policy
+        return ttypes.RequestOpen(
+            method=req.method,
+            path=req.path,
+            headers=[ttypes.Header(*header) for header in req.headers],
+            remaining_ms=max(int(remaining_s * MS_PER_S), 1),
+            service_name=route.targets.service,
+            importance=policy.importance,
+            customer=req.customer,
+            body=req.first_chunk,
+            end=req.is_whole,
+            request_id=req.request_id,
+            refusal_statuses=list(route.targets.refusal_statuses),
+            generation=member.generation,
+            idempotent=req.method in policy.idempotent_methods,
+            stall_ms=int(policy.stall_s * MS_PER_S),
+        )
+
+    def _observe_failure(self, member: Member, exc: BaseException) -> None:
+        now = asyncio.get_running_loop().time()
+        if isinstance(exc, RequestNotRun):
+            self._chooser.refused(member, 0, now)
+        elif isinstance(exc, RequestUnknown):
+            self._chooser.failed(member, now, unreachable=False)
+
+    def _may_retry(self, req: EntryRequest) -> bool:
+        now = asyncio.get_running_loop().time()
+        if now >= req.deadline or req.is_body_taken:
+            return False
+        if self._budget.spend():
+            return True
+        self.counters.retries_denied += 1
+        return False
+
+    def _may_repeat(self, route: Route, req: EntryRequest) -> bool:
+        if req.method not in route.policy.idempotent_methods:
+            return False
+        if req.is_inner or not req.is_whole:
+            return False
+        now = asyncio.get_running_loop().time()
+        return now < req.deadline and self._budget.spend()
+
+    def _not_run(self, exc: PeerUnavailable) -> RequestNotRun:
+        return RequestNotRun(
+            exc.reason,
+            come_back_ms=self._come_back_ms(),
+            step=exc.step,
+            peer=exc.peer,
+        )
+
+    def _come_back_ms(self) -> int:
+        return COME_BACK_MS + int(COME_BACK_SPREAD_MS * self._rng.random())
+
+
+class _Attempt:
+    """One try of one request at one target."""
+
+    def __init__(
+        self,
+        link: PeerLink,
+        call: CallStream,
+        member: Member,
+        route: Route,
+        req: EntryRequest,
+    ) -> None:
+        """Keep the parts."""
+        self._link = link
+        self._call = call
+        self._member = member
+        self._route = route
+        self._req = req
+        self._upload: asyncio.Task[None] | None = None
+
+    async def run(self, opening: ttypes.RequestOpen) -> ttypes.AnswerOpen:
+        """Send the request and return the opened answer.
+
+        Raises:
+            RequestNotRun: The other side refused it before work.
+            RequestUnknown: It may have run.
+        """
+        try:
+            await self._call.send(opening)
+            if not self._req.is_whole:
+                loop = asyncio.get_running_loop()
+                self._upload = loop.create_task(self._pump())
+            return await self._await_answer()
+        except (PeerUnavailable, MalformedMessage) as exc:
+            raise self._unknown(exc.reason) from exc
+        except TimeoutError as exc:
+            raise self._unknown('deadline passed') from exc
+        except BaseException:
+            self.stop_upload()
+            raise
+
+    def stop_upload(self) -> None:
+        """Stop passing on the body."""
+        if self._upload:
+            self._upload.cancel()
+
+    async def _await_answer(self) -> ttypes.AnswerOpen:
+        if self._upload is None:
+            async with asyncio.timeout_at(self._req.deadline):
+                body = await self._call.receive()
+        else:
+            body = await self._answer_to_upload()
+        if isinstance(body, ttypes.AnswerOpen):
+            return body
+        if isinstance(body, ttypes.Refusal):
+            raise self._refusal(body)
+        raise self._unknown(f'unexpected {type(body).__name__}')
+
+    async def _answer_to_upload(self) -> object:
+        receive = asyncio.ensure_future(self._call.receive())
+        upload = self._upload
+        try:
+            while True:
+                await asyncio.wait(
+                    (receive, upload),  # type: ignore[type-var]
+                    return_when=asyncio.FIRST_COMPLETED,
+                )
+                if receive.done():
+                    return receive.result()
+                await upload  # type: ignore[misc]
+                remaining_s = self._route.policy.timeout_s
+                async with asyncio.timeout(remaining_s):
+                    return await receive
+        finally:
+            receive.cancel()
+            self.stop_upload()
+
+    async def _pump(self) -> None:
+        end = False
+        while not end:
+            async with asyncio.timeout(self._route.policy.stall_s):
+                await self._call.wait_for_credit()
+                self._req.is_body_taken = True
+                part = await self._req.read_body()
+                end = part.end
+                await self._call.send_chunk(part.chunk, end=end)
+
+    def _refusal(self, body: ttypes.Refusal) -> Exception:
+        if body.kind == ttypes.RefusalKind.NOT_RUN:
+            return RequestNotRun(
+                body.reason or '',
+                come_back_ms=body.come_back_ms or COME_BACK_MS,
+                step='forward',
+                peer=self._member.node,
+            )
+        return self._unknown(body.reason or '')
+
+    def _unknown(self, reason: str) -> RequestUnknown:
+        return RequestUnknown(
+            reason,
+            step='forward',
+            peer=self._member.node,
+        )
--- /dev/null
+++ b/filbertdrift/gate.py
@@ -0,0 +1,257 @@
+"""Admission of requests to the target beside a node.
+
+The gate keeps to the target's slots. It queues only what can still meet its
+deadline, by importance and fairly between customers, and refuses the rest at
+once with a time to come back.
+"""
+
+import asyncio
+import random
+from collections import OrderedDict, deque
+from dataclasses import dataclass
+
+from filbertdrift.errors import RequestNotRun
+
+IMPORTANCE_LEVELS = 3
+BULK = 2
+BULK_SHARE = 0.75
+QUEUE_PER_SLOT = 4
+SERVICE_TIME_WEIGHT = 0.1
+FIRST_SERVICE_TIME_S = 0.02
+MIN_COME_BACK_MS = 50
+MAX_COME_BACK_MS = 5000
+SLOW_START_SHARE = 0.25
+PERMILLE = 1000
+
+
+@dataclass(slots=True)
+class Waiter:
+    """A request in the queue."""
+
+    importance: int
+    customer: str
+    deadline: float
+    admitted: asyncio.Future[None]
+
+
+@dataclass(slots=True)
+class GateCounters:
+    """What the gate did."""
+
+    admitted: int = 0
+    refused: int = 0
+    shed: int = 0
+    expired: int = 0
+
+
+class Gate:
+    """Slots and queue of one target.
+
+    Args:
+        slots: Requests that the target runs at a time.
+        rng: Spreads the times to come back.
+        warm_at: When the target has its full speed, on the loop's clock.
+        slow_start_s: How long the target takes to warm up.
+    """
+
+    def __init__(
+        self,
+        slots: int,
+        rng: random.Random,
+        warm_at: float = 0,
+        slow_start_s: float = 0,
+    ) -> None:
+        """Start empty and open."""
+        self.slots = slots
+        self.counters = GateCounters()
+        self.is_draining = False
+        self.running = 0
+        self.waiting = 0
+        self._rng = rng
+        self._warm_at = warm_at
+        self._slow_start_s = slow_start_s
+        self._bulk_running = 0
+        self._service_time_s = FIRST_SERVICE_TIME_S
+        self._queues: list[OrderedDict[str, deque[Waiter]]] = [
+            OrderedDict() for _ in range(IMPORTANCE_LEVELS)
+        ]
+
+    @property
+    def load_permille(self) -> int:
+        """Return running and waiting requests over slots, in thousandths."""
+        busy = self.running + self.waiting
+        return busy * PERMILLE // max(self._open_slots(), 1)
+
+    async def admit(
+        self,
+        importance: int,
+        customer: str,
+        deadline: float,
+    ) -> None:
+        """Wait for a slot; release must be called after the request.
+
+        Args:
+            importance: Zero is the most important.
+            customer: Whose request it is, for fairness.
+            deadline: When the caller gives up, on the loop's clock.
+
+        Raises:
+            RequestNotRun: No slot in time; the request may come back.
+        """
+        self._check_admission(importance, deadline)
+        if not self.waiting and self._has_slot(importance):
+            self._take_slot(importance)
+            return
+        loop = asyncio.get_running_loop()
+        waiter = Waiter(importance, customer, deadline, loop.create_future())
+        self._enqueue(waiter)
+        self._wake()
+        try:
+            async with asyncio.timeout_at(deadline):
+                await waiter.admitted
+        except TimeoutError as exc:
+            self._leave(waiter)
+            self.counters.expired += 1
+            raise self._refusal('deadline passed in the queue') from exc
+        except asyncio.CancelledError:
+            self._leave(waiter)
+            raise
+
+    def release(self, importance: int, service_time_s: float) -> None:
+        """Free the slot of a request that has ended.
+
+        Args:
+            importance: As given to admit.
+            service_time_s: How long the target had it.
+        """
+        self.running -= 1
+        if importance == BULK:
+            self._bulk_running -= 1
+        self._service_time_s += SERVICE_TIME_WEIGHT * (
+            service_time_s - self._service_time_s
+        )
+        self._wake()
+
+    def drain(self) -> None:
+        """Refuse new requests from now on; admitted ones go on."""
+        self.is_draining = True
+
+    def expected_wait_s(self) -> float:
+        """Return how long a new request would wait."""
+        ahead = self.waiting + self.running - self._open_slots() + 1
+        rate = self._service_time_s / max(self._open_slots(), 1)
+        return max(ahead, 0) * rate
+
+    def _check_admission(self, importance: int, deadline: float) -> None:
+        now = asyncio.get_running_loop().time()
+        if self.is_draining:
+            raise self._refusal('draining')
+        expected = self._service_time_s
+        if self.waiting and importance > 0:
+            expected += self.expected_wait_s()
+        if now >= deadline or (self.waiting and now + expected > deadline):
+            raise self._refusal('cannot meet the deadline')
+
+    def _open_slots(self) -> int:
+        now = asyncio.get_running_loop().time()
+        if now >= self._warm_at or self._slow_start_s <= 0:
+            return self.slots
+        cold = min((self._warm_at - now) / self._slow_start_s, 1)
+        share = 1 - cold * (1 - SLOW_START_SHARE)
+        return max(int(self.slots * share), 1)
+
+    def _has_slot(self, importance: int) -> bool:
+        slots = self._open_slots()
+        if self.running >= slots:
+            return False
+        if importance == BULK:
+            return self._bulk_running < max(int(slots * BULK_SHARE), 1)
+        return True
+
+    def _take_slot(self, importance: int) -> None:
+        self.running += 1
+        self.counters.admitted += 1
+        if importance == BULK:
+            self._bulk_running += 1
+
+    def _enqueue(self, waiter: Waiter) -> None:
+        if self.waiting >= self._open_slots() * QUEUE_PER_SLOT:
+            self._shed_for(waiter)
+        queue = self._queues[waiter.importance]
+        queue.setdefault(waiter.customer, deque()).append(waiter)
+        self.waiting += 1
+
+    def _shed_for(self, newcomer: Waiter) -> None:
+        victim = self._least_entitled(newcomer)
+        if victim is None:
+            raise self._refusal('queue is full')
+        self._leave(victim)
+        self.counters.shed += 1
+        if not victim.admitted.done():
+            victim.admitted.set_exception(self._refusal('shed for others'))
+
+    def _least_entitled(self, newcomer: Waiter) -> Waiter | None:
+        for importance in range(IMPORTANCE_LEVELS - 1, -1, -1):
+            queue = self._queues[importance]
+            if not queue:
+                continue
+            if importance < newcomer.importance:
+                return None
+            heaviest = max(queue.values(), key=len)
+            own = len(queue.get(newcomer.customer, ()))
+            if importance > newcomer.importance or len(heaviest) > own + 1:
+                return heaviest[-1]
+            return None
+        return None
+
+    def _leave(self, waiter: Waiter) -> None:
+        if waiter.admitted.done() and not waiter.admitted.cancelled():
+            if waiter.admitted.exception() is None:
+                self._give_back(waiter)
+            return
+        queue = self._queues[waiter.importance]
+        waiting = queue.get(waiter.customer)
+        if waiting and waiter in waiting:
+            waiting.remove(waiter)
+            self.waiting -= 1
+            if not waiting:
+                queue.pop(waiter.customer)
+
+    def _give_back(self, waiter: Waiter) -> None:
+        self.running -= 1
+        if waiter.importance == BULK:
+            self._bulk_running -= 1
+        self._wake()
+
+    def _wake(self) -> None:
+        while self.waiting:
+            waiter = self._next_waiter()
+            if waiter is None:
+                return
+            if waiter.admitted.done():
+                continue
+            self._take_slot(waiter.importance)
+            waiter.admitted.set_result(None)
+
+    def _next_waiter(self) -> Waiter | None:
+        for importance, queue in enumerate(self._queues):
+            if queue and self._has_slot(importance):
+                customer, waiting = next(iter(queue.items()))
+                waiter = waiting.popleft()
+                self.waiting -= 1
+                queue.move_to_end(customer)
+                if not waiting:
+                    queue.pop(customer)
+                return waiter
+        return None
+
+    def _refusal(self, reason: str) -> RequestNotRun:
+        self.counters.refused += 1
+        base_ms = int(self.expected_wait_s() * 1000)
+        spread_ms = int((MIN_COME_BACK_MS + base_ms) * self._rng.random())
+        come_back_ms = MIN_COME_BACK_MS + base_ms + spread_ms
+        return RequestNotRun(
+            reason,
+            come_back_ms=min(come_back_ms, MAX_COME_BACK_MS),
+            step='admit',
+        )
--- /dev/null
+++ b/filbertdrift/gen/__init__.py
@@ -0,0 +1,1 @@
+"""Generated thrift code; see idl/filbertdrift.thrift."""
--- /dev/null
+++ b/filbertdrift/link.py
@@ -0,0 +1,390 @@
+"""Calls between two nodes, many at a time over one kept connection."""
+
+import asyncio
+import contextlib
+import itertools
+from collections.abc import Awaitable, Callable
+
+from loguru import logger
+
+from filbertdrift.errors import (
+    FilbertdriftError,
+    MalformedMessage,
+    PeerUnavailable,
+)
+from filbertdrift.gen import ttypes
+from filbertdrift.network import Connection, Network
+
+CHUNK_BYTES = 64 * 1024
+WINDOW_BYTES = 256 * 1024
+KEEP_ALIVE_S = 1.0
+SILENT_S = 3.0
+IDLE_CLOSE_S = 60.0
+
+
+class CallStream:
+    """One side of one call: messages in both directions with flow control.
+
+    The first chunk of a body travels with the opening message. Further
+    chunks need credit, which the receiver grants as it consumes.
+
+    Args:
+        conn: The connection that carries the call.
+        call_id: The call's number on that connection.
+        window_bytes: How much this side may send before it gets credit.
+    """
+
+    def __init__(
+        self,
+        conn: Connection,
+        call_id: int,
+        window_bytes: int,
+    ) -> None:
+        """Start open."""
+        self.peer = conn.peer
+        self.call_id = call_id
+        self._conn = conn
+        self._window_bytes = window_bytes
+        self._credited = asyncio.Event()
+        self._received: asyncio.Queue[object] = asyncio.Queue()
+        self._failure: FilbertdriftError | None = None
+
+    async def send(self, body: object) -> None:
+        """Send one message that needs no credit.
+
+        Raises:
+            PeerUnavailable: The connection is broken.
+        """
+        self._check()
+        await self._conn.send(self.call_id, body)
+
+    async def send_chunk(self, chunk: bytes, *, end: bool) -> None:
+        """Send a part of a body as credit allows.
+
+        Args:
+            chunk: The bytes, of any length.
+            end: True if the body ends with them.
+
+        Raises:
+            PeerUnavailable: The connection is broken.
+        """
+        rest = memoryview(chunk)
+        while True:
+            part = rest[:CHUNK_BYTES]
+            rest = rest[CHUNK_BYTES:]
+            if part:
+                await self.wait_for_credit()
+            self._window_bytes -= len(part)
+            last = end and not rest
+            await self.send(ttypes.BodyChunk(bytes(part), last))
+            if not rest:
+                return
+
+    async def receive(self) -> object:
+        """Return the next message of this call.
+
+        Raises:
+            PeerUnavailable: The connection broke before the call ended.
+        """
+        body = await self._received.get()
+        if isinstance(body, FilbertdriftError):
+            raise body
+        return body
+
+    async def grant(self, amount_bytes: int) -> None:
+        """Allow the other side to send more."""
+        if amount_bytes > 0:
+            await self.send(ttypes.Credit(amount_bytes))
+
+    def deliver(self, body: object) -> None:
+        """Take a message that arrived for this call."""
+        if isinstance(body, ttypes.Credit):
+            self._window_bytes += max(body.amount_bytes or 0, 0)
+            self._credited.set()
+        else:
+            self._received.put_nowait(body)
+
+    def fail(self, exc: FilbertdriftError) -> None:
+        """End the call because its connection broke."""
+        self._failure = exc
+        self._credited.set()
+        self._received.put_nowait(exc)
+
+    async def wait_for_credit(self) -> None:
+        """Wait until the other side allows this one to send more.
+
+        Raises:
+            PeerUnavailable: The connection is broken.
+        """
+        while self._window_bytes <= 0:
+            self._credited.clear()
+            await self._credited.wait()
+            self._check()
+
+    def _check(self) -> None:
+        if self._failure is not None:
+            raise self._failure
+
+
+class PeerLink:
+    """The calling side of a connection to another node.
+
+    Args:
+        conn: The open connection.
+    """
+
+    def __init__(self, conn: Connection) -> None:
+        """Start the task that reads the connection."""
+        loop = asyncio.get_running_loop()
+        self.peer = conn.peer
+        self.is_open = True
+        self.heard_at = loop.time()
+        self.used_at = loop.time()
+        self._conn = conn
+        self._calls: dict[int, CallStream] = {}
+        self._ids = itertools.count(1)
+        self._task = loop.create_task(self._read())
+
+    @property
+    def open_calls(self) -> int:
+        """Return the number of calls in progress."""
+        return len(self._calls)
+
+    def begin(self) -> CallStream:
+        """Start a call; end must be called for it.
+
+        Raises:
+            PeerUnavailable: The connection is closed.
+        """
+        if not self.is_open:
+            raise PeerUnavailable('closed', step='call', peer=self.peer)
+        self.used_at = asyncio.get_running_loop().time()
+        call = CallStream(self._conn, next(self._ids), 0)
+        self._calls[call.call_id] = call
+        return call
+
+    def end(self, call: CallStream, *, cancel: bool = False) -> None:
+        """Forget a call.
+
+        Args:
+            call: The call.
+            cancel: Tell the other side to stop working on it.
+        """
+        known = self._calls.pop(call.call_id, None)
+        if known and cancel and self.is_open:
+            self._conn.send_nowait(call.call_id, ttypes.Cancel())
+
+    def keep_alive(self, now: float) -> None:
+        """Ask for a sign of life, or close a connection that gives none.
+
+        Args:
+            now: The time on the event loop's clock.
+        """
+        if now - self.heard_at > SILENT_S:
+            self.close('silent connection')
+        elif not self._calls and now - self.used_at > IDLE_CLOSE_S:
+            self.close('idle')
+        elif now - self.heard_at >= KEEP_ALIVE_S:
+            self._conn.send_nowait(0, ttypes.KeepAlive(reply=False))
+
+    def close(self, reason: str) -> None:
+        """Close the connection and fail its calls."""
+        if not self.is_open:
+            return
+        self.is_open = False
+        self._conn.close()
+        exc = PeerUnavailable(reason, step='call', peer=self.peer)
+        for call in list(self._calls.values()):
+            call.fail(exc)
+
+    async def _read(self) -> None:
+        loop = asyncio.get_running_loop()
+        reason = 'connection ended'
+        try:
+            while self.is_open:
+                call_id, body = await self._conn.receive()
+                self.heard_at = loop.time()
+                call = self._calls.get(call_id)
+                if call is not None:
+                    call.deliver(body)
+        except (PeerUnavailable, MalformedMessage) as exc:
+            reason = exc.reason
+        self.close(reason)
+
+
+class LinkPool:
+    """The kept connections of one node to the others, one for each peer.
+
+    Args:
+        network: How to reach the other nodes.
+    """
+
+    def __init__(self, network: Network) -> None:
+        """Start without connections."""
+        self.silent_links = 0
+        self._network = network
+        self._links: dict[str, PeerLink] = {}
+        self._locks: dict[str, asyncio.Lock] = {}
+
+    def __len__(self) -> int:
+        """Return the number of open connections."""
+        return len(self._links)
+
+    def ready(self, peer: str) -> PeerLink | None:
+        """Return the open connection to a peer if there is one."""
+        link = self._links.get(peer)
+        return link if link and link.is_open else None
+
+    async def link(self, peer: str) -> PeerLink:
+        """Return the connection to a peer, opening it if need be.
+
+        Raises:
+            PeerUnavailable: The peer cannot be reached.
+        """
+        found = self.ready(peer)
+        if found:
+            return found
+        lock = self._locks.setdefault(peer, asyncio.Lock())
+        async with lock:
+            found = self.ready(peer)
+            if found is None:
+                found = PeerLink(await self._network.connect(peer))
+                self._links[peer] = found
+        return found
+
+    async def ask(self, peer: str, body: object, deadline: float) -> object:
+        """Make one call with a single answer.
+
+        Args:
+            peer: The node to ask.
+            body: The question.
+            deadline: When to give up, on the event loop's clock.
+
+        Returns:
+            The answer.
+
+        Raises:
+            PeerUnavailable: No answer came.
+        """
+        try:
+            async with asyncio.timeout_at(deadline):
+                return await self._ask(peer, body)
+        except TimeoutError as exc:
+            raise PeerUnavailable('timeout', step='ask', peer=peer) from exc
+
+    async def run(self) -> None:
+        """Find silent and idle connections until cancelled."""
+        loop = asyncio.get_running_loop()
+        while True:
+            await asyncio.sleep(KEEP_ALIVE_S)
+            for peer, link in list(self._links.items()):
+                with contextlib.suppress(PeerUnavailable):
+                    link.keep_alive(loop.time())
+                if not link.is_open:
+                    self._forget(peer, link)
+
+    def close(self) -> None:
+        """Close all connections."""
+        for link in self._links.values():
+            link.close('shutdown')
+        self._links.clear()
+
+    async def _ask(self, peer: str, body: object) -> object:
+        link = await self.link(peer)
+        call = link.begin()
+        try:
+            await call.send(body)
+            return await call.receive()
+        finally:
+            link.end(call)
+
+    def _forget(self, peer: str, link: PeerLink) -> None:
+        if self._links.get(peer) is link:
+            self._links.pop(peer)
+            self._locks.pop(peer, None)
+        if asyncio.get_running_loop().time() - link.heard_at > SILENT_S:
+            self.silent_links += 1
+
+
+OnCall = Callable[[CallStream, object], Awaitable[None]]
+
+
+async def serve_connection(conn: Connection, on_call: OnCall) -> None:
+    """Serve the calls that another node makes over a connection.
+
+    Each call runs in a task of its own and is cancelled when the caller says
+    so or when the connection ends.
+
+    Args:
+        conn: The accepted connection.
+        on_call: Serves one call, given the message that opened it.
+    """
+    served = _ServedConnection(conn, on_call)
+    try:
+        await served.run()
+    finally:
+        served.close()
+
+
+class _ServedConnection:
+    """The serving side of a connection."""
+
+    def __init__(self, conn: Connection, on_call: OnCall) -> None:
+        """Start without calls."""
+        self._conn = conn
+        self._on_call = on_call
+        self._calls: dict[int, CallStream] = {}
+        self._tasks: dict[int, asyncio.Task[None]] = {}
+
+    async def run(self) -> None:
+        """Read until the connection ends."""
+        while True:
+            try:
+                async with asyncio.timeout(IDLE_CLOSE_S + SILENT_S):
+                    call_id, body = await self._conn.receive()
+            except TimeoutError:
+                return
+            self._take(call_id, body)
+
+    def close(self) -> None:
+        """Cancel the calls in progress."""
+        exc = PeerUnavailable('ended', step='serve', peer=self._conn.peer)
+        for call in self._calls.values():
+            call.fail(exc)
+        for task in list(self._tasks.values()):
+            task.cancel()
+
+    def _take(self, call_id: int, body: object) -> None:
+        if isinstance(body, ttypes.KeepAlive):
+            self._conn.send_nowait(0, ttypes.KeepAlive(reply=True))
+            return
+        call = self._calls.get(call_id)
+        if isinstance(body, ttypes.Cancel):
+            self._cancel(call_id)
+        elif call is not None:
+            call.deliver(body)
+        elif not isinstance(body, (ttypes.BodyChunk, ttypes.Credit)):
+            self._open(call_id, body)
+
+    def _open(self, call_id: int, body: object) -> None:
+        call = CallStream(self._conn, call_id, WINDOW_BYTES)
+        self._calls[call_id] = call
+        loop = asyncio.get_running_loop()
+        self._tasks[call_id] = loop.create_task(self._serve(call, body))
+
+    async def _serve(self, call: CallStream, body: object) -> None:
+        try:
+            await self._on_call(call, body)
+        except PeerUnavailable:
+            self._conn.close()
+        except MalformedMessage as exc:
+            logger.warning('{}', exc)
+            self._conn.close()
+        finally:
+            self._calls.pop(call.call_id, None)
+            self._tasks.pop(call.call_id, None)
+
+    def _cancel(self, call_id: int) -> None:
+        task = self._tasks.get(call_id)
+        if task:
+            task.cancel()
--- /dev/null
+++ b/filbertdrift/members.py
@@ -0,0 +1,229 @@
+"""The table of nodes and of the targets announced beside them."""
+
+import hashlib
+from collections import defaultdict
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass, replace
+from enum import IntEnum
+
+from filbertdrift.errors import MalformedMessage
+from filbertdrift.gen import ttypes
+
+BUCKETS = 64
+DEAD_KEPT_S = 3600.0
+_HASH_BYTES = 8
+
+
+class MemberStatus(IntEnum):
+    """What is known of a node; of two equal versions the higher holds."""
+
+    IDLE = ttypes.MemberStatus.IDLE
+    SERVING = ttypes.MemberStatus.SERVING
+    LEAVING = ttypes.MemberStatus.LEAVING
+    SUSPECT = ttypes.MemberStatus.SUSPECT
+    DEAD = ttypes.MemberStatus.DEAD
+
+
+@dataclass(frozen=True, slots=True)
+class Member:
+    """One node and the target announced beside it.
+
+    Args:
+        node: The node's address.
+        domain: Its failure domain.
+        region: Its region.
+        service: The service of its target, empty without one.
+        generation: Grows with each start of the node.
+        version: Grows with each change the node makes itself.
+        status: What is known of it.
+        slots: Requests that its target runs at a time.
+    """
+
+    node: str
+    domain: str
+    region: str = ''
+    service: str = ''
+    generation: int = 0
+    version: int = 0
+    status: MemberStatus = MemberStatus.IDLE
+    slots: int = 0
+
+    def supersedes(self, other: 'Member') -> bool:
+        """Tell whether this is newer knowledge than the other."""
+        return self._order() > other._order()
+
+    def fingerprint(self) -> int:
+        """Return a hash of 63 bits of everything known."""
+        text = repr(self).encode()
+        raw = hashlib.blake2b(text, digest_size=_HASH_BYTES).digest()
+        return int.from_bytes(raw, 'big') >> 1
+
+    def _order(self) -> tuple[int, int, int]:
+        return self.generation, self.version, self.status
+
+
+class MemberTable:
+    """All known members, indexed by domain and by service.
+
+    The digest and the bucket digests leave dead members out, so a node that
+    has forgotten a dead member agrees with one that has not.
+    """
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self.digest = 0
+        self.buckets = [0] * BUCKETS
+        self._members: dict[str, Member] = {}
+        self._by_domain: dict[str, dict[str, Member]] = defaultdict(dict)
+        self._by_service: dict[str, dict[str, Member]] = defaultdict(dict)
+        self._forget_at: dict[str, float] = {}
+
+    def __len__(self) -> int:
+        """Return the number of members that are not dead."""
+        return len(self._members) - len(self._forget_at)
+
+    def get(self, node: str) -> Member | None:
+        """Return what is known of a node."""
+        return self._members.get(node)
+
+    def apply(self, member: Member, now: float) -> bool:
+        """Take over knowledge if it is newer.
+
+        Args:
+            member: The knowledge.
+            now: The time on the event loop's clock.
+
+        Returns:
+            True if the table changed.
+        """
+        known = self._members.get(member.node)
+        if known is None and member.status == MemberStatus.DEAD:
+            return False
+        if known is not None and not member.supersedes(known):
+            return False
+        if known is not None:
+            self._unlink(known)
+        self._link(member, now)
+        return True
+
+    def forget_expired(self, now: float) -> None:
+        """Drop members that have been dead for long."""
+        for node, forget_at in list(self._forget_at.items()):
+            if forget_at <= now:
+                self._forget_at.pop(node)
+                self._members.pop(node)
+
+    def alive(self) -> Sequence[Member]:
+        """Return all members that are not dead."""
+        return [
+            member
+            for member in self._members.values()
+            if member.status != MemberStatus.DEAD
+        ]
+
+    def everyone(self) -> Sequence[Member]:
+        """Return all members, the dead included."""
+        return list(self._members.values())
+
+    def domains(self) -> Sequence[str]:
+        """Return the domains that have members, sorted."""
+        return sorted(name for name, found in self._by_domain.items() if found)
+
+    def in_domain(self, domain: str) -> Sequence[Member]:
+        """Return the members of a domain that are not dead."""
+        return list(self._by_domain[domain].values())
+
+    def of_service(self, service: str) -> Sequence[Member]:
+        """Return the members with a target of a service that take work."""
+        return list(self._by_service[service].values())
+
+    def in_buckets(self, numbers: Iterable[int]) -> Sequence[Member]:
+        """Return the members in some buckets, the dead included."""
+        wanted = set(numbers)
+        return [
+            member
+            for node, member in self._members.items()
+            if bucket_of(node) in wanted
+        ]
+
+    def differing_buckets(self, other: Sequence[int]) -> Sequence[int]:
+        """Return the numbers of the buckets whose digests differ."""
+        return [
+            number
+            for number, digest in enumerate(self.buckets)
+            if number >= len(other) or other[number] != digest
+        ]
+
+    def _link(self, member: Member, now: float) -> None:
+        self._members[member.node] = member
+        if member.status == MemberStatus.DEAD:
+            self._forget_at[member.node] = now + DEAD_KEPT_S
+            return
+        self._forget_at.pop(member.node, None)
+        self._by_domain[member.domain][member.node] = member
+        if member.status == MemberStatus.SERVING and member.service:
+            self._by_service[member.service][member.node] = member
+        self._toggle(member)
+
+    def _unlink(self, member: Member) -> None:
+        self._by_domain[member.domain].pop(member.node, None)
+        self._by_service[member.service].pop(member.node, None)
+        if member.status != MemberStatus.DEAD:
+            self._toggle(member)
+
+    def _toggle(self, member: Member) -> None:
+        fingerprint = member.fingerprint()
+        self.digest ^= fingerprint
+        self.buckets[bucket_of(member.node)] ^= fingerprint
+
+
+def bucket_of(node: str) -> int:
+    """Return the number of a node's bucket."""
+    raw = hashlib.blake2b(node.encode(), digest_size=2).digest()
+    return int.from_bytes(raw, 'big') % BUCKETS
+
+
+def to_entry(member: Member) -> ttypes.MemberEntry:
+    """Return a member as a message."""
+    return ttypes.MemberEntry(
+        node=member.node,
+        domain=member.domain,
+        region=member.region,
+        service_name=member.service,
+        generation=member.generation,
+        version=member.version,
+        status=int(member.status),
+        slots=member.slots,
+    )
+
+
+def from_entry(entry: ttypes.MemberEntry) -> Member:
+    """Return the member in a message.
+
+    Raises:
+        MalformedMessage: A field is missing or out of range.
+    """
+    try:
+        return Member(
+            node=_known_text(entry.node),
+            domain=_known_text(entry.domain),
+            region=entry.region or '',
+            service=entry.service_name or '',
+            generation=int(entry.generation),
+            version=int(entry.version),
+            status=MemberStatus(entry.status),
+            slots=entry.slots or 0,
+        )
+    except (TypeError, ValueError) as exc:
+        raise MalformedMessage(str(exc), step='read member') from exc
+
+
+def with_status(member: Member, status: MemberStatus) -> Member:
+    """Return the same version of a member with another status."""
+    return replace(member, status=status)
+
+
+def _known_text(text: str | None) -> str:
+    if not text:
+        raise ValueError('empty name')
+    return text
--- /dev/null
+++ b/filbertdrift/network.py
@@ -0,0 +1,346 @@
+"""Links between nodes: framed TCP connections and UDP datagrams.
+
+A node meets the network through one abstract class. The real one uses
+sockets; its twin in memory, in network_memory, runs on virtual time.
+"""
+
+import asyncio
+import contextlib
+from abc import ABC, abstractmethod
+from collections import Counter
+from collections.abc import Awaitable, Callable
+
+from filbertdrift.errors import MalformedMessage, PeerUnavailable
+from filbertdrift.wire import (
+    LENGTH_BYTES,
+    frame_length,
+    pack_datagram,
+    pack_frame,
+    unpack_datagram,
+    unpack_frame,
+)
+
+CONNECT_TIMEOUT_S = 1.0
+DRAIN_ABOVE_BYTES = 64 * 1024
+READ_BUFFER_BYTES = 256 * 1024
+
+OnConnection = Callable[['Connection'], Awaitable[None]]
+OnDatagram = Callable[[str, int, object], None]
+
+
+class NetworkCounters:
+    """Bytes and messages sent by kind, and bad input received."""
+
+    def __init__(self) -> None:
+        """Start at zero."""
+        self.sent_bytes: Counter[str] = Counter()
+        self.sent_messages: Counter[str] = Counter()
+        self.received_messages: Counter[str] = Counter()
+        self.malformed = 0
+
+    def sent(self, body: object, size_bytes: int) -> None:
+        """Count one sent message."""
+        kind = type(body).__name__
+        self.sent_bytes[kind] += size_bytes
+        self.sent_messages[kind] += 1
+
+    def received(self, body: object) -> None:
+        """Count one received message."""
+        self.received_messages[type(body).__name__] += 1
+
+
+class Connection(ABC):
+    """A framed connection to another node.
+
+    Args:
+        peer: The other side's address.
+        counters: Where to count messages.
+    """
+
+    def __init__(self, peer: str, counters: NetworkCounters) -> None:
+        """Keep the peer's address."""
+        self.peer = peer
+        self._counters = counters
+
+    def send_nowait(self, call_id: int, body: object) -> None:
+        """Put one message into the send buffer.
+
+        Args:
+            call_id: The call that the message belongs to.
+            body: The message.
+        """
+        frame = pack_frame(call_id, body)
+        self._counters.sent(body, len(frame))
+        self._write(frame)
+
+    async def send(self, call_id: int, body: object) -> None:
+        """Send one message, waiting while the send buffer is full.
+
+        Args:
+            call_id: The call that the message belongs to.
+            body: The message.
+
+        Raises:
+            PeerUnavailable: The connection is broken.
+        """
+        self.send_nowait(call_id, body)
+        await self._drain()
+
+    async def receive(self) -> tuple[int, object]:
+        """Return the next call id and message.
+
+        Raises:
+            PeerUnavailable: The connection ended.
+            MalformedMessage: The other side sent something else.
+        """
+        try:
+            call_id, body = unpack_frame(await self._read())
+        except MalformedMessage:
+            self._counters.malformed += 1
+            raise
+        self._counters.received(body)
+        return call_id, body
+
+    @abstractmethod
+    def close(self) -> None:
+        """Close the connection at once."""
+
+    @abstractmethod
+    def _write(self, frame: bytes) -> None:
+        """Buffer a frame."""
+
+    @abstractmethod
+    async def _drain(self) -> None:
+        """Wait while the send buffer is full."""
+
+    @abstractmethod
+    async def _read(self) -> bytes:
+        """Return the next frame without its length prefix."""
+
+
+class Network(ABC):
+    """How one node reaches the others.
+
+    Args:
+        address: This node's own address, IP number and port.
+    """
+
+    def __init__(self, address: str) -> None:
+        """Keep the address."""
+        self.address = address
+        self.counters = NetworkCounters()
+
+    def send(self, address: str, generation: int, body: object) -> None:
+        """Send one datagram; it may be lost.
+
+        Args:
+            address: The receiving node.
+            generation: The sending node's generation.
+            body: The message.
+        """
+        payload = pack_datagram(self.address, generation, body)
+        self.counters.sent(body, len(payload))
+        self._send_datagram(address, payload)
+
+    @abstractmethod
+    async def start(
+        self,
+        on_connection: OnConnection,
+        on_datagram: OnDatagram,
+    ) -> None:
+        """Listen for connections and datagrams.
+
+        Args:
+            on_connection: Serves one accepted connection until it ends.
+            on_datagram: Takes sender, its generation and the message.
+        """
+
+    @abstractmethod
+    async def connect(self, address: str) -> Connection:
+        """Open a connection to another node.
+
+        Raises:
+            PeerUnavailable: The node did not answer in time.
+        """
+
+    @abstractmethod
+    async def close(self) -> None:
+        """Stop listening and close all connections."""
+
+    @abstractmethod
+    def _send_datagram(self, address: str, payload: bytes) -> None:
+        """Send the bytes of one datagram."""
+
+    def _deliver(self, payload: bytes, on_datagram: OnDatagram) -> None:
+        try:
+            sender, generation, body = unpack_datagram(payload)
+        except MalformedMessage:
+            self.counters.malformed += 1
+            return
+        self.counters.received(body)
+        on_datagram(sender, generation, body)
+
+
+class TcpConnection(Connection):
+    """A framed connection over TCP."""
+
+    def __init__(
+        self,
+        peer: str,
+        counters: NetworkCounters,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        """Wrap the two halves of a stream."""
+        super().__init__(peer, counters)
+        self._reader = reader
+        self._writer = writer
+
+    def close(self) -> None:
+        """Abort the connection; buffered frames are dropped."""
+        self._writer.transport.abort()
+
+    def _write(self, frame: bytes) -> None:
+        self._writer.write(frame)
+
+    async def _drain(self) -> None:
+        transport = self._writer.transport
+        if transport.get_write_buffer_size() < DRAIN_ABOVE_BYTES:
+            if transport.is_closing():
+                raise PeerUnavailable('closed', step='send', peer=self.peer)
+            return
+        try:
+            await self._writer.drain()
+        except OSError as exc:
+            raise PeerUnavailable(
+                repr(exc),
+                step='send',
+                peer=self.peer,
+            ) from exc
+
+    async def _read(self) -> bytes:
+        try:
+            prefix = await self._reader.readexactly(LENGTH_BYTES)
+            return await self._reader.readexactly(frame_length(prefix))
+        except (OSError, asyncio.IncompleteReadError) as exc:
+            raise PeerUnavailable(
+                repr(exc),
+                step='receive',
+                peer=self.peer,
+            ) from exc
+
+
+class _DatagramReceiver(asyncio.DatagramProtocol):
+    """Hands datagrams to a network."""
+
+    def __init__(self, on_payload: Callable[[bytes], None]) -> None:
+        """Keep the receiver."""
+        self._on_payload = on_payload
+
+    def datagram_received(self, data: bytes, addr: object) -> None:
+        """Pass one datagram on."""
+        self._on_payload(data)
+
+    def error_received(self, exc: Exception) -> None:
+        """Ignore: an unreachable port shows as a missing answer."""
+
+
+class TcpNetwork(Network):
+    """The network over TCP and UDP sockets on one port number."""
+
+    def __init__(self, address: str) -> None:
+        """Keep the address; start binds it."""
+        super().__init__(address)
+        self._server: asyncio.Server | None = None
+        self._datagrams: asyncio.DatagramTransport | None = None
+        self._accepted: dict[asyncio.Task[None], Connection] = {}
+
+    async def start(
+        self,
+        on_connection: OnConnection,
+        on_datagram: OnDatagram,
+    ) -> None:
+        """Bind the TCP and the UDP port."""
+        loop = asyncio.get_running_loop()
+        host, port = split_address(self.address)
+
+        async def accept(
+            reader: asyncio.StreamReader,
+            writer: asyncio.StreamWriter,
+        ) -> None:
+            peer = format_peer(writer)
+            conn = TcpConnection(peer, self.counters, reader, writer)
+            await self._serve(conn, on_connection)
+
+        self._server = await asyncio.start_server(
+            accept,
+            host,
+            port,
+            limit=READ_BUFFER_BYTES,
+        )
+        self._datagrams, _ = await loop.create_datagram_endpoint(
+            lambda: _DatagramReceiver(
+                lambda payload: self._deliver(payload, on_datagram),
+            ),
+            local_addr=(host, port),
+        )
+
+    async def connect(self, address: str) -> Connection:
+        """Open a TCP connection."""
+        host, port = split_address(address)
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                reader, writer = await asyncio.open_connection(
+                    host,
+                    port,
+                    limit=READ_BUFFER_BYTES,
+                )
+        except (OSError, TimeoutError) as exc:
+            raise PeerUnavailable(
+                repr(exc),
+                step='connect',
+                peer=address,
+            ) from exc
+        return TcpConnection(address, self.counters, reader, writer)
+
+    async def close(self) -> None:
+        """Close the ports and the accepted connections."""
+        if self._server:
+            self._server.close()
+        if self._datagrams:
+            self._datagrams.close()
+        for conn in list(self._accepted.values()):
+            conn.close()
+        await asyncio.sleep(0)
+
+    def _send_datagram(self, address: str, payload: bytes) -> None:
+        if self._datagrams and not self._datagrams.is_closing():
+            self._datagrams.sendto(payload, split_address(address))
+
+    async def _serve(
+        self,
+        conn: Connection,
+        on_connection: OnConnection,
+    ) -> None:
+        task = asyncio.current_task()
+        if task is None:
+            return
+        self._accepted[task] = conn
+        try:
+            with contextlib.suppress(PeerUnavailable, MalformedMessage):
+                await on_connection(conn)
+        finally:
+            conn.close()
+            self._accepted.pop(task)
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Return host and port of an address such as 127.0.0.1:7000."""
+    host, _, port = address.rpartition(':')
+    return host, int(port)
+
+
+def format_peer(writer: asyncio.StreamWriter) -> str:
+    """Return the other side of a connection as host and port."""
+    name = writer.get_extra_info('peername')
+    return f'{name[0]}:{name[1]}' if name else 'closed'
--- /dev/null
+++ b/filbertdrift/node.py
@@ -0,0 +1,428 @@
+"""A node: the one process of the system beside each target instance."""
+
+import asyncio
+import random
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, replace
+from functools import singledispatchmethod
+
+from loguru import logger
+
+from filbertdrift.caller import CallerServer
+from filbertdrift.chooser import TargetChooser
+from filbertdrift.distribution import ConfigKeeper, Distributor
+from filbertdrift.errors import (
+    MalformedMessage,
+    RequestNotRun,
+    RequestUnknown,
+)
+from filbertdrift.explain import RequestJournal, RequestReport
+from filbertdrift.fold import ConfigState
+from filbertdrift.forward import (
+    EntryRequest,
+    ForwardedAnswer,
+    Forwarder,
+    Outcome,
+)
+from filbertdrift.gate import Gate
+from filbertdrift.gen import ttypes
+from filbertdrift.introduction import Introducer
+from filbertdrift.link import CallStream, LinkPool, serve_connection
+from filbertdrift.log import Log
+from filbertdrift.members import Member, MemberStatus
+from filbertdrift.membership import Membership
+from filbertdrift.network import Connection, Network
+from filbertdrift.profile import Profile
+from filbertdrift.publisher import Publisher
+from filbertdrift.serving import AnnouncedTarget, TargetServer
+from filbertdrift.snapshot import (
+    Route,
+    Snapshot,
+    build_snapshot,
+    with_endpoints,
+)
+from filbertdrift.target import Target
+
+BOOT_PEERS = 3
+BOOT_BACKOFF_S = 0.5
+MAX_BOOT_BACKOFF_S = 5.0
+LEAVE_NOTICE_S = 2.0
+DRAIN_POLL_S = 0.05
+ANNOUNCEMENT_S = 6.0
+
+
+@dataclass(frozen=True, slots=True)
+class Identity:
+    """Where a node is.
+
+    Args:
+        address: Its address for other nodes.
+        domain: Its failure domain.
+        region: Its region.
+        generation: Grows with each start.
+    """
+
+    address: str
+    domain: str
+    region: str
+    generation: int
+
+
+@dataclass(frozen=True, slots=True)
+class Announcement:
+    """What a target tells the node beside it.
+
+    Args:
+        service: The service the target belongs to.
+        address: Where it listens.
+        slots: Requests it runs at a time.
+        connections: Connections it accepts.
+    """
+
+    service: str
+    address: str
+    slots: int
+    connections: int
+
+
+@dataclass(slots=True)
+class NodeCounters:
+    """What happened to this node."""
+
+    swaps: int = 0
+    dangling_routes: int = 0
+    announcements: int = 0
+    announcements_expired: int = 0
+
+
+class Node:
+    """One node, from its start to its shutdown.
+
+    Args:
+        identity: Where it is.
+        network: How it reaches the other nodes.
+        log: The platform's log.
+        profile: What it spends for control.
+        seeds: Nodes to ask first.
+        open_target: Makes the connections to an announced target.
+        checkpoint_interval_s: Time between checkpoints.
+        rng: All its random choices.
+    """
+
+    def __init__(
+        self,
+        identity: Identity,
+        network: Network,
+        log: Log,
+        profile: Profile,
+        seeds: Sequence[str],
+        open_target: Callable[[str, int], Target],
+        checkpoint_interval_s: float,
+        rng: random.Random,
+    ) -> None:
+        """Assemble the parts; start sets them to work."""
+        self.identity = identity
+        self.network = network
+        self.log = log
+        self.counters = NodeCounters()
+        self.journal = RequestJournal()
+        self.snapshot: Snapshot | None = None
+        self.boot_sources: Sequence[str] = ()
+        self.is_leaving = False
+        self.links = LinkPool(network)
+        me = Member(
+            identity.address,
+            identity.domain,
+            identity.region,
+            generation=identity.generation,
+        )
+        self.membership = Membership(me, network, self.links, profile, rng)
+        self.keeper = ConfigKeeper()
+        self.distributor = Distributor(
+            self.keeper,
+            self.membership,
+            self.links,
+            log,
+            pushes_records=profile.pushes_records,
+            checkpoint_interval_s=checkpoint_interval_s,
+            rng=rng,
+        )
+        self.publisher = Publisher(log, self.distributor)
+        self.introducer = Introducer(log, self.membership, rng)
+        self.chooser = TargetChooser(identity.domain, identity.region, rng)
+        self.forwarder = Forwarder(self.links, self.chooser, rng)
+        self.server = TargetServer(identity.generation)
+        self.callers = CallerServer(self)
+        self._seeds = seeds
+        self._open_target = open_target
+        self._rng = rng
+        self._announced: Announcement | None = None
+        self._announced_until = 0.0
+        self._tasks: list[asyncio.Task[None]] = []
+        self.keeper.on_adopt = self._on_config
+        self.membership.on_change = self._on_members
+
+    # Start and shutdown
+
+    async def start(self) -> None:
+        """Join the others, fetch the configuration and begin to work.
+
+        Raises:
+            OSError: An address cannot be bound.
+        """
+        await self.network.start(self._on_connection, self._on_datagram)
+        loop = asyncio.get_running_loop()
+        self._tasks.append(loop.create_task(self.links.run()))
+        self._tasks.append(loop.create_task(self._boot()))
+
+    async def drain(self) -> None:
+        """Leave gracefully: no new work, then wait for what is in progress."""
+        self.is_leaving = True
+        self._tell_leaving()
+        await asyncio.sleep(LEAVE_NOTICE_S)
+        if self.server.announced:
+            self.server.announced.gate.drain()
+        await self.callers.drain()
+        while self.server.in_progress:
+            await asyncio.sleep(DRAIN_POLL_S)
+        logger.info('drained')
+
+    async def stop(self) -> None:
+        """Stop at once."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        self.callers.close()
+        self.links.close()
+        await self.network.close()
+        await self.log.close()
+
+    async def _boot(self) -> None:
+        backoff_s = BOOT_BACKOFF_S
+        while not await self._try_boot():
+            await asyncio.sleep(backoff_s * (0.5 + self._rng.random()))
+            backoff_s = min(backoff_s * 2, MAX_BOOT_BACKOFF_S)
+        logger.info(
+            'in force at offset {} from {}',
+            self.keeper.state.offset,
+            ', '.join(self.boot_sources),
+        )
+        await asyncio.gather(
+            self.membership.run(),
+            self.distributor.run(),
+            self.introducer.run(),
+            self._watch_announcement(),
+        )
+
+    async def _try_boot(self) -> bool:
+        await self.introducer.join(self._seeds)
+        known = [
+            member.node
+            for member in self.membership.table.alive()
+            if member.node != self.identity.address
+        ]
+        chosen = self._rng.sample(known, min(BOOT_PEERS, len(known)))
+        self.boot_sources = await self.distributor.boot(chosen)
+        if not self.boot_sources:
+            return False
+        return True
+
+    # Targets
+
+    def announce(self, announcement: Announcement) -> None:
+        """Take or renew the announcement of the target beside this node.
+
+        Args:
+            announcement: What the target says of itself.
+        """
+        loop = asyncio.get_running_loop()
+        self._announced_until = loop.time() + ANNOUNCEMENT_S
+        if self._announced == announcement or self.is_leaving:
+            return
+        self.counters.announcements += 1
+        logger.info('target of {} announced', announcement.service)
+        self.withdraw()
+        self._announced = announcement
+        slow_start_s = self._slow_start_s(announcement.service)
+        gate = Gate(
+            announcement.slots,
+            self._rng,
+            warm_at=loop.time() + slow_start_s,
+            slow_start_s=slow_start_s,
+        )
+        self.server.announced = AnnouncedTarget(
+            announcement.service,
+            self._open_target(announcement.address, announcement.connections),
+            gate,
+        )
+        self.membership.update_me(
+            replace(
+                self.membership.me,
+                service=announcement.service,
+                status=MemberStatus.SERVING,
+                slots=announcement.slots,
+            ),
+        )
+
+    def withdraw(self) -> None:
+        """Take the announcement back: no new work for the target."""
+        announced = self.server.announced
+        if announced is None:
+            return
+        logger.info('target of {} withdrawn', announced.service)
+        self._announced = None
+        self.server.announced = None
+        announced.gate.drain()
+        announced.target.close()
+        status = MemberStatus.IDLE
+        if self.is_leaving:
+            status = MemberStatus.LEAVING
+        self.membership.update_me(
+            replace(self.membership.me, service='', status=status, slots=0),
+        )
+
+    async def forward(
+        self,
+        snapshot: Snapshot,
+        route: Route,
+        req: EntryRequest,
+    ) -> ForwardedAnswer:
+        """Return the answer to a request that entered here."""
+        counters = self.forwarder.counters
+        outcome, reason = Outcome.ANSWERED, ''
+        try:
+            answer = await self.forwarder.forward(snapshot, route, req)
+        except RequestNotRun as exc:
+            outcome, reason = Outcome.NOT_RUN, str(exc)
+            counters.not_run += 1
+            raise
+        except RequestUnknown as exc:
+            outcome, reason = Outcome.UNKNOWN, str(exc)
+            counters.unknown += 1
+            raise
+        except asyncio.CancelledError:
+            outcome, reason = Outcome.UNKNOWN, 'the caller went away'
+            raise
+        finally:
+            self._note(route, req, outcome, reason)
+        counters.answered += 1
+        return answer
+
+    def _note(
+        self,
+        route: Route,
+        req: EntryRequest,
+        outcome: Outcome,
+        reason: str,
+    ) -> None:
+        self.journal.note(
+            RequestReport.model_construct(
+                request_id=req.request_id,
+                outcome=outcome.value,
+                reason=reason,
+                route=route.name,
+                tried=list(req.tried),
+            ),
+        )
+
+    def _tell_leaving(self) -> None:
+        self.membership.update_me(
+            replace(self.membership.me, status=MemberStatus.LEAVING),
+        )
+
+    def _slow_start_s(self, service: str) -> float:
+        if self.snapshot is None:
+            return 0
+        return max(
+            (
+                found.slow_start_s
+                for found in self.snapshot.target_sets.values()
+                if found.service == service
+            ),
+            default=0,
+        )
+
+    async def _watch_announcement(self) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            await asyncio.sleep(1)
+            if self._announced and loop.time() >= self._announced_until:
+                self.counters.announcements_expired += 1
+                self.withdraw()
+
+    # Swaps of the snapshot
+
+    def _on_config(self, state: ConfigState) -> None:
+        services = {
+            model.service for model in state.merged.targets.values()
+        }
+        endpoints = {
+            service: self.membership.table.of_service(service)
+            for service in services
+        }
+        self._swap(build_snapshot(state, endpoints))
+
+    def _on_members(self, changed: Sequence[Member]) -> None:
+        self.chooser.unreachable_domains = self.membership.unreachable_domains
+        if self.snapshot is None or not changed:
+            return
+        table = self.membership.table
+        endpoints = {
+            service: table.of_service(service)
+            for service in self.snapshot.endpoints
+        }
+        self._swap(with_endpoints(self.snapshot, endpoints))
+
+    def _swap(self, snapshot: Snapshot) -> None:
+        dangling = snapshot.dangling()
+        if dangling:
+            self.counters.dangling_routes += len(dangling)
+            logger.error('routes without targets: {}', ', '.join(dangling))
+        self.counters.swaps += 1
+        self.snapshot = snapshot
+
+    # Messages from other nodes
+
+    async def _on_connection(self, conn: Connection) -> None:
+        await serve_connection(conn, self._on_call)
+
+    def _on_datagram(self, sender: str, generation: int, body: object) -> None:
+        if self.membership.on_datagram(sender, generation, body):
+            return
+        if isinstance(body, ttypes.ConfigNotice):
+            self.distributor.on_notice(sender, body)
+
+    async def _on_call(self, call: CallStream, body: object) -> None:
+        await self._answer(body, call)
+
+    @singledispatchmethod
+    async def _answer(self, body: object, call: CallStream) -> None:
+        raise MalformedMessage(
+            f'unexpected {type(body).__name__}',
+            step='serve call',
+            peer=call.peer,
+        )
+
+    @_answer.register
+    async def _answer_request(
+        self,
+        body: ttypes.RequestOpen,
+        call: CallStream,
+    ) -> None:
+        await self.server.serve(call, body)
+
+    @_answer.register
+    async def _answer_pull(
+        self,
+        body: ttypes.PullConfig,
+        call: CallStream,
+    ) -> None:
+        await call.send(self.distributor.serve_pull(body))
+
+    @_answer.register
+    async def _answer_sync(
+        self,
+        body: ttypes.SyncMembers,
+        call: CallStream,
+    ) -> None:
+        await call.send(self.membership.serve_sync(body))
--- /dev/null
+++ b/filbertdrift/porcelain.py
@@ -0,0 +1,340 @@
+"""Plain functions behind the command line."""
+
+import time
+import uuid
+from collections.abc import Iterator, Mapping, Sequence
+from dataclasses import dataclass
+from pathlib import Path
+
+import httpx
+
+from filbertdrift import configfile
+from filbertdrift.daemon import run_node
+from filbertdrift.errors import (
+    ChangeRefused,
+    ConfigInvalid,
+    FilbertdriftError,
+    PeerUnavailable,
+)
+from filbertdrift.explain import (
+    FleetReport,
+    RequestReport,
+    StatusReport,
+    TargetReport,
+    VerdictReport,
+)
+from filbertdrift.settings import load_settings
+
+HTTP_TIMEOUT_S = 30.0
+WATCH_INTERVAL_S = 0.5
+WAIT_INTERVAL_S = 0.2
+DEFAULT_ADMIN = '127.0.0.1:7003'
+FILE_SUFFIX = '.ini'
+
+_UNAVAILABLE = 503
+
+
+@dataclass(frozen=True, slots=True)
+class CheckReport:
+    """What a folder of configuration files holds."""
+
+    files: int
+    routes: int
+    targets: int
+    policies: int
+
+
+@dataclass(frozen=True, slots=True)
+class PublishReport:
+    """What became of a published change."""
+
+    accepted: bool
+    offset: int
+    verdict: str
+    reason: str
+    record_id: str
+    in_force: int
+    nodes: int
+    seconds: float
+
+
+def node(config: str, overrides: Mapping[str, str] | None = None) -> None:
+    """Run one node until it is told to end.
+
+    Args:
+        config: The INI file with its settings.
+        overrides: Values by 'section.key'.
+
+    Raises:
+        SettingsError: The settings are invalid.
+    """
+    run_node(load_settings(config, overrides))
+
+
+def read_folder(folder: str) -> dict[str, str]:
+    """Return the configuration files of a folder by name.
+
+    Args:
+        folder: The folder.
+
+    Raises:
+        ConfigInvalid: The folder or a file cannot be read.
+    """
+    path = Path(folder)
+    if not path.is_dir():
+        raise ConfigInvalid('not a folder', step='read', peer=folder)
+    try:
+        return {
+            found.name: found.read_text('utf-8')
+            for found in sorted(path.iterdir())
+            if found.suffix == FILE_SUFFIX and found.is_file()
+        }
+    except (OSError, UnicodeDecodeError) as exc:
+        raise ConfigInvalid(str(exc), step='read', peer=folder) from exc
+
+
+def check(folder: str) -> CheckReport:
+    """Merge and check a folder without publishing it.
+
+    Args:
+        folder: The folder.
+
+    Raises:
+        ConfigInvalid: The reason lists every problem.
+    """
+    files = read_folder(folder)
+    merged = configfile.check(files)
+    return CheckReport(
+        files=len(files),
+        routes=len(merged.routes),
+        targets=len(merged.targets),
+        policies=len(merged.policies),
+    )
+
+
+def publish(
+    paths: Sequence[str],
+    admin: str = DEFAULT_ADMIN,
+    *,
+    base: int | None = None,
+    remove: Sequence[str] = (),
+    wait: bool = False,
+    record_id: str = '',
+    raise_rules: int = 0,
+) -> PublishReport:
+    """Publish files as one change.
+
+    Args:
+        paths: Files to publish.
+        admin: A node's admin address.
+        base: The offset at which the change was prepared; the node's
+            current one if not given.
+        remove: Names of files to remove.
+        wait: Wait until the change is in force on every node that answers.
+        record_id: Name of the change; publishing the same name again is not
+            a second change.
+        raise_rules: The level of validation rules to use from here on.
+
+    Raises:
+        ChangeRefused: The change was refused.
+        PeerUnavailable: The node or the log did not answer.
+        ConfigInvalid: A file cannot be read.
+    """
+    changes: dict[str, str | None] = {}
+    for path in paths:
+        try:
+            changes[Path(path).name] = Path(path).read_text('utf-8')
+        except (OSError, UnicodeDecodeError) as exc:
+            raise ConfigInvalid(str(exc), step='read', peer=path) from exc
+    changes.update(dict.fromkeys(remove))
+    return publish_changes(
+        changes,
+        admin,
+        base=base,
+        wait=wait,
+        record_id=record_id,
+        raise_rules=raise_rules,
+    )
+
+
+def publish_changes(
+    changes: Mapping[str, str | None],
+    admin: str = DEFAULT_ADMIN,
+    *,
+    base: int | None = None,
+    wait: bool = False,
+    record_id: str = '',
+    raise_rules: int = 0,
+) -> PublishReport:
+    """Publish contents as one change; None removes a file.
+
+    Raises:
+        ChangeRefused: The change was refused.
+        PeerUnavailable: The node or the log did not answer.
+    """
+    started_at = time.monotonic()
+    if base is None:
+        base = status(admin).offset
+    body = {
+        'record_id': record_id or uuid.uuid4().hex,
+        'base_offset': base,
+        'files': [
+            {'name': name, 'content': content}
+            for name, content in changes.items()
+        ],
+        'raise_rules': raise_rules,
+    }
+    published = _call(admin, 'POST', '/publish', json=body)
+    verdict = VerdictReport.model_validate(published['verdict'])
+    if not published['accepted']:
+        raise ChangeRefused(
+            f'{verdict.verdict} at offset {verdict.offset}: {verdict.reason}',
+            step='publish',
+            peer=admin,
+        )
+    fleet_report = FleetReport(
+        offset=verdict.offset, nodes=0, in_force=0, lagging={}, silent=[],
+    )
+    if wait:
+        fleet_report = wait_in_force(verdict.offset, admin)
+    return PublishReport(
+        accepted=True,
+        offset=verdict.offset,
+        verdict=verdict.verdict,
+        reason=verdict.reason,
+        record_id=str(body['record_id']),
+        in_force=fleet_report.in_force,
+        nodes=fleet_report.nodes,
+        seconds=time.monotonic() - started_at,
+    )
+
+
+def wait_in_force(
+    offset: int,
+    admin: str = DEFAULT_ADMIN,
+    timeout_s: float = HTTP_TIMEOUT_S,
+) -> FleetReport:
+    """Wait until an offset is in force on every node that answers.
+
+    Args:
+        offset: The offset.
+        admin: A node's admin address.
+        timeout_s: How long to wait.
+
+    Returns:
+        The last report; lagging nodes are listed in it.
+    """
+    deadline = time.monotonic() + timeout_s
+    while True:
+        report = fleet(admin, offset)
+        if not report.lagging or time.monotonic() >= deadline:
+            return report
+        time.sleep(WAIT_INTERVAL_S)
+
+
+def watch(
+    folder: str,
+    admin: str = DEFAULT_ADMIN,
+) -> Iterator[PublishReport | FilbertdriftError]:
+    """Publish every change of a folder, for ever.
+
+    Args:
+        folder: The folder.
+        admin: A node's admin address.
+
+    Yields:
+        What became of each change; a refused one is an error and is not
+        published again until the folder changes.
+    """
+    published: dict[str, str] = files(admin)
+    refused: dict[str, str] | None = None
+    while True:
+        current = read_folder(folder)
+        if current not in (published, refused):
+            changes: dict[str, str | None] = {
+                name: content
+                for name, content in current.items()
+                if published.get(name) != content
+            }
+            changes.update(dict.fromkeys(set(published) - set(current)))
+            try:
+                yield publish_changes(changes, admin)
+            except ChangeRefused as exc:
+                refused = current
+                yield exc
+            except FilbertdriftError as exc:
+                yield exc
+            published = _files_or(admin, published)
+        time.sleep(WATCH_INTERVAL_S)
+
+
+def files(admin: str = DEFAULT_ADMIN) -> dict[str, str]:
+    """Return the files in force on a node."""
+    return dict(_call(admin, 'GET', '/files')['files'])
+
+
+def status(admin: str = DEFAULT_ADMIN) -> StatusReport:
+    """Return the state of a node."""
+    return StatusReport.model_validate(_call(admin, 'GET', '/status'))
+
+
+def fleet(admin: str = DEFAULT_ADMIN, offset: int | None = None) -> FleetReport:
+    """Return which configuration is in force where.
+
+    Args:
+        admin: The admin address of the node that asks the others.
+        offset: The offset wanted; the asked node's own if not given.
+    """
+    wanted = status(admin).offset if offset is None else offset
+    found = _call(admin, 'GET', f'/fleet?offset={wanted}')
+    return FleetReport.model_validate(found)
+
+
+def verdicts(admin: str = DEFAULT_ADMIN) -> list[VerdictReport]:
+    """Return what became of the last changes, the newest first."""
+    found = _call(admin, 'GET', '/verdicts')
+    return [VerdictReport.model_validate(item) for item in found]
+
+
+def targets(admin: str = DEFAULT_ADMIN, service: str = '') -> list[TargetReport]:
+    """Return why each target gets work from a node or does not."""
+    found = _call(admin, 'GET', f'/targets?service={service}')
+    return [TargetReport.model_validate(item) for item in found]
+
+
+def request(request_id: str, admin: str = DEFAULT_ADMIN) -> RequestReport:
+    """Return what became of a request that entered at a node."""
+    found = _call(admin, 'GET', f'/requests/{request_id}')
+    return RequestReport.model_validate(found)
+
+
+def _files_or(admin: str, fallback: dict[str, str]) -> dict[str, str]:
+    try:
+        return files(admin)
+    except FilbertdriftError:
+        return fallback
+
+
+def _call(admin: str, method: str, path: str, json: object = None):  # noqa: ANN202
+    url = f'http://{admin}{path}'
+    try:
+        resp = httpx.request(
+            method,
+            url,
+            json=json,
+            timeout=HTTP_TIMEOUT_S,
+            trust_env=False,
+        )
+    except httpx.HTTPError as exc:
+        raise PeerUnavailable(repr(exc), step=method, peer=url) from exc
+    if resp.status_code >= 400:
+        reason = f'status {resp.status_code}: {_detail(resp)}'
+        raise PeerUnavailable(reason, step=method, peer=url)
+    return resp.json()
+
+
+def _detail(resp: httpx.Response) -> str:
+    try:
+        return str(resp.json().get('detail', resp.text))
+    except ValueError:
+        return resp.text
--- /dev/null
+++ b/filbertdrift/publisher.py
@@ -0,0 +1,105 @@
+"""Publishing of changes to the configuration stream."""
+
+import asyncio
+from dataclasses import dataclass
+
+from filbertdrift.distribution import Distributor
+from filbertdrift.errors import (
+    LogAnswerLost,
+    LogGap,
+    LogUnavailable,
+    RulesUnknown,
+)
+from filbertdrift.fold import Verdict, VerdictKind
+from filbertdrift.gen import ttypes
+from filbertdrift.log import CONFIG_STREAM, Log
+from filbertdrift.wire import encode
+
+PUBLISH_TIMEOUT_S = 10.0
+RETRY_S = 0.2
+
+
+@dataclass(frozen=True, slots=True)
+class Published:
+    """What became of a published change.
+
+    Args:
+        verdict: The judgement, the same on every node.
+        appends: How often the record was appended.
+    """
+
+    verdict: Verdict
+    appends: int
+
+    @property
+    def is_accepted(self) -> bool:
+        """Tell whether the change is part of the configuration."""
+        return self.verdict.kind == VerdictKind.ACCEPTED
+
+
+class Publisher:
+    """Appends changes to the log and learns what became of them.
+
+    Args:
+        log: The platform's log.
+        distributor: Folds the log.
+    """
+
+    def __init__(self, log: Log, distributor: Distributor) -> None:
+        """Keep the parts."""
+        self._log = log
+        self._distributor = distributor
+
+    async def publish(self, record: ttypes.ConfigRecord) -> Published:
+        """Publish a change; the same record id is never two changes.
+
+        Args:
+            record: The change, with an id chosen by the operator's side.
+
+        Returns:
+            The true result, also after an answer of the log was lost.
+
+        Raises:
+            LogUnavailable: The change was not published.
+            LogAnswerLost: The result cannot be known now; publishing the
+                same record again is safe.
+        """
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + PUBLISH_TIMEOUT_S
+        payload = encode(record)
+        appends = 0
+        may_be_appended = False
+        while True:
+            verdict = await self._find_verdict(record.record_id)
+            if verdict is not None:
+                return Published(verdict, appends)
+            try:
+                await self._log.append(CONFIG_STREAM, payload)
+                appends += 1
+                may_be_appended = True
+                continue
+            except LogAnswerLost:
+                appends += 1
+                may_be_appended = True
+            except LogUnavailable:
+                if not may_be_appended:
+                    raise
+            await self._wait(deadline)
+
+    async def _find_verdict(self, record_id: str) -> Verdict | None:
+        try:
+            await self._distributor.catch_up_with_log()
+        except LogGap as exc:
+            raise LogUnavailable(exc.reason, step='publish') from exc
+        except RulesUnknown as exc:
+            raise LogUnavailable(exc.reason, step='publish') from exc
+        state = self._distributor.keeper.state
+        return state.verdict_of(record_id)
+
+    async def _wait(self, deadline: float) -> None:
+        if asyncio.get_running_loop().time() + RETRY_S > deadline:
+            raise LogAnswerLost(
+                'no answer; publish the same change again',
+                step='publish',
+            )
+        await asyncio.sleep(RETRY_S)
--- /dev/null
+++ b/filbertdrift/serving.py
@@ -0,0 +1,286 @@
+"""The serving side of a request: the gate and the exchange with the target.
+
+A refusal of kind NOT_RUN is sent only before the first byte went to the
+target, or when the target's contract says that its refusal came before work.
+Everything else that is not an answer is UNKNOWN.
+"""
+
+import asyncio
+import contextlib
+from dataclasses import dataclass
+
+from filbertdrift import http1
+from filbertdrift.errors import (
+    FilbertdriftError,
+    MalformedMessage,
+    PeerUnavailable,
+    RequestNotRun,
+    RequestUnknown,
+)
+from filbertdrift.gate import Gate
+from filbertdrift.gen import ttypes
+from filbertdrift.link import WINDOW_BYTES, CallStream
+from filbertdrift.target import Exchange, Target, TargetRequest
+
+MS_PER_S = 1000
+COME_BACK_MS = 200
+TIMEOUT_HEADER = b'x-filbertdrift-timeout-ms'
+REQUEST_ID_HEADER = b'x-request-id'
+
+
+@dataclass(slots=True)
+class AnnouncedTarget:
+    """The target beside this node, as it announced itself.
+
+    Args:
+        service: The service it belongs to.
+        target: The connections to it.
+        gate: Its admission.
+    """
+
+    service: str
+    target: Target
+    gate: Gate
+
+
+@dataclass(slots=True)
+class ServingCounters:
+    """What became of the requests that reached this node's target."""
+
+    answered: int = 0
+    not_run: int = 0
+    unknown: int = 0
+    cancelled: int = 0
+
+
+class TargetServer:
+    """Serves forwarded requests with the target beside this node.
+
+    Args:
+        generation: This node's generation; requests for another are refused.
+    """
+
+    def __init__(self, generation: int) -> None:
+        """Start without a target."""
+        self.generation = generation
+        self.announced: AnnouncedTarget | None = None
+        self.counters = ServingCounters()
+        self.in_progress = 0
+
+    async def serve(self, call: CallStream, req: ttypes.RequestOpen) -> None:
+        """Serve one request to its end.
+
+        Args:
+            call: Where the answer goes and further body comes from.
+            req: The opening message.
+        """
+        self.in_progress += 1
+        try:
+            await self._serve(call, req)
+        except RequestNotRun as exc:
+            self.counters.not_run += 1
+            await self._refuse(call, exc, exc.come_back_ms)
+        except RequestUnknown as exc:
+            self.counters.unknown += 1
+            await self._refuse(call, exc, 0)
+        except asyncio.CancelledError:
+            self.counters.cancelled += 1
+            raise
+        finally:
+            self.in_progress -= 1
+
+    async def _serve(self, call: CallStream, req: ttypes.RequestOpen) -> None:
+        loop = asyncio.get_running_loop()
+        announced = self._matching_target(req)
+        deadline = loop.time() + req.remaining_ms / MS_PER_S
+        gate = announced.gate
+        await gate.admit(req.importance, req.customer or '', deadline)
+        started_at = loop.time()
+        try:
+            exchange = await self._connect(announced, req, deadline)
+            with contextlib.closing(exchange):
+                await _Run(call, req, exchange, gate).run(deadline)
+            self.counters.answered += 1
+        finally:
+            gate.release(req.importance, loop.time() - started_at)
+
+    def _matching_target(self, req: ttypes.RequestOpen) -> AnnouncedTarget:
+        announced = self.announced
+        if announced is None or announced.service != req.service_name:
+            reason = f'no target of {req.service_name} here'
+        elif req.generation != self.generation:
+            reason = 'meant for an earlier start of this node'
+        else:
+            return announced
+        raise RequestNotRun(
+            reason,
+            come_back_ms=COME_BACK_MS,
+            step='find target',
+        )
+
+    async def _connect(
+        self,
+        announced: AnnouncedTarget,
+        req: ttypes.RequestOpen,
+        deadline: float,
+    ) -> Exchange:
+        loop = asyncio.get_running_loop()
+        try:
+            exchange = await announced.target.exchange(
+                _target_request(req, deadline - loop.time()),
+            )
+        except PeerUnavailable as exc:
+            raise RequestNotRun(
+                exc.reason,
+                come_back_ms=COME_BACK_MS,
+                step=exc.step,
+                peer=exc.peer,
+            ) from exc
+        if loop.time() >= deadline:
+            exchange.close()
+            raise RequestNotRun(
+                'deadline passed before the target had it',
+                come_back_ms=0,
+                step='send to target',
+            )
+        return exchange
+
+    async def _refuse(
+        self,
+        call: CallStream,
+        exc: FilbertdriftError,
+        come_back_ms: int,
+    ) -> None:
+        kind = ttypes.RefusalKind.UNKNOWN
+        if isinstance(exc, RequestNotRun):
+            kind = ttypes.RefusalKind.NOT_RUN
+        load = self.announced.gate.load_permille if self.announced else 0
+        await call.send(ttypes.Refusal(kind, str(exc), come_back_ms, load))
+
+
+class _Run:
+    """One admitted request and its exchange with the target."""
+
+    def __init__(
+        self,
+        call: CallStream,
+        req: ttypes.RequestOpen,
+        exchange: Exchange,
+        gate: Gate,
+    ) -> None:
+        """Keep the parts."""
+        self._call = call
+        self._req = req
+        self._exchange = exchange
+        self._gate = gate
+        self._stall_s = (req.stall_ms or req.remaining_ms) / MS_PER_S
+
+    async def run(self, deadline: float) -> None:
+        """Send the request and pass the answer on.
+
+        Raises:
+            RequestNotRun: The target refused before work, by its contract.
+            RequestUnknown: The target may have run it.
+        """
+        try:
+            async with asyncio.timeout_at(deadline) as limit:
+                await self._exchange.send_head()
+                if self._req.end:
+                    head = await self._exchange.head()
+                else:
+                    limit.reschedule(None)
+                    head = await self._head_of_upload()
+                await self._check_contract(head)
+                limit.reschedule(None)
+                await self._pass_answer(head)
+        except TimeoutError as exc:
+            raise RequestUnknown('deadline passed', step='await target') from exc
+        except (PeerUnavailable, MalformedMessage) as exc:
+            raise RequestUnknown(
+                exc.reason,
+                step=exc.step,
+                peer=exc.peer,
+            ) from exc
+
+    async def _head_of_upload(self) -> http1.ResponseHead:
+        upload = asyncio.ensure_future(self._pump_upload())
+        head = asyncio.ensure_future(self._exchange.head())
+        try:
+            await asyncio.wait(
+                (upload, head),
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            if not head.done():
+                await upload
+                async with asyncio.timeout(self._req.remaining_ms / MS_PER_S):
+                    await asyncio.shield(head)
+            return head.result()
+        finally:
+            upload.cancel()
+            head.cancel()
+            await asyncio.gather(upload, head, return_exceptions=True)
+
+    async def _pump_upload(self) -> None:
+        await self._call.grant(WINDOW_BYTES)
+        end = False
+        while not end:
+            async with asyncio.timeout(self._stall_s):
+                body = await self._call.receive()
+                if not isinstance(body, ttypes.BodyChunk):
+                    raise MalformedMessage(
+                        f'unexpected {type(body).__name__}',
+                        step='read upload',
+                        peer=self._call.peer,
+                    )
+                end = bool(body.end)
+                await self._exchange.send_body(body.body or b'', end=end)
+                await self._call.grant(len(body.body or b''))
+
+    async def _check_contract(self, head: http1.ResponseHead) -> None:
+        if head.status not in (self._req.refusal_statuses or ()):
+            return
+        retry_after = http1.find_header(head.headers, b'retry-after')
+        seconds = float(retry_after) if retry_after.isdigit() else 0
+        while not self._exchange.parsed().end:
+            await self._exchange.part()
+            break
+        raise RequestNotRun(
+            f'target refused with status {head.status}',
+            come_back_ms=int(seconds * MS_PER_S) or COME_BACK_MS,
+            step='await target',
+        )
+
+    async def _pass_answer(self, head: http1.ResponseHead) -> None:
+        part = self._exchange.parsed()
+        await self._call.send(
+            ttypes.AnswerOpen(
+                status=head.status,
+                headers=[
+                    ttypes.Header(name, content)
+                    for name, content in http1.end_to_end(head.headers)
+                ],
+                body=part.chunk,
+                end=part.end,
+                load_permille=self._gate.load_permille,
+            ),
+        )
+        while not part.end:
+            async with asyncio.timeout(self._stall_s):
+                part = await self._exchange.part()
+                await self._call.send_chunk(part.chunk, end=part.end)
+
+
+def _target_request(
+    req: ttypes.RequestOpen,
+    remaining_s: float,
+) -> TargetRequest:
+    headers = [(header.name, header.content) for header in req.headers or ()]
+    remaining_ms = max(int(remaining_s * MS_PER_S), 1)
+    headers.append((TIMEOUT_HEADER, b'%d' % remaining_ms))
+    return TargetRequest(
+        method=req.method,
+        path=req.path,
+        headers=headers,
+        first_chunk=req.body or b'',
+        is_whole=bool(req.end),
+    )
--- /dev/null
+++ b/filbertdrift/settings.py
@@ -0,0 +1,165 @@
+"""Settings of one process, read from an INI file and checked at start."""
+
+import configparser
+import ipaddress
+import os
+from collections.abc import Mapping
+from pathlib import Path
+from typing import Annotated, Literal
+
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+from pydantic import AfterValidator, BeforeValidator
+
+from filbertdrift.configfile import suggest
+from filbertdrift.errors import SettingsError
+
+ENVIRONMENT_PREFIX = 'FILBERTDRIFT_'
+MAX_PORT = 65_535
+
+_PART_SEPARATOR = '__'
+
+
+def _check_address(text: str) -> str:
+    host, _, port = text.rpartition(':')
+    try:
+        ipaddress.ip_address(host.strip('[]'))
+    except ValueError:
+        raise ValueError('expected IP number and port, as 10.0.0.1:7000')
+    if not port.isdigit() or not 0 < int(port) <= MAX_PORT:
+        raise ValueError(f'expected a port from 1 to {MAX_PORT}')
+    return text
+
+
+def _split_words(text: object) -> object:
+    if isinstance(text, str):
+        return tuple(text.replace(',', ' ').split())
+    return text
+
+
+Address = Annotated[str, AfterValidator(_check_address)]
+Addresses = Annotated[tuple[Address, ...], BeforeValidator(_split_words)]
+
+
+class _Section(BaseModel):
+    model_config = ConfigDict(extra='forbid', frozen=True)
+
+
+class NodeSection(_Section):
+    """Where this node is and where it listens."""
+
+    peer_address: Address
+    caller_address: Address
+    admin_address: Address
+    domain: str = Field(min_length=1)
+    region: str = ''
+
+
+class PeersSection(_Section):
+    """How this node finds the others when it starts."""
+
+    seeds: Addresses = ()
+
+
+class LogSection(_Section):
+    """The platform's log."""
+
+    url: str = Field(pattern=r'^https?://\S+$')
+    checkpoint_interval_s: float = Field(default=600, ge=1)
+
+
+class ControlSection(_Section):
+    """What this node spends for control."""
+
+    profile: Literal['convergence', 'bytes'] = 'convergence'
+
+
+class LoggingSection(_Section):
+    """What this node writes to standard error."""
+
+    level: Literal['DEBUG', 'INFO', 'WARNING', 'ERROR'] = 'INFO'
+    format: Literal['text', 'json'] = 'text'
+
+
+class TracingSection(_Section):
+    """Which requests leave spans."""
+
+    sampled: float = Field(default=0, ge=0, le=1)
+
+
+class Settings(_Section):
+    """All settings of one node."""
+
+    node: NodeSection
+    log: LogSection
+    peers: PeersSection = PeersSection()
+    control: ControlSection = ControlSection()
+    logging: LoggingSection = LoggingSection()
+    tracing: TracingSection = TracingSection()
+
+
+def load_settings(
+    path: str,
+    overrides: Mapping[str, str] | None = None,
+    environment: Mapping[str, str] | None = None,
+) -> Settings:
+    """Return the settings of a file with overrides.
+
+    Args:
+        path: The INI file.
+        overrides: Values by 'section.key', stronger than all others.
+        environment: Variables such as FILBERTDRIFT_NODE__DOMAIN; the
+            process's own if not given.
+
+    Returns:
+        The checked settings.
+
+    Raises:
+        SettingsError: The reason lists every error, one a line.
+    """
+    sections = _read_file(path)
+    variables = os.environ if environment is None else environment
+    for name, text in variables.items():
+        if name.startswith(ENVIRONMENT_PREFIX) and _PART_SEPARATOR in name:
+            bare = name[len(ENVIRONMENT_PREFIX) :].lower()
+            section, _, key = bare.partition(_PART_SEPARATOR)
+            sections.setdefault(section, {})[key] = text
+    for name, text in (overrides or {}).items():
+        section, _, key = name.partition('.')
+        sections.setdefault(section, {})[key] = text
+    try:
+        return Settings.model_validate(sections)
+    except ValidationError as exc:
+        reasons = [_explain(path, error) for error in exc.errors()]
+        raise SettingsError('\n'.join(reasons), step='settings') from exc
+
+
+def _read_file(path: str) -> dict[str, dict[str, str]]:
+    parser = configparser.RawConfigParser(delimiters=('=',), strict=True)
+    try:
+        parser.read_string(Path(path).read_text('utf-8'), source=path)
+    except (OSError, UnicodeDecodeError) as exc:
+        raise SettingsError(f'{path}: {exc}', step='settings') from exc
+    except configparser.Error as exc:
+        reason = ' '.join(str(exc).split())
+        raise SettingsError(reason, step='settings') from exc
+    return {title: dict(parser.items(title)) for title in parser.sections()}
+
+
+def _explain(path: str, error: Mapping[str, object]) -> str:
+    places = [str(part) for part in error['loc']]  # type: ignore[attr-defined]
+    section, key = places[0], places[1] if len(places) > 1 else ''
+    place = f'{path} [{section}] {key}'.rstrip()
+    if error['type'] == 'extra_forbidden':
+        return f'{place}: unknown; {_known_names(section, key)}'
+    if error['type'] == 'missing':
+        return f'{place}: missing; add it'
+    message = str(error['msg']).removeprefix('Value error, ')
+    return f'{place}: {message}, got {error["input"]!r}'
+
+
+def _known_names(section: str, key: str) -> str:
+    if not key:
+        return suggest(section, Settings.model_fields)
+    model = Settings.model_fields[section].annotation
+    fields = getattr(model, 'model_fields', {})
+    return suggest(key, fields)
--- /dev/null
+++ b/filbertdrift/snapshot.py
@@ -0,0 +1,243 @@
+"""The configuration and the targets that one node routes by.
+
+A snapshot is immutable. A node swaps it whole; a request keeps the snapshot
+that it began with.
+"""
+
+from collections.abc import Iterable, Mapping, Sequence
+from dataclasses import dataclass, field
+
+from filbertdrift.configfile import IMPORTANCE_RANK, MergedConfig, PolicyModel
+from filbertdrift.fold import ConfigState
+from filbertdrift.members import Member
+
+_PARAMETER = '{'
+_REST = '*'
+
+
+@dataclass(frozen=True, slots=True)
+class TargetSet:
+    """The targets of a service and the contract with them."""
+
+    name: str
+    service: str
+    probe_path: str
+    probe_interval_s: float
+    slow_start_s: float
+    refusal_statuses: tuple[int, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Policy:
+    """How requests of a route are treated."""
+
+    name: str
+    timeout_s: float
+    stall_s: float
+    idempotent_methods: frozenset[str]
+    retries: int
+    importance: int
+    key_honoured: bool
+    key_required: bool
+    customer_header: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Route:
+    """Where requests for a path go."""
+
+    name: str
+    path: str
+    methods: frozenset[str]
+    targets: TargetSet
+    policy: Policy
+
+
+@dataclass(slots=True)
+class _PathNode:
+    """One segment of the paths of routes."""
+
+    literals: dict[str, '_PathNode'] = field(default_factory=dict)
+    parameter: '_PathNode | None' = None
+    routes: list[Route] = field(default_factory=list)
+    rest_routes: list[Route] = field(default_factory=list)
+
+
+class RouteTable:
+    """Routes found by path and method, the most literal path first."""
+
+    def __init__(self, routes: Iterable[Route]) -> None:
+        """Index the routes."""
+        self._root = _PathNode()
+        self.routes = tuple(routes)
+        for route in self.routes:
+            self._add(route)
+
+    def match(self, method: str, path: str) -> Route | None:
+        """Return the route of a request.
+
+        Args:
+            method: Upper case.
+            path: The request target, query included.
+
+        Returns:
+            The route, or None if no route matches.
+        """
+        bare = path.split('?', 1)[0]
+        segments = bare.strip('/').split('/')
+        return _find(self._root, segments, 0, method)
+
+    def _add(self, route: Route) -> None:
+        node = self._root
+        for segment in route.path.strip('/').split('/'):
+            if segment == _REST:
+                node.rest_routes.append(route)
+                return
+            if segment.startswith(_PARAMETER):
+                node.parameter = node.parameter or _PathNode()
+                node = node.parameter
+            else:
+                node = node.literals.setdefault(segment, _PathNode())
+        node.routes.append(route)
+
+
+@dataclass(frozen=True)
+class Snapshot:
+    """Everything that a node routes by at one moment.
+
+    Args:
+        offset: The offset of the configuration.
+        digest: The digest of the configuration.
+        table: The routes.
+        target_sets: Target sets by name.
+        endpoints: Members with a target by service, for each target set.
+    """
+
+    offset: int
+    digest: bytes
+    table: RouteTable
+    target_sets: Mapping[str, TargetSet]
+    endpoints: Mapping[str, Sequence[Member]]
+
+    def match(self, method: str, path: str) -> Route | None:
+        """Return the route of a request, None if no route matches."""
+        return self.table.match(method, path)
+
+    def dangling(self) -> Sequence[str]:
+        """Return the routes whose target set or service is missing."""
+        return [
+            route.name
+            for route in self.table.routes
+            if self.target_sets.get(route.targets.name) is not route.targets
+            or route.targets.service not in self.endpoints
+        ]
+
+
+def build_snapshot(
+    state: ConfigState,
+    endpoints: Mapping[str, Sequence[Member]],
+) -> Snapshot:
+    """Return the snapshot of a configuration and the known targets.
+
+    Args:
+        state: The configuration.
+        endpoints: Known members by service; services may be missing.
+
+    Returns:
+        A snapshot in which every service of a target set has its entry.
+    """
+    merged = state.merged
+    target_sets = _target_sets(merged)
+    policies = {
+        name: _policy(name, model) for name, model in merged.policies.items()
+    }
+    routes = [
+        Route(
+            name=name,
+            path=model.path,
+            methods=frozenset(model.methods),
+            targets=target_sets[model.targets],
+            policy=policies[model.policy],
+        )
+        for name, model in sorted(merged.routes.items())
+    ]
+    services = sorted({found.service for found in target_sets.values()})
+    return Snapshot(
+        offset=state.offset,
+        digest=state.digest,
+        table=RouteTable(routes),
+        target_sets=target_sets,
+        endpoints={
+            service: tuple(endpoints.get(service, ())) for service in services
+        },
+    )
+
+
+def with_endpoints(
+    snapshot: Snapshot,
+    endpoints: Mapping[str, Sequence[Member]],
+) -> Snapshot:
+    """Return a snapshot with the same configuration and other targets."""
+    return Snapshot(
+        offset=snapshot.offset,
+        digest=snapshot.digest,
+        table=snapshot.table,
+        target_sets=snapshot.target_sets,
+        endpoints={
+            service: tuple(endpoints.get(service, known))
+            for service, known in snapshot.endpoints.items()
+        },
+    )
+
+
+def _target_sets(merged: MergedConfig) -> dict[str, TargetSet]:
+    return {
+        name: TargetSet(
+            name=name,
+            service=model.service,
+            probe_path=model.probe_path,
+            probe_interval_s=model.probe_interval_ms / 1000,
+            slow_start_s=model.slow_start_ms / 1000,
+            refusal_statuses=model.refusal_statuses,
+        )
+        for name, model in merged.targets.items()
+    }
+
+
+def _policy(name: str, model: PolicyModel) -> Policy:
+    return Policy(
+        name=name,
+        timeout_s=model.timeout_ms / 1000,
+        stall_s=model.stall_ms / 1000,
+        idempotent_methods=frozenset(model.idempotent_methods),
+        retries=model.retries,
+        importance=IMPORTANCE_RANK[model.importance],
+        key_honoured=model.idempotency_key != 'ignored',
+        key_required=model.idempotency_key == 'required',
+        customer_header=model.customer_header.lower().encode(),
+    )
+
+
+def _find(
+    node: _PathNode,
+    segments: Sequence[str],
+    depth: int,
+    method: str,
+) -> Route | None:
+    if depth == len(segments):
+        found = _with_method(node.routes, method)
+        return found or _with_method(node.rest_routes, method)
+    literal = node.literals.get(segments[depth])
+    for child in (literal, node.parameter):
+        if child is not None:
+            found = _find(child, segments, depth + 1, method)
+            if found:
+                return found
+    return _with_method(node.rest_routes, method)
+
+
+def _with_method(routes: Sequence[Route], method: str) -> Route | None:
+    for route in routes:
+        if not route.methods or method in route.methods:
+            return route
+    return None
--- /dev/null
+++ b/filbertdrift/target.py
@@ -0,0 +1,276 @@
+"""The target beside a node: kept connections and one exchange at a time."""
+
+import asyncio
+from abc import ABC, abstractmethod
+from collections import deque
+from dataclasses import dataclass
+
+from filbertdrift import http1
+from filbertdrift.errors import PeerUnavailable
+from filbertdrift.network import split_address
+
+CONNECT_TIMEOUT_S = 1.0
+IDLE_REUSE_S = 4.0
+LAST_CHUNK = b'0\r\n\r\n'
+
+
+@dataclass(slots=True)
+class TargetRequest:
+    """A request as the target gets it.
+
+    Args:
+        method: Upper case.
+        path: The request target, query included.
+        headers: End-to-end headers.
+        first_chunk: The beginning of the body.
+        is_whole: True if the body ends with the first chunk.
+    """
+
+    method: str
+    path: str
+    headers: http1.Headers
+    first_chunk: bytes
+    is_whole: bool
+
+
+class Exchange(ABC):
+    """One request to the target and its response."""
+
+    @abstractmethod
+    async def send_head(self) -> None:
+        """Send the head and the beginning of the body.
+
+        Raises:
+            PeerUnavailable: The connection broke; the target may have run it.
+        """
+
+    @abstractmethod
+    async def send_body(self, chunk: bytes, *, end: bool) -> None:
+        """Send a further part of the body.
+
+        Args:
+            chunk: The bytes.
+            end: True if the body ends with them.
+
+        Raises:
+            PeerUnavailable: The connection broke.
+        """
+
+    @abstractmethod
+    async def head(self) -> http1.ResponseHead:
+        """Return the response's head.
+
+        Raises:
+            PeerUnavailable: The connection broke.
+            MalformedMessage: The target did not send HTTP.
+        """
+
+    @abstractmethod
+    def parsed(self) -> http1.BodyPart:
+        """Return what has already arrived of the response's body."""
+
+    @abstractmethod
+    async def part(self) -> http1.BodyPart:
+        """Return the next part of the response's body.
+
+        Raises:
+            MessageTruncated: The response is cut short.
+            MalformedMessage: The target did not send HTTP.
+        """
+
+    @abstractmethod
+    def close(self) -> None:
+        """End the exchange; before its end this cancels it."""
+
+
+class Target(ABC):
+    """The target beside a node."""
+
+    address: str
+
+    @abstractmethod
+    async def exchange(self, request: TargetRequest) -> Exchange:
+        """Return an exchange whose request is not yet handed over.
+
+        Raises:
+            PeerUnavailable: There is no connection to the target.
+        """
+
+    @abstractmethod
+    def close(self) -> None:
+        """Close the kept connections."""
+
+
+class TargetConnection:
+    """One connection to the target."""
+
+    def __init__(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        peer: str,
+    ) -> None:
+        """Wrap a stream."""
+        self.messages = http1.ResponseReader(reader, peer)
+        self.reuse_until = 0.0
+        self._reader = reader
+        self._writer = writer
+
+    def is_usable(self, now: float) -> bool:
+        """Tell whether a kept connection may carry another exchange."""
+        return (
+            now < self.reuse_until
+            and not self._reader.at_eof()
+            and not self._writer.is_closing()
+        )
+
+    async def write(self, raw: bytes) -> None:
+        """Write bytes, waiting while the buffer is full.
+
+        Raises:
+            PeerUnavailable: The connection broke.
+        """
+        try:
+            self._writer.write(raw)
+            await self._writer.drain()
+        except OSError as exc:
+            raise PeerUnavailable(
+                repr(exc),
+                step='send to target',
+                peer=self.messages.peer,
+            ) from exc
+
+    def close(self) -> None:
+        """Close the connection at once."""
+        self._writer.transport.abort()
+
+
+class HttpExchange(Exchange):
+    """An exchange over HTTP/1.1.
+
+    Args:
+        pool: Where the connection goes back after a whole exchange.
+        conn: The connection.
+        request: The request.
+    """
+
+    def __init__(
+        self,
+        pool: 'HttpTarget',
+        conn: TargetConnection,
+        request: TargetRequest,
+    ) -> None:
+        """Start before the first byte is sent."""
+        self._pool = pool
+        self._conn = conn
+        self._request = request
+        self._is_chunked = not request.is_whole and not http1.find_header(
+            request.headers,
+            b'content-length',
+        )
+        self._is_sent = False
+        self._is_whole = False
+        self._head: http1.ResponseHead | None = None
+
+    async def send_head(self) -> None:
+        """Send the head and the beginning of the body."""
+        request = self._request
+        headers = list(request.headers)
+        if self._is_chunked:
+            headers.append((b'transfer-encoding', b'chunked'))
+        raw = http1.request_bytes(request.method, request.path, headers)
+        await self._conn.write(raw + self._coded(request.first_chunk))
+        if request.is_whole:
+            self._is_sent = True
+
+    async def send_body(self, chunk: bytes, *, end: bool) -> None:
+        """Send a further part of the body."""
+        raw = self._coded(chunk)
+        if end and self._is_chunked:
+            raw += LAST_CHUNK
+        if raw:
+            await self._conn.write(raw)
+        self._is_sent = end
+
+    async def head(self) -> http1.ResponseHead:
+        """Return the response's head."""
+        self._head = await self._conn.messages.head()
+        return self._head
+
+    def parsed(self) -> http1.BodyPart:
+        """Return what has already arrived of the response's body."""
+        if self._request.method == 'HEAD':
+            return http1.BodyPart(b'', end=True)
+        return self._noted(self._conn.messages.parsed())
+
+    async def part(self) -> http1.BodyPart:
+        """Return the next part of the response's body."""
+        return self._noted(await self._conn.messages.part())
+
+    def close(self) -> None:
+        """Keep the connection after a whole exchange, else close it."""
+        keeps = self._head is not None and self._head.keep_alive
+        if self._is_whole and self._is_sent and keeps:
+            self._pool.keep(self._conn)
+        else:
+            self._conn.close()
+
+    def _noted(self, part: http1.BodyPart) -> http1.BodyPart:
+        self._is_whole = part.end
+        return part
+
+    def _coded(self, chunk: bytes) -> bytes:
+        if chunk and self._is_chunked:
+            return http1.chunk_bytes(chunk)
+        return chunk
+
+
+class HttpTarget(Target):
+    """Kept connections to one target over HTTP/1.1.
+
+    Args:
+        address: The target's address.
+        limit: How many connections the target accepts.
+    """
+
+    def __init__(self, address: str, limit: int) -> None:
+        """Start without connections."""
+        self.address = address
+        self._limit = limit
+        self._idle: deque[TargetConnection] = deque()
+
+    async def exchange(self, request: TargetRequest) -> Exchange:
+        """Return an exchange on a kept or a new connection."""
+        now = asyncio.get_running_loop().time()
+        while self._idle:
+            conn = self._idle.pop()
+            if conn.is_usable(now):
+                return HttpExchange(self, conn, request)
+            conn.close()
+        return HttpExchange(self, await self._connect(), request)
+
+    def keep(self, conn: TargetConnection) -> None:
+        """Keep a connection for the next exchange."""
+        now = asyncio.get_running_loop().time()
+        conn.reuse_until = now + IDLE_REUSE_S
+        self._idle.append(conn)
+        if len(self._idle) > self._limit:
+            self._idle.popleft().close()
+
+    def close(self) -> None:
+        """Close the kept connections."""
+        while self._idle:
+            self._idle.pop().close()
+
+    async def _connect(self) -> TargetConnection:
+        host, port = split_address(self.address)
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                reader, writer = await asyncio.open_connection(host, port)
+        except (OSError, TimeoutError) as exc:
+            raise PeerUnavailable(
+                repr(exc),
+                step='connect to target',
+                peer=self.address,
+            ) from exc
+        return TargetConnection(reader, writer, self.address)
--- /dev/null
+++ b/idl/filbertdrift.thrift
@@ -0,0 +1,248 @@
+/** Messages between filbertdrift nodes, and the records nodes keep on the log. */
+namespace py filbertdrift_wire
+
+enum MemberStatus {
+  IDLE = 1
+  SERVING = 2
+  LEAVING = 3
+  SUSPECT = 4
+  DEAD = 5
+}
+
+/** One node and the target announced beside it. */
+struct MemberEntry {
+  1: string node
+  2: string domain
+  3: string region
+  4: string service_name
+  5: i64 generation
+  6: i32 version
+  7: MemberStatus status
+  8: i32 slots
+  9: bool standby
+}
+
+/** What a node holds, in a few bytes. */
+struct StateDigest {
+  1: i64 config_offset
+  2: binary config_digest
+  3: i64 members_digest
+}
+
+struct Ping {
+  1: i64 sequence
+  2: StateDigest digest
+}
+
+struct Ack {
+  1: i64 sequence
+  2: StateDigest digest
+  3: list<MemberEntry> updates
+}
+
+/** Asks the receiver to ping another node on the sender's behalf. */
+struct PingRequest {
+  1: i64 sequence
+  2: string node
+}
+
+struct OffsetRecord {
+  1: i64 offset
+  2: binary payload
+}
+
+/** Pushed at once when a node has adopted a newer configuration. */
+struct ConfigNotice {
+  1: i64 config_offset
+  2: binary config_digest
+  3: list<OffsetRecord> records
+}
+
+/** Pushed at once when a node has learned membership changes. */
+struct MemberNotice {
+  1: list<MemberEntry> updates
+}
+
+/** One UDP datagram; exactly one message field is set. */
+struct Datagram {
+  1: string sender
+  2: optional Ping ping
+  3: optional Ack ack
+  4: optional PingRequest ping_request
+  5: optional ConfigNotice config_notice
+  6: optional MemberNotice member_notice
+  7: i64 generation
+}
+
+/** One file of operators' configuration; no content means removal. */
+struct ConfigFile {
+  1: string name
+  2: optional string content
+}
+
+/** A record of the configuration stream. */
+struct ConfigRecord {
+  1: string record_id
+  2: i64 base_offset
+  3: list<ConfigFile> files
+  4: string author
+  5: i32 raise_rules
+}
+
+struct StoredFile {
+  1: string name
+  2: optional string content
+  3: i64 revision
+}
+
+struct StoredVerdict {
+  1: i64 offset
+  2: string record_id
+  3: i32 kind
+  4: string reason
+  5: i64 overtaken_by
+}
+
+/** A record of the checkpoint stream: the configuration at one offset. */
+struct Checkpoint {
+  1: i64 offset
+  2: i32 rules
+  3: list<StoredFile> files
+  4: list<StoredVerdict> verdicts
+}
+
+/** A record of the introduction stream: nodes that answer newcomers. */
+struct Introduction {
+  1: string domain
+  2: list<string> nodes
+}
+
+struct PullConfig {
+  1: i64 config_offset
+  2: bool whole
+}
+
+/** Records after the asked offset, or the whole state when they are gone. */
+struct ConfigDelta {
+  1: list<OffsetRecord> records
+  2: i64 config_offset
+  3: binary config_digest
+  4: optional binary checkpoint
+  5: i32 come_back_ms
+}
+
+/** Asks for the members whose bucket digests differ; sender is included. */
+struct SyncMembers {
+  1: list<i64> buckets
+  2: MemberEntry sender
+}
+
+struct MembersDelta {
+  1: list<MemberEntry> entries
+  2: i32 come_back_ms
+}
+
+struct Header {
+  1: binary name
+  2: binary content
+}
+
+/** Opens one forwarded request; remaining_ms is the caller's deadline. */
+struct RequestOpen {
+  1: string method
+  2: string path
+  3: list<Header> headers
+  4: i32 remaining_ms
+  5: string service_name
+  6: i32 importance
+  7: string customer
+  8: binary body
+  9: bool end
+  10: string request_id
+  11: string fingerprint
+  12: list<i32> refusal_statuses
+  13: i64 generation
+  14: bool idempotent
+  15: i32 stall_ms
+}
+
+struct BodyChunk {
+  1: binary body
+  2: bool end
+}
+
+struct Credit {
+  1: i32 amount_bytes
+}
+
+struct AnswerOpen {
+  1: i32 status
+  2: list<Header> headers
+  3: binary body
+  4: bool end
+  5: i32 load_permille
+}
+
+enum RefusalKind {
+  NOT_RUN = 1
+  UNKNOWN = 2
+}
+
+struct Refusal {
+  1: RefusalKind kind
+  2: string reason
+  3: i32 come_back_ms
+  4: i32 load_permille
+}
+
+struct Cancel {
+}
+
+struct KeepAlive {
+  1: bool reply
+}
+
+/** A claim to run one request, scoped to its customer. */
+struct ClaimEntry {
+  1: string key
+  2: string claim_id
+  3: i32 kind
+  4: i32 status
+  5: binary body
+  6: string content_type
+  7: i64 expires_ms
+}
+
+/** A record of a claim stream: many claims in one append. */
+struct ClaimBatch {
+  1: string batch_id
+  2: list<ClaimEntry> entries
+}
+
+struct ClaimAsk {
+  1: ClaimEntry entry
+}
+
+struct ClaimVerdict {
+  1: bool won
+  2: optional ClaimEntry winner
+  3: string failure
+}
+
+/** One frame of a connection between two nodes; one message field is set. */
+struct Frame {
+  1: i64 call_id
+  2: optional RequestOpen request_open
+  3: optional BodyChunk body_chunk
+  4: optional Credit credit
+  5: optional AnswerOpen answer_open
+  6: optional Refusal refusal
+  7: optional Cancel cancel
+  8: optional KeepAlive keep_alive
+  9: optional PullConfig pull_config
+  10: optional ConfigDelta config_delta
+  11: optional SyncMembers sync_members
+  12: optional MembersDelta members_delta
+  13: optional ClaimAsk claim_ask
+  14: optional ClaimVerdict claim_verdict
+}
--- /dev/null
+++ b/standins/target_server.py
@@ -0,0 +1,241 @@
+"""Stand-in target: slots, cold start, shedding, faults, executions."""
+
+import asyncio
+import contextlib
+import json
+import os
+import signal
+import time
+from collections import Counter
+from dataclasses import dataclass, field
+
+import httpx
+import uvicorn
+
+RENEW_S = 2.0
+MS_PER_S = 1000
+CRASH_HEADER = b'x-crash-target'
+WORK_HEADER = b'x-work-ms'
+REQUEST_ID_HEADER = b'x-request-id'
+TIMEOUT_HEADER = b'x-filbertdrift-timeout-ms'
+
+
+@dataclass(slots=True)
+class TargetOptions:
+    """How the target behaves.
+
+    Args:
+        service: Its service.
+        address: Where it listens.
+        node: The admin address of the node beside it.
+        slots: Requests it runs at a time; more are shed with 503.
+        connections: Connections it accepts.
+        work_ms: How long a request runs.
+        cold_ms: How long after its start it is slow.
+        cold_factor: How much slower it is then.
+        lies_healthy: Its health endpoint always says it is well.
+        lies_idle: Its load endpoint always says it is idle.
+    """
+
+    service: str
+    address: str
+    node: str
+    slots: int = 20
+    connections: int = 120
+    work_ms: float = 2
+    cold_ms: float = 0
+    cold_factor: float = 3
+    lies_healthy: bool = False
+    lies_idle: bool = False
+
+
+@dataclass(slots=True)
+class TargetState:
+    """What the target did."""
+
+    started_at: float = field(default_factory=time.monotonic)
+    running: int = 0
+    shed: int = 0
+    cancelled: int = 0
+    executions: Counter[str] = field(default_factory=Counter)
+    is_draining: bool = False
+
+
+class TargetApp:
+    """The target as an ASGI application.
+
+    Args:
+        options: How it behaves.
+    """
+
+    def __init__(self, options: TargetOptions) -> None:
+        """Start idle."""
+        self.options = options
+        self.state = TargetState()
+
+    async def __call__(self, scope, receive, send) -> None:
+        """Serve one request."""
+        if scope['type'] != 'http':
+            return
+        headers = dict(scope['headers'])
+        path = scope['path']
+        if path.startswith('/_'):
+            await self._serve_own(path, send)
+        elif self.state.running >= self.options.slots:
+            self.state.shed += 1
+            await _reply(send, 503, b'{"error": "no slot"}')
+        else:
+            await self._run(scope, headers, receive, send)
+
+    async def _serve_own(self, path: str, send) -> None:
+        state, options = self.state, self.options
+        is_busy = state.running >= options.slots and not options.lies_healthy
+        running = 0 if options.lies_idle else state.running
+        bodies = {
+            '/_health': {'ok': not is_busy},
+            '/_load': {'running': running, 'slots': options.slots},
+            '/_executions': dict(state.executions),
+            '/_counts': {
+                'shed': state.shed,
+                'cancelled': state.cancelled,
+                'running': state.running,
+            },
+        }
+        body = bodies.get(path)
+        status = 404 if body is None else 200
+        if path == '/_health' and is_busy:
+            status = 503
+        await _reply(send, status, json.dumps(body).encode())
+
+    async def _run(self, scope, headers, receive, send) -> None:
+        state = self.state
+        request_id = headers.get(REQUEST_ID_HEADER, b'').decode('latin-1')
+        state.executions[request_id] += 1
+        state.running += 1
+        try:
+            body = await _read_body(receive)
+            if headers.get(CRASH_HEADER):
+                os.kill(os.getpid(), signal.SIGKILL)
+            await self._work(headers)
+        except asyncio.CancelledError:
+            state.cancelled += 1
+            raise
+        finally:
+            state.running -= 1
+        answer = {
+            'target': self.options.address,
+            'service': self.options.service,
+            'request': request_id,
+            'path': scope['path'],
+            'received': body,
+            'customer': headers.get(b'x-customer', b'').decode('latin-1'),
+        }
+        await _reply(send, 200, json.dumps(answer).encode())
+
+    async def _work(self, headers) -> None:
+        work_ms = float(headers.get(WORK_HEADER, self.options.work_ms))
+        age_ms = (time.monotonic() - self.state.started_at) * MS_PER_S
+        if age_ms < self.options.cold_ms:
+            work_ms *= self.options.cold_factor
+        if work_ms:
+            await asyncio.sleep(work_ms / MS_PER_S)
+
+
+async def _read_body(receive) -> int:
+    size = 0
+    while True:
+        event = await receive()
+        if event['type'] == 'http.disconnect':
+            raise asyncio.CancelledError
+        size += len(event.get('body', b''))
+        if not event.get('more_body'):
+            return size
+
+
+async def _reply(send, status: int, body: bytes) -> None:
+    await send({
+        'type': 'http.response.start',
+        'status': status,
+        'headers': [
+            (b'content-type', b'application/json'),
+            (b'content-length', b'%d' % len(body)),
+        ],
+    })
+    await send({'type': 'http.response.body', 'body': body})
+
+
+async def keep_announced(options: TargetOptions) -> None:
+    """Announce the target to the node beside it and renew, until cancelled."""
+    body = {
+        'service': options.service,
+        'address': options.address,
+        'slots': options.slots,
+        'connections': options.connections,
+    }
+    async with httpx.AsyncClient(
+        base_url=f'http://{options.node}',
+        trust_env=False,
+    ) as client:
+        try:
+            while True:
+                delay_s = RENEW_S
+                try:
+                    resp = await client.post('/announce', json=body)
+                    resp.raise_for_status()
+                except httpx.HTTPError:
+                    delay_s = RENEW_S / 10
+                await asyncio.sleep(delay_s)
+        finally:
+            with contextlib.suppress(httpx.HTTPError):
+                await client.post('/withdraw')
+
+
+async def _serve(options: TargetOptions) -> None:
+    host, _, port = options.address.rpartition(':')
+    config = uvicorn.Config(
+        TargetApp(options),
+        host=host,
+        port=int(port),
+        log_level='warning',
+        access_log=False,
+        lifespan='off',
+        timeout_keep_alive=30,
+    )
+    server = uvicorn.Server(config)
+    announcing = asyncio.create_task(keep_announced(options))
+    serving = asyncio.create_task(server.serve())
+    await serving
+    announcing.cancel()
+    await asyncio.gather(announcing, return_exceptions=True)
+
+
+def serve_target(
+    service: str,
+    address: str,
+    node: str,
+    slots: int = 20,
+    connections: int = 120,
+    work_ms: float = 2,
+    cold_ms: float = 0,
+) -> None:
+    """Run the stand-in until it is told to end.
+
+    Args:
+        service: The service it belongs to.
+        address: IP number and port to listen on.
+        node: The admin address of the node beside it.
+        slots: Requests it runs at a time.
+        connections: Connections it accepts.
+        work_ms: How long a request runs.
+        cold_ms: How long after its start it is slow.
+    """
+    options = TargetOptions(
+        service=service,
+        address=address,
+        node=node,
+        slots=slots,
+        connections=connections,
+        work_ms=work_ms,
+        cold_ms=cold_ms,
+    )
+    asyncio.run(_serve(options))
