Replay of traces: configuration and membership proved on virtual time

Eight outcomes of configuration and membership are stated in tests/traces and replayed with real nodes on a network in memory.

--- a/filbertdrift/admin.py
+++ b/filbertdrift/admin.py
@@ -254,4 +254,3 @@
         if self._task:
             await self._task
             await self._server.shutdown()
-
--- a/filbertdrift/caller.py
+++ b/filbertdrift/caller.py
@@ -66,7 +66,7 @@
         self.aborted_answers = 0
         self._handler = handler
         self._server: asyncio.Server | None = None
-        self._connections: set['_CallerConnection'] = set()
+        self._connections: set[_CallerConnection] = set()
         self._is_closing = False
 
     async def start(self, host: str, port: int) -> None:
--- a/filbertdrift/configfile.py
+++ b/filbertdrift/configfile.py
@@ -13,8 +13,13 @@
 from dataclasses import dataclass
 from typing import Annotated, Literal
 
-from pydantic import BaseModel, ConfigDict, Field, ValidationError
-from pydantic import field_validator
+from pydantic import (
+    BaseModel,
+    ConfigDict,
+    Field,
+    ValidationError,
+    field_validator,
+)
 
 from filbertdrift.errors import ConfigInvalid
 
@@ -140,6 +145,9 @@
 }
 
 
+_Found = Mapping[str, Mapping[str, _Model]]
+
+
 @functools.lru_cache(maxsize=PARSE_CACHE_FILES)
 def parse_file(name: str, content: str) -> Mapping[str, Section]:
     """Parse one INI file.
@@ -206,7 +214,9 @@
     return merged
 
 
-def check(files: Mapping[str, str], rules: int = RULES_SUPPORTED) -> MergedConfig:
+def check(
+    files: Mapping[str, str], rules: int = RULES_SUPPORTED
+) -> MergedConfig:
     """Merge files and check the result.
 
     Args:
@@ -300,7 +310,7 @@
 
 def _check_references(
     merged: Mapping[str, Section],
-    found: Mapping[str, Mapping[str, _Model]],
+    found: _Found,
 ) -> Iterable[Problem]:
     for name, route in found['route'].items():
         title = f'route {name}'
@@ -315,12 +325,14 @@
 
 def _rule_idempotent_post(
     merged: Mapping[str, Section],
-    found: Mapping[str, Mapping[str, _Model]],
+    found: _Found,
 ) -> Iterable[Problem]:
     """Rules 1: a key that is required contradicts an idempotent POST."""
     for name, policy in found['policy'].items():
-        required = getattr(policy, 'idempotency_key') == 'required'
-        if required and 'POST' in getattr(policy, 'idempotent_methods'):
+        if not isinstance(policy, PolicyModel):
+            continue
+        required = policy.idempotency_key == 'required'
+        if required and 'POST' in policy.idempotent_methods:
             title = f'policy {name}'
             file = merged[title].file
             reason = 'POST cannot be idempotent where a key is required'
@@ -329,24 +341,23 @@
 
 def _rule_same_match(
     merged: Mapping[str, Section],
-    found: Mapping[str, Mapping[str, _Model]],
+    found: _Found,
 ) -> Iterable[Problem]:
     """Rules 2: two routes may not match the same path and method."""
     seen: dict[tuple[str, str], str] = {}
-    for name in sorted(found['route']):
-        route = found['route'][name]
-        path = getattr(route, 'path')
-        for method in getattr(route, 'methods') or ('*',):
-            other = seen.setdefault((path, method), name)
+    for name, route in sorted(found['route'].items()):
+        if not isinstance(route, RouteModel):
+            continue
+        for method in route.methods or ('*',):
+            other = seen.setdefault((route.path, method), name)
             if other != name:
                 title = f'route {name}'
                 file = merged[title].entries['path'].file
-                reason = f'{method} {path} is matched by [route {other}]'
+                reason = f'{method} {route.path} is matched by [route {other}]'
                 yield Problem(file, title, 'path', f'{reason} already')
 
 
-_Rule = Callable[
-    [Mapping[str, Section], Mapping[str, Mapping[str, _Model]]],
-    Iterable[Problem],
-]
-_RULES: tuple[_Rule, ...] = (_rule_idempotent_post, _rule_same_match)
+_RULES: tuple[
+    Callable[[Mapping[str, Section], _Found], Iterable[Problem]],
+    ...,
+] = (_rule_idempotent_post, _rule_same_match)
--- a/filbertdrift/explain.py
+++ b/filbertdrift/explain.py
@@ -165,9 +165,7 @@
         if heard and name not in silent
     }
     offsets[node.identity.address] = node.keeper.state.offset
-    lagging = {
-        name: known for name, known in offsets.items() if known < offset
-    }
+    lagging = {name: known for name, known in offsets.items() if known < offset}
     return FleetReport(
         offset=offset,
         nodes=len(found) + 1,
--- a/filbertdrift/fold.py
+++ b/filbertdrift/fold.py
@@ -9,7 +9,7 @@
 
 import functools
 import hashlib
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, replace
 from enum import IntEnum
 
@@ -281,7 +281,7 @@
 def _changed_files(
     files: Mapping[str, FileState],
     offset: int,
-    changes: list[ttypes.ConfigFile],
+    changes: Iterable[ttypes.ConfigFile],
 ) -> dict[str, FileState]:
     changed = dict(files)
     for change in changes:
--- a/filbertdrift/http1.py
+++ b/filbertdrift/http1.py
@@ -4,6 +4,7 @@
 from collections import deque
 from collections.abc import Iterable
 from dataclasses import dataclass
+from typing import Any
 
 import httptools
 
@@ -14,16 +15,18 @@
 
 Headers = list[tuple[bytes, bytes]]
 
-_HOP_BY_HOP = frozenset((
-    b'connection',
-    b'keep-alive',
-    b'proxy-connection',
-    b'te',
-    b'trailer',
-    b'transfer-encoding',
-    b'upgrade',
-    b'expect',
-))
+_HOP_BY_HOP = frozenset(
+    (
+        b'connection',
+        b'keep-alive',
+        b'proxy-connection',
+        b'te',
+        b'trailer',
+        b'transfer-encoding',
+        b'upgrade',
+        b'expect',
+    )
+)
 _NO_BODY_STATUSES = frozenset((204, 304))
 _FINAL_STATUS = 200
 _REASONS = {
@@ -100,7 +103,7 @@
 class _Reader:
     """Parts of messages as a parser finds them."""
 
-    parser: httptools.HttpRequestParser | httptools.HttpResponseParser
+    parser: Any
 
     def __init__(self, reader: asyncio.StreamReader, peer: str) -> None:
         """Wrap a stream."""
@@ -136,7 +139,7 @@
 
     def parsed(self) -> BodyPart:
         """Return what is already parsed of the body, perhaps nothing."""
-        chunks = []
+        chunks: list[bytes] = []
         while self._parts:
             part = self._parts[0]
             if not isinstance(part, (bytes, _MessageEnd)):
@@ -302,9 +305,7 @@
     kept = list(headers)
     for name, content in kept:
         if name == b'connection':
-            listed.update(
-                word.strip().lower() for word in content.split(b',')
-            )
+            listed.update(word.strip().lower() for word in content.split(b','))
     return [
         (name, content)
         for name, content in kept
--- a/filbertdrift/log.py
+++ b/filbertdrift/log.py
@@ -118,8 +118,8 @@
         )
         return page
 
-    async def close(self) -> None:
-        """Release the connection."""
+    async def close(self) -> None:  # noqa: B027
+        """Release the connection, if there is one to release."""
 
     @abstractmethod
     async def _append(self, stream: str, payload: bytes) -> int:
@@ -154,7 +154,9 @@
     async def _append(self, stream: str, payload: bytes) -> int:
         step = f'append {stream}'
         try:
-            resp = await self._client.post(f'/streams/{stream}', content=payload)
+            resp = await self._client.post(
+                f'/streams/{stream}', content=payload
+            )
         except httpx.ConnectError as exc:
             raise LogUnavailable(repr(exc), step=step, peer=self._url) from exc
         except httpx.HTTPError as exc:
--- a/filbertdrift/members.py
+++ b/filbertdrift/members.py
@@ -50,7 +50,7 @@
 
     def supersedes(self, other: 'Member') -> bool:
         """Tell whether this is newer knowledge than the other."""
-        return self._order() > other._order()
+        return self.order() > other.order()
 
     def fingerprint(self) -> int:
         """Return a hash of 63 bits of everything known."""
@@ -58,7 +58,8 @@
         raw = hashlib.blake2b(text, digest_size=_HASH_BYTES).digest()
         return int.from_bytes(raw, 'big') >> 1
 
-    def _order(self) -> tuple[int, int, int]:
+    def order(self) -> tuple[int, int, int]:
+        """Return what newer knowledge has more of."""
         return self.generation, self.version, self.status
 
 
--- a/filbertdrift/membership.py
+++ b/filbertdrift/membership.py
@@ -8,7 +8,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Coroutine, Sequence
 from dataclasses import dataclass, replace
 
 from filbertdrift.admission import RateLimit
@@ -253,8 +253,7 @@
 
     def _is_probed(self, member: Member) -> bool:
         return (
-            member.node != self.me.node
-            and member.status != MemberStatus.DEAD
+            member.node != self.me.node and member.status != MemberStatus.DEAD
         )
 
     async def _probe(self, member: Member) -> bool:
@@ -495,9 +494,9 @@
             digest.config_digest or b'',
         )
         is_settled = now - self._changed_at >= SYNC_SETTLE_S
-        if digest.members_digest != self.table.digest and is_settled:
-            if not self._syncing:
-                self._spawn(self._sync_quietly(sender))
+        differs = digest.members_digest != self.table.digest
+        if differs and is_settled and not self._syncing:
+            self._spawn(self._sync_quietly(sender))
 
     def _ping_message(self, sequence: int) -> ttypes.Ping:
         return ttypes.Ping(sequence, self._digest())
@@ -571,9 +570,8 @@
         finally:
             self._syncing.discard(peer)
 
-    def _spawn(self, coro: object) -> None:
-        loop = asyncio.get_running_loop()
-        task = loop.create_task(coro)  # type: ignore[arg-type]
+    def _spawn(self, work: Coroutine[None, None, None]) -> None:
+        task = asyncio.get_running_loop().create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
--- a/filbertdrift/network_memory.py
+++ b/filbertdrift/network_memory.py
@@ -17,6 +17,7 @@
 from filbertdrift.wire import LENGTH_BYTES
 
 MIN_DELAY_S = 0.0005
+ORDER_S = 1e-6
 
 
 class Fabric:
@@ -34,11 +35,11 @@
         """Start with healthy links."""
         self.loss = 0.0
         self.delay_s: Callable[[str, str], float] = _constant_delay
-        self.networks: dict[str, 'MemoryNetwork'] = {}
-        self.frozen: dict[str, list[Callable[[], None]]] = {}
+        self.networks: dict[str, MemoryNetwork] = {}
         self._cuts: set[frozenset[str]] = set()
-        self._silent: set['MemoryConnection'] = set()
         self._rng = rng
+        self._held: dict[str, list[Callable[[], None]]] = {}
+        self._last_arrival: dict[tuple[str, str], float] = {}
 
     def cut(self, left: Sequence[str], right: Sequence[str]) -> None:
         """Drop everything between two groups of addresses."""
@@ -63,19 +64,21 @@
                 conn.twin.is_silent = True
 
     def freeze(self, address: str) -> None:
-        """Pause a node's receiving; what arrives waits."""
-        self.frozen.setdefault(address, [])
+        """Pause a node's sending and receiving; messages wait."""
+        self._held.setdefault(address, [])
 
     def thaw(self, address: str) -> None:
-        """Let a paused node receive what waited, in order."""
-        for deliver in self.frozen.pop(address, []):
-            deliver()
+        """Let what waited for or from a paused node through, in order."""
+        for hand in self._held.pop(address, []):
+            hand()
 
     def is_lost(self) -> bool:
         """Decide whether to lose a datagram."""
         return self.loss > 0 and self._rng.random() < self.loss
 
-    def deliver(self, sender: str, address: str, hand: Callable[[], None]) -> None:
+    def deliver(
+        self, sender: str, address: str, hand: Callable[[], None]
+    ) -> None:
         """Call back after the delay of a link.
 
         Args:
@@ -83,14 +86,20 @@
             address: The receiving address.
             hand: Hands the message over.
         """
+
         def arrive() -> None:
-            if address in self.frozen:
-                self.frozen[address].append(hand)
-            else:
-                hand()
+            for end in (sender, address):
+                if end in self._held:
+                    self._held[end].append(arrive)
+                    return
+            hand()
 
         loop = asyncio.get_running_loop()
-        loop.call_later(self.delay_s(sender, address), arrive)
+        link = (sender, address)
+        earliest = self._last_arrival.get(link, 0) + ORDER_S
+        when = max(loop.time() + self.delay_s(sender, address), earliest)
+        self._last_arrival[link] = when
+        loop.call_at(when, arrive)
 
 
 class MemoryConnection(Connection):
--- a/filbertdrift/node.py
+++ b/filbertdrift/node.py
@@ -223,9 +223,7 @@
         ]
         chosen = self._rng.sample(known, min(BOOT_PEERS, len(known)))
         self.boot_sources = await self.distributor.boot(chosen)
-        if not self.boot_sources:
-            return False
-        return True
+        return bool(self.boot_sources)
 
     # Targets
 
@@ -353,9 +351,7 @@
     # Swaps of the snapshot
 
     def _on_config(self, state: ConfigState) -> None:
-        services = {
-            model.service for model in state.merged.targets.values()
-        }
+        services = {model.service for model in state.merged.targets.values()}
         endpoints = {
             service: self.membership.table.of_service(service)
             for service in services
--- a/filbertdrift/porcelain.py
+++ b/filbertdrift/porcelain.py
@@ -193,7 +193,11 @@
             peer=admin,
         )
     fleet_report = FleetReport(
-        offset=verdict.offset, nodes=0, in_force=0, lagging={}, silent=[],
+        offset=verdict.offset,
+        nodes=0,
+        in_force=0,
+        lagging={},
+        silent=[],
     )
     if wait:
         fleet_report = wait_in_force(verdict.offset, admin)
@@ -296,7 +300,9 @@
     return [VerdictReport.model_validate(item) for item in found]
 
 
-def targets(admin: str = DEFAULT_ADMIN, service: str = '') -> list[TargetReport]:
+def targets(
+    admin: str = DEFAULT_ADMIN, service: str = ''
+) -> list[TargetReport]:
     """Return why each target gets work from a node or does not."""
     found = _call(admin, 'GET', f'/targets?service={service}')
     return [TargetReport.model_validate(item) for item in found]
@@ -315,7 +321,7 @@
         return fallback
 
 
-def _call(admin: str, method: str, path: str, json: object = None):  # noqa: ANN202
+def _call(admin: str, method: str, path: str, json: object = None):
     url = f'http://{admin}{path}'
     try:
         resp = httpx.request(
@@ -327,7 +333,7 @@
         )
     except httpx.HTTPError as exc:
         raise PeerUnavailable(repr(exc), step=method, peer=url) from exc
-    if resp.status_code >= 400:
+    if resp.status_code >= httpx.codes.BAD_REQUEST:
         reason = f'status {resp.status_code}: {_detail(resp)}'
         raise PeerUnavailable(reason, step=method, peer=url)
     return resp.json()
--- a/filbertdrift/serving.py
+++ b/filbertdrift/serving.py
@@ -66,6 +66,7 @@
         self.announced: AnnouncedTarget | None = None
         self.counters = ServingCounters()
         self.in_progress = 0
+        self.last_started_at = 0.0
 
     async def serve(self, call: CallStream, req: ttypes.RequestOpen) -> None:
         """Serve one request to its end.
@@ -96,6 +97,7 @@
         gate = announced.gate
         await gate.admit(req.importance, req.customer or '', deadline)
         started_at = loop.time()
+        self.last_started_at = started_at
         try:
             exchange = await self._connect(announced, req, deadline)
             with contextlib.closing(exchange):
@@ -194,7 +196,9 @@
                 limit.reschedule(None)
                 await self._pass_answer(head)
         except TimeoutError as exc:
-            raise RequestUnknown('deadline passed', step='await target') from exc
+            raise RequestUnknown(
+                'deadline passed', step='await target'
+            ) from exc
         except (PeerUnavailable, MalformedMessage) as exc:
             raise RequestUnknown(
                 exc.reason,
--- a/filbertdrift/settings.py
+++ b/filbertdrift/settings.py
@@ -7,8 +7,14 @@
 from pathlib import Path
 from typing import Annotated, Literal
 
-from pydantic import BaseModel, ConfigDict, Field, ValidationError
-from pydantic import AfterValidator, BeforeValidator
+from pydantic import (
+    AfterValidator,
+    BaseModel,
+    BeforeValidator,
+    ConfigDict,
+    Field,
+    ValidationError,
+)
 
 from filbertdrift.configfile import suggest
 from filbertdrift.errors import SettingsError
@@ -23,8 +29,10 @@
     host, _, port = text.rpartition(':')
     try:
         ipaddress.ip_address(host.strip('[]'))
-    except ValueError:
-        raise ValueError('expected IP number and port, as 10.0.0.1:7000')
+    except ValueError as exc:
+        raise ValueError(
+            'expected IP number and port, as 10.0.0.1:7000',
+        ) from exc
     if not port.isdigit() or not 0 < int(port) <= MAX_PORT:
         raise ValueError(f'expected a port from 1 to {MAX_PORT}')
     return text
--- a/standins/target_server.py
+++ b/standins/target_server.py
@@ -153,14 +153,16 @@
 
 
 async def _reply(send, status: int, body: bytes) -> None:
-    await send({
-        'type': 'http.response.start',
-        'status': status,
-        'headers': [
-            (b'content-type', b'application/json'),
-            (b'content-length', b'%d' % len(body)),
-        ],
-    })
+    await send(
+        {
+            'type': 'http.response.start',
+            'status': status,
+            'headers': [
+                (b'content-type', b'application/json'),
+                (b'content-length', b'%d' % len(body)),
+            ],
+        }
+    )
     await send({'type': 'http.response.body', 'body': body})
 
 
--- /dev/null
+++ b/tests/replay.py
@@ -0,0 +1,494 @@
+"""Replay of recorded traces against the outcomes stated beside them.
+
+A trace is a JSON file: a seed, the fleet to start, events with their times
+and outcomes. Events are faults and actions; outcomes are checked at their
+times and at the end. Real nodes run on virtual time.
+"""
+
+import asyncio
+import json
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+from filbertdrift.errors import FilbertdriftError
+from filbertdrift.members import MemberStatus
+from filbertdrift.node import Node
+from tests.builders import (
+    Fleet,
+    Place,
+    run_virtual,
+    service_file,
+    service_files,
+)
+
+TRACES = Path(__file__).parent / 'traces'
+SETTLE_S = 5.0
+
+Variant = Callable[[Node], None]
+
+
+@dataclass
+class Adoption:
+    """One node put a configuration in force."""
+
+    at: float
+    node: str
+    generation: int
+    offset: int
+    digest: str
+
+
+@dataclass
+class Answer:
+    """What a caller was told."""
+
+    at: float
+    request_id: str
+    outcome: str
+    status: int = 0
+    text: str = ''
+
+
+@dataclass
+class Result:
+    """Everything that the outcomes look at."""
+
+    fleet: Fleet
+    adoptions: list[Adoption] = field(default_factory=list)
+    answers: list[Answer] = field(default_factory=list)
+    failures: list[str] = field(default_factory=list)
+    published: dict[str, Any] = field(default_factory=dict)
+    down: dict[str, Place] = field(default_factory=dict)
+
+
+def replay(name: str, variant: Variant | None = None) -> list[str]:
+    """Replay a trace.
+
+    Args:
+        name: The trace's file name without its ending.
+        variant: Breaks each node, to show that the outcomes notice.
+
+    Returns:
+        The outcomes that did not hold, empty if all did.
+    """
+    trace = json.loads((TRACES / f'{name}.json').read_text('utf-8'))
+    return run_virtual(_Replay(trace, variant).run())
+
+
+class _Replay:
+    """One replay of one trace."""
+
+    def __init__(self, trace: dict[str, Any], variant: Variant | None) -> None:
+        self._trace = trace
+        self._variant = variant
+        self._tasks: list[asyncio.Task[None]] = []
+        fleet = Fleet(trace['seed'], trace.get('profile', 'convergence'))
+        fleet.checkpoint_interval_s = trace.get('checkpoint_interval_s', 600)
+        self.result = Result(fleet)
+        self._hook_nodes()
+
+    async def run(self) -> list[str]:
+        """Start the fleet, let the events happen, check the outcomes."""
+        fleet = self.result.fleet
+        loop = asyncio.get_running_loop()
+        for group in self._trace['fleet']:
+            await fleet.add(**group)
+        await asyncio.sleep(SETTLE_S)
+        services = sorted({group['service'] for group in self._trace['fleet']})
+        await fleet.publish(service_files(*services), 'first')
+        await asyncio.sleep(SETTLE_S)
+        start = loop.time()
+        self.start = start
+        moments = self._trace['events'] + self._trace['outcomes']
+        for moment in sorted(moments, key=lambda found: found['at']):
+            await asyncio.sleep(max(start + moment['at'] - loop.time(), 0))
+            if 'do' in moment:
+                await self._happen(moment)
+            else:
+                self._check(moment)
+        for task in self._tasks:
+            task.cancel()
+        return self.result.failures
+
+    async def _happen(self, event: dict[str, Any]) -> None:
+        name, at = event['do'], event['at']
+        more = {
+            key: entry
+            for key, entry in event.items()
+            if key not in {'do', 'at'}
+        }
+        del at
+        work = getattr(self, f'_do_{name}')(**more)
+        if work is not None:
+            if event['do'] in {'publish', 'call', 'leave'}:
+                loop = asyncio.get_running_loop()
+                self._tasks.append(loop.create_task(work))
+            else:
+                await work
+
+    def _check(self, outcome: dict[str, Any]) -> None:
+        more = {
+            key: entry
+            for key, entry in outcome.items()
+            if key not in {'expect', 'at'}
+        }
+        failure = getattr(self, f'_expect_{outcome["expect"]}')(**more)
+        if failure:
+            text = f'at {outcome["at"]}: {outcome["expect"]}: {failure}'
+            self.result.failures.append(text)
+
+    def _hook_nodes(self) -> None:
+        fleet = self.result.fleet
+        start = fleet._start
+
+        async def hooked(identity: Any, service: str) -> Node:
+            node = await start(identity, service)
+            self._hook(node)
+            return node
+
+        fleet._start = hooked  # type: ignore[method-assign]
+
+    def _hook(self, node: Node) -> None:
+        adopt = node.keeper.on_adopt
+
+        def note(state: Any) -> None:
+            self.result.adoptions.append(
+                Adoption(
+                    asyncio.get_running_loop().time(),
+                    node.identity.address,
+                    node.identity.generation,
+                    state.offset,
+                    state.digest.hex(),
+                ),
+            )
+            adopt(state)
+
+        node.keeper.on_adopt = note
+        if self._variant:
+            self._variant(node)
+
+    # Events
+
+    async def _do_publish(
+        self,
+        id: str,  # noqa: A002
+        files: dict[str, str | None] | None = None,
+        service: str = '',
+        policy: str = 'lookup',
+        by: str = '',
+        base: int | None = None,
+    ) -> None:
+        changes = files or {f'60-{service}.ini': service_file(service, policy)}
+        by = by if by in self.result.fleet.places else ''
+        try:
+            published = await self.result.fleet.publish(
+                changes,
+                id,
+                base_offset=base,
+                by=by,
+            )
+        except FilbertdriftError as exc:
+            self.result.published.setdefault(id, []).append(repr(exc))
+        else:
+            self.result.published.setdefault(id, []).append(
+                published.verdict.kind.name.lower(),
+            )
+
+    async def _do_add(self, **group: Any) -> None:
+        await self.result.fleet.add(**group)
+
+    async def _do_kill(self, nodes: list[str]) -> None:
+        for address in self._addresses(nodes):
+            self.result.down[address] = await self.result.fleet.kill(address)
+
+    async def _do_restart(self, nodes: list[str]) -> None:
+        wanted = self.result.down if nodes == ['all'] else nodes
+        for address in list(wanted):
+            place = self.result.down.pop(address)
+            await self.result.fleet.restart(place)
+
+    async def _do_leave(self, node: str) -> None:
+        await self.result.fleet.places[node].node.drain()
+
+    def _do_cut(self, domains: list[str], log: bool = False) -> None:
+        self.result.fleet.cut(*domains, log=log)
+
+    def _do_cut_log(self, domains: list[str]) -> None:
+        for name in domains:
+            for address in self.result.fleet.domain(name):
+                self.result.fleet.places[address].log.is_cut = True
+
+    def _do_heal(self) -> None:
+        self.result.fleet.heal()
+
+    def _do_freeze(self, node: str) -> None:
+        self.result.fleet.fabric.freeze(node)
+
+    def _do_thaw(self, node: str) -> None:
+        self.result.fleet.fabric.thaw(node)
+
+    def _do_silence(self, node: str) -> None:
+        self.result.fleet.fabric.silence(node)
+
+    def _do_loss(self, share: float) -> None:
+        self.result.fleet.fabric.loss = share
+
+    def _do_delay(self, low_s: float, high_s: float) -> None:
+        rng = self.result.fleet.rng
+        self.result.fleet.fabric.delay_s = lambda one, other: rng.uniform(
+            low_s,
+            high_s,
+        )
+
+    def _do_log_down(self) -> None:
+        self.result.fleet.log.is_down = True
+
+    def _do_log_up(self) -> None:
+        self.result.fleet.log.is_down = False
+
+    def _do_log_lose_answers(self, count: int) -> None:
+        self.result.fleet.log.lost_answers = count
+
+    def _do_log_expire(self, stream: str) -> None:
+        log = self.result.fleet.log
+        log.expire(stream, log._stream(stream).next_offset)
+
+    def _do_target(self, node: str, **behaviour: Any) -> None:
+        for name, entry in behaviour.items():
+            setattr(self.result.fleet.places[node].behaviour, name, entry)
+
+    async def _do_call(
+        self,
+        node: str,
+        path: str,
+        method: str = 'GET',
+        id: str = 'call',  # noqa: A002
+        count: int = 1,
+        every_s: float = 0,
+        **more: Any,
+    ) -> None:
+        loop = asyncio.get_running_loop()
+        for number in range(count):
+            name = f'{id}-{number}' if count > 1 else id
+            task = loop.create_task(
+                self._call(node, path, method, name, more),
+            )
+            self._tasks.append(task)
+            await asyncio.sleep(every_s)
+
+    async def _call(
+        self,
+        node: str,
+        path: str,
+        method: str,
+        name: str,
+        more: dict[str, Any],
+    ) -> None:
+        key = more.pop('key', '')
+        if key:
+            more = {**more, 'headers': [(b'idempotency-key', key.encode())]}
+        answer = Answer(0, name, 'answered')
+        try:
+            forwarded = await self.result.fleet.call(
+                node,
+                path,
+                method,
+                name,
+                **more,
+            )
+            part = forwarded.first_part
+            while not part.end:
+                part = await forwarded.part(2)
+            answer.status = forwarded.status
+            answer.text = part.chunk.decode()
+            forwarded.close()
+        except FilbertdriftError as exc:
+            answer.outcome = type(exc).__name__
+            answer.text = str(exc)
+        answer.at = asyncio.get_running_loop().time()
+        self.result.answers.append(answer)
+
+    # Outcomes
+
+    def _expect_in_force(self, offset: int, nodes: list[str]) -> str:
+        offsets = self.result.fleet.offsets()
+        lagging = {
+            address: offsets[address]
+            for address in self._addresses(nodes)
+            if offsets[address] < offset
+        }
+        return f'lagging {lagging}' if lagging else ''
+
+    def _expect_forward_only(self) -> str:
+        last: dict[tuple[str, int], int] = {}
+        for found in self.result.adoptions:
+            key = found.node, found.generation
+            if found.offset <= last.get(key, -1):
+                return f'{found.node} went back to {found.offset}'
+            last[key] = found.offset
+        return ''
+
+    def _expect_same_everywhere(self) -> str:
+        digests: dict[int, set[str]] = {}
+        for found in self.result.adoptions:
+            digests.setdefault(found.offset, set()).add(found.digest)
+        split = {
+            offset: found for offset, found in digests.items() if len(found) > 1
+        }
+        return f'split at {split}' if split else ''
+
+    def _expect_verdict(self, id: str, kinds: list[str]) -> str:  # noqa: A002
+        found = self.result.published.get(id, [])
+        return '' if found == kinds else f'{id} is {found}'
+
+    def _expect_known_verdict(self, id: str, kind: str) -> str:  # noqa: A002
+        for address, place in self.result.fleet.places.items():
+            verdict = place.node.keeper.state.verdict_of(id)
+            if verdict is None or verdict.kind.name.lower() != kind:
+                return f'{address} says {verdict}'
+        return ''
+
+    def _expect_published_once(self, id: str) -> str:  # noqa: A002
+        records = self.result.fleet.log.records('config')
+        count = sum(id.encode() in record.payload for record in records)
+        accepted = sum(
+            verdict.kind.name == 'ACCEPTED' and verdict.record_id == id
+            for verdict in self.result.fleet.nodes[0].keeper.state.verdicts
+        )
+        return '' if accepted == 1 else f'{count} records, {accepted} accepted'
+
+    def _expect_files(self, contains: dict[str, str | None]) -> str:
+        for address, place in self.result.fleet.places.items():
+            contents = place.node.keeper.state.contents()
+            for name, text in contains.items():
+                found = contents.get(name)
+                if (text is None) != (found is None):
+                    return f'{address} has {name}: {found}'
+                if text and text not in (found or ''):
+                    return f'{address} has {name}: {found}'
+        return ''
+
+    def _expect_no_dangling(self) -> str:
+        for address, place in self.result.fleet.places.items():
+            if place.node.counters.dangling_routes:
+                return f'{address} had routes without targets'
+            snapshot = place.node.snapshot
+            if snapshot and snapshot.dangling():
+                return f'{address} has {snapshot.dangling()}'
+        return ''
+
+    def _expect_outcomes(self, **wanted: int) -> str:
+        found: dict[str, int] = {}
+        for answer in self.result.answers:
+            found[answer.outcome] = found.get(answer.outcome, 0) + 1
+        return '' if found == wanted else f'{found}'
+
+    def _expect_only_outcomes(self, outcomes: list[str]) -> str:
+        others = [
+            f'{answer.request_id} {answer.outcome} {answer.text}'
+            for answer in self.result.answers
+            if answer.outcome not in outcomes
+        ]
+        return f'{others[:3]}' if others else ''
+
+    def _expect_answered_after(self, share: float, after: float) -> str:
+        found = [
+            answer
+            for answer in self.result.answers
+            if answer.at >= self.start + after
+        ]
+        answered = sum(answer.outcome == 'answered' for answer in found)
+        if found and answered >= share * len(found):
+            return ''
+        return f'{answered} of {len(found)}'
+
+    def _expect_executions_at_most(self, count: int) -> str:
+        ran = self._executions()
+        twice = {name: times for name, times in ran.items() if times > count}
+        return f'{twice}' if twice else ''
+
+    def _expect_truthful(self) -> str:
+        ran = self._executions()
+        lies = [
+            answer.request_id
+            for answer in self.result.answers
+            if answer.outcome == 'RequestNotRun' and ran[answer.request_id]
+        ]
+        return f'ran but told not run: {lies}' if lies else ''
+
+    def _expect_right_answers(self) -> str:
+        wrong = [
+            f'{answer.request_id}: {answer.text}'
+            for answer in self.result.answers
+            if answer.outcome == 'answered'
+            and answer.status == 200
+            and answer.request_id.split('-')[0] not in answer.text
+        ]
+        return f'{wrong[:3]}' if wrong else ''
+
+    def _expect_member(self, node: str, status: str, by: list[str]) -> str:
+        for address in self._addresses(by):
+            table = self.result.fleet.places[address].node.membership.table
+            found = table.get(node)
+            name = found.status.name.lower() if found else 'unknown'
+            if name != status:
+                return f'{address} sees {node} as {name}'
+        return ''
+
+    def _expect_current_generations(self, by: list[str]) -> str:
+        places = self.result.fleet.places
+        for address in self._addresses(by):
+            table = places[address].node.membership.table
+            for node, place in places.items():
+                found = table.get(node)
+                current = place.node.membership.me.generation
+                if found is None or found.generation != current:
+                    return f'{address} knows an old start of {node}'
+        return ''
+
+    def _expect_no_deaths(self, by: list[str]) -> str:
+        for address in self._addresses(by):
+            table = self.result.fleet.places[address].node.membership.table
+            dead = [
+                member.node
+                for member in table.everyone()
+                if member.status >= MemberStatus.SUSPECT
+            ]
+            if dead:
+                return f'{address} holds {dead} for dead or suspect'
+        return ''
+
+    def _expect_no_work_after(self, node: str, after: float) -> str:
+        started = self.result.fleet.places[node].node.server.last_started_at
+        late = started - self.start - after
+        return f'work {late:.2f} s after the limit' if late > 0 else ''
+
+    def _expect_log_calls(self, reads: int, appends: int) -> str:
+        counters = self.result.fleet.log.counters
+        if counters.reads <= reads and counters.appends <= appends:
+            return ''
+        return f'{counters.reads} reads, {counters.appends} appends'
+
+    def _expect_counter(self, node: str, name: str, least: int) -> str:
+        place = self.result.fleet.places[node]
+        found: Any = place.node
+        for part in name.split('.'):
+            found = getattr(found, part)
+        return '' if found >= least else f'{name} is {found}'
+
+    def _executions(self) -> Any:
+        ran = self.result.fleet.executions()
+        for place in self.result.down.values():
+            ran.update(place.behaviour.executions)
+        return ran
+
+    def _addresses(self, nodes: list[str]) -> list[str]:
+        fleet = self.result.fleet
+        if nodes == ['all']:
+            return list(fleet.places)
+        found: list[str] = []
+        for name in nodes:
+            found.extend(fleet.domain(name) or [name])
+        return found
--- /dev/null
+++ b/tests/variants.py
@@ -0,0 +1,180 @@
+"""Broken variants of a node, to show that the outcomes of a trace notice."""
+
+from collections.abc import Sequence
+from types import MethodType
+from typing import Any
+
+from filbertdrift import fold, snapshot
+from filbertdrift.gen import ttypes
+from filbertdrift.link import PeerLink
+from filbertdrift.log import LogRecord
+from filbertdrift.members import Member, MemberStatus
+from filbertdrift.node import Node
+from filbertdrift.wire import decode, encode
+
+
+def folds_in_arrival_order(node: Node) -> None:
+    """Apply whatever record arrives next, gap or not."""
+    keeper = node.keeper
+    add = keeper.add
+
+    def add_any(records: Sequence[LogRecord]) -> bool:
+        newer = [
+            record for record in records if record.offset > keeper.state.offset
+        ]
+        return add(
+            [
+                LogRecord(keeper.state.offset + 1 + number, record.payload)
+                for number, record in enumerate(newer)
+            ],
+        )
+
+    keeper.add = add_any  # type: ignore[method-assign]
+
+
+def adopts_any_checkpoint(node: Node) -> None:
+    """Take over every whole configuration, older ones included."""
+    keeper = node.keeper
+
+    def replace(payload: bytes) -> bool:
+        keeper._adopt(fold.decode_checkpoint(payload))
+        return True
+
+    keeper.replace = replace  # type: ignore[method-assign]
+
+
+def sends_only_wholes(node: Node) -> None:
+    """Answer every pull with the whole configuration."""
+    node.keeper.records_after = lambda offset: None  # type: ignore
+
+
+def applies_first_file_only(node: Node) -> None:
+    """Apply a record in part."""
+    add = node.keeper.add
+
+    def add_part(records: Sequence[LogRecord]) -> bool:
+        parts = []
+        for record in records:
+            change = decode(ttypes.ConfigRecord, record.payload)
+            if record.offset:
+                change.files = change.files[:1]
+            parts.append(LogRecord(record.offset, encode(change)))
+        return add(parts)
+
+    node.keeper.add = add_part  # type: ignore[method-assign]
+
+
+def drops_empty_services(node: Node) -> None:
+    """Let a service without targets vanish from the snapshot."""
+    swap = node._swap
+
+    def swap_without(found: snapshot.Snapshot) -> None:
+        endpoints = {
+            service: members
+            for service, members in found.endpoints.items()
+            if members
+        }
+        swap(
+            snapshot.Snapshot(
+                found.offset,
+                found.digest,
+                found.table,
+                found.target_sets,
+                endpoints,
+            ),
+        )
+
+    node._swap = swap_without  # type: ignore[method-assign]
+
+
+def names_changes_anew(node: Node) -> None:
+    """Give every publish call an id of its own."""
+    publish = node.publisher.publish
+
+    async def publish_anew(record: ttypes.ConfigRecord) -> Any:
+        node.counters.swaps += 1
+        record.record_id = f'{node.identity.address}-{node.counters.swaps}'
+        return await publish(record)
+
+    node.publisher.publish = publish_anew  # type: ignore[method-assign]
+
+
+def writes_no_checkpoints(node: Node) -> None:
+    """Never write a checkpoint."""
+    node.distributor.is_checkpointer = lambda: False  # type: ignore
+
+
+def ignores_heartbeat_digests(node: Node) -> None:
+    """Learn of a newer configuration from notices alone."""
+    node.membership.on_config_digest = lambda sender, offset, digest: None
+    node.distributor.compare = (  # type: ignore[method-assign]
+        lambda sender, offset, digest: None
+    )
+
+
+def keeps_silent_links(node: Node) -> None:
+    """Never close a connection that gives no sign of life."""
+    link = node.links.link
+
+    async def link_kept(peer: str) -> PeerLink:
+        found = await link(peer)
+        found.keep_alive = lambda now: None  # type: ignore[method-assign]
+        return found
+
+    node.links.link = link_kept  # type: ignore[method-assign]
+
+
+def judges_other_domains(node: Node) -> None:
+    """Declare members of other domains dead."""
+    membership = node.membership
+
+    def next_anywhere(self: object) -> Member | None:
+        others = [
+            member
+            for member in membership.table.alive()
+            if member.node != membership.me.node
+        ]
+        return membership._rng.choice(others) if others else None
+
+    def note_all(self: object, member: Member) -> None:
+        if member.status == MemberStatus.SUSPECT:
+            membership._suspect_until.setdefault(member.node, 0)
+
+    membership._next_in_domain = MethodType(  # type: ignore
+        next_anywhere,
+        membership,
+    )
+    membership._note_suspicion = MethodType(  # type: ignore
+        note_all,
+        membership,
+    )
+
+
+def forgets_generations(node: Node) -> None:
+    """Compare what is known of a member by version alone."""
+    table = node.membership.table
+    apply = table.apply
+
+    def apply_by_version(member: Member, now: float) -> bool:
+        known = table.get(member.node)
+        is_other = known and known.generation != member.generation
+        if known and is_other and known.version >= member.version:
+            return False
+        return apply(member, now)
+
+    table.apply = apply_by_version  # type: ignore[method-assign]
+
+
+def reads_log_always(node: Node) -> None:
+    """Follow the log on every node."""
+    node.distributor.is_reader = lambda: True  # type: ignore[method-assign]
+
+
+def keeps_working_while_leaving(node: Node) -> None:
+    """Tell nobody about leaving."""
+    node._tell_leaving = lambda: None  # type: ignore[method-assign]
+
+    async def drain() -> None:
+        """Do nothing."""
+
+    node.drain = drain  # type: ignore[method-assign]
