Demo of a whole deployment; spans for each hop; a kept connection's body

Cause found by the demo: about half of the requests ended in a time-out. The second part of a target's answer (body after head) was queued behind the end mark, because a part that had to be waited for went to the wrong end of the queue. Ruled out: httpx's pool, flow control, the peer link (a single curl showed head without body).

--- a/filbertdrift/daemon.py
+++ b/filbertdrift/daemon.py
@@ -19,6 +19,7 @@
 from filbertdrift.profile import PROFILES
 from filbertdrift.settings import LoggingSection, Settings
 from filbertdrift.target import HttpTarget
+from filbertdrift.tracing import Tracer
 
 MS_PER_S = 1000
 TEXT_FORMAT = '{time:YYYY-MM-DDTHH:mm:ss.SSS} {level} {extra[node]} {message}'
@@ -75,6 +76,7 @@
         open_target=HttpTarget,
         checkpoint_interval_s=settings.log.checkpoint_interval_s,
         rng=random.Random(),  # noqa: S311
+        tracer=Tracer(settings.tracing.sampled, identity.address),
     )
 
 
--- a/filbertdrift/forward.py
+++ b/filbertdrift/forward.py
@@ -104,14 +104,14 @@
     Args:
         opened: The message that opened the answer.
         call: The call that brings the rest.
-        close: Ends the call.
+        close: Ends the call, cancelling the rest if told to.
     """
 
     def __init__(
         self,
         opened: ttypes.AnswerOpen,
         call: CallStream,
-        close: Callable[[], None],
+        close: Callable[[bool], None],
     ) -> None:
         """Keep the parts."""
         self.status: int = opened.status
@@ -121,6 +121,7 @@
         self.first_part = http1.BodyPart(opened.body or b'', bool(opened.end))
         self._call = call
         self._close = close
+        self._is_whole = self.first_part.end
 
     async def part(self, stall_s: float) -> http1.BodyPart:
         """Return the next part of the body.
@@ -149,11 +150,12 @@
         chunk = body.body or b''
         if not body.end:
             await self._call.grant(len(chunk))
-        return http1.BodyPart(chunk, bool(body.end))
+        self._is_whole = bool(body.end)
+        return http1.BodyPart(chunk, self._is_whole)
 
     def close(self) -> None:
         """End the call; an unfinished answer is cancelled."""
-        self._close()
+        self._close(not self._is_whole)
 
 
 class Forwarder:
@@ -268,7 +270,13 @@
         return ForwardedAnswer(
             answer,
             call,
-            lambda: self._close(member, link, call, attempt),
+            lambda cancel: self._close(
+                member,
+                link,
+                call,
+                attempt,
+                cancel=cancel,
+            ),
         )
 
     async def _open_link(self, member: Member) -> PeerLink:
@@ -280,9 +288,11 @@
         link: PeerLink,
         call: CallStream,
         attempt: '_Attempt',
+        *,
+        cancel: bool,
     ) -> None:
         attempt.stop_upload()
-        link.end(call, cancel=True)
+        link.end(call, cancel=cancel)
         self._chooser.ended(member, asyncio.get_running_loop().time())
 
     def _opening(
--- a/filbertdrift/http1.py
+++ b/filbertdrift/http1.py
@@ -158,7 +158,7 @@
             MalformedMessage: The bytes are not HTTP.
         """
         if not self._parts:
-            self._parts.append(await self._next())
+            self._parts.appendleft(await self._next())
         return self.parsed()
 
     async def _next(self) -> _Part:
--- a/filbertdrift/node.py
+++ b/filbertdrift/node.py
@@ -42,6 +42,7 @@
     with_endpoints,
 )
 from filbertdrift.target import Target
+from filbertdrift.tracing import Tracer
 
 BOOT_PEERS = 3
 BOOT_BACKOFF_S = 0.5
@@ -107,6 +108,7 @@
         open_target: Makes the connections to an announced target.
         checkpoint_interval_s: Time between checkpoints.
         rng: All its random choices.
+        tracer: Opens spans; none are opened if not given.
     """
 
     def __init__(
@@ -119,6 +121,7 @@
         open_target: Callable[[str, int], Target],
         checkpoint_interval_s: float,
         rng: random.Random,
+        tracer: Tracer | None = None,
     ) -> None:
         """Assemble the parts; start sets them to work."""
         self.identity = identity
@@ -151,7 +154,8 @@
         self.introducer = Introducer(log, self.membership, rng)
         self.chooser = TargetChooser(identity.domain, identity.region, rng)
         self.forwarder = Forwarder(self.links, self.chooser, rng)
-        self.server = TargetServer(identity.generation)
+        self.tracer = tracer or Tracer()
+        self.server = TargetServer(identity.generation, self.tracer)
         self.callers = CallerServer(self)
         self._seeds = seeds
         self._open_target = open_target
@@ -196,6 +200,7 @@
         self.links.close()
         await self.network.close()
         await self.log.close()
+        self.tracer.close()
 
     async def _boot(self) -> None:
         backoff_s = BOOT_BACKOFF_S
@@ -289,7 +294,14 @@
         counters = self.forwarder.counters
         outcome, reason = Outcome.ANSWERED, ''
         try:
-            answer = await self.forwarder.forward(snapshot, route, req)
+            with self.tracer.span(
+                'entry',
+                req.headers,
+                request=req.request_id,
+                route=route.name,
+            ) as headers:
+                req.headers = headers
+                answer = await self.forwarder.forward(snapshot, route, req)
         except RequestNotRun as exc:
             outcome, reason = Outcome.NOT_RUN, str(exc)
             counters.not_run += 1
--- a/filbertdrift/porcelain.py
+++ b/filbertdrift/porcelain.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterator, Mapping, Sequence
 from dataclasses import dataclass
 from pathlib import Path
+from typing import Any
 
 import httpx
 
@@ -321,7 +322,12 @@
         return fallback
 
 
-def _call(admin: str, method: str, path: str, json: object = None):
+def _call(
+    admin: str,
+    method: str,
+    path: str,
+    json: object = None,
+) -> Any:
     url = f'http://{admin}{path}'
     try:
         resp = httpx.request(
--- a/filbertdrift/serving.py
+++ b/filbertdrift/serving.py
@@ -21,6 +21,7 @@
 from filbertdrift.gen import ttypes
 from filbertdrift.link import WINDOW_BYTES, CallStream
 from filbertdrift.target import Exchange, Target, TargetRequest
+from filbertdrift.tracing import Tracer
 
 MS_PER_S = 1000
 COME_BACK_MS = 200
@@ -58,10 +59,12 @@
 
     Args:
         generation: This node's generation; requests for another are refused.
+        tracer: Opens a span for each request.
     """
 
-    def __init__(self, generation: int) -> None:
+    def __init__(self, generation: int, tracer: Tracer) -> None:
         """Start without a target."""
+        self._tracer = tracer
         self.generation = generation
         self.announced: AnnouncedTarget | None = None
         self.counters = ServingCounters()
@@ -99,9 +102,16 @@
         started_at = loop.time()
         self.last_started_at = started_at
         try:
-            exchange = await self._connect(announced, req, deadline)
-            with contextlib.closing(exchange):
-                await _Run(call, req, exchange, gate).run(deadline)
+            headers = [(head.name, head.content) for head in req.headers or ()]
+            with self._tracer.span(
+                'gate',
+                headers,
+                request=req.request_id or '',
+            ) as passed_on:
+                request = _target_request(req, passed_on, deadline)
+                exchange = await self._connect(announced, request, deadline)
+                with contextlib.closing(exchange):
+                    await _Run(call, req, exchange, gate).run(deadline)
             self.counters.answered += 1
         finally:
             gate.release(req.importance, loop.time() - started_at)
@@ -123,14 +133,12 @@
     async def _connect(
         self,
         announced: AnnouncedTarget,
-        req: ttypes.RequestOpen,
+        request: TargetRequest,
         deadline: float,
     ) -> Exchange:
         loop = asyncio.get_running_loop()
         try:
-            exchange = await announced.target.exchange(
-                _target_request(req, deadline - loop.time()),
-            )
+            exchange = await announced.target.exchange(request)
         except PeerUnavailable as exc:
             raise RequestNotRun(
                 exc.reason,
@@ -276,15 +284,16 @@
 
 def _target_request(
     req: ttypes.RequestOpen,
-    remaining_s: float,
+    passed_on: http1.Headers,
+    deadline: float,
 ) -> TargetRequest:
-    headers = [(header.name, header.content) for header in req.headers or ()]
+    remaining_s = deadline - asyncio.get_running_loop().time()
     remaining_ms = max(int(remaining_s * MS_PER_S), 1)
-    headers.append((TIMEOUT_HEADER, b'%d' % remaining_ms))
+    timeout = (TIMEOUT_HEADER, b'%d' % remaining_ms)
     return TargetRequest(
         method=req.method,
         path=req.path,
-        headers=headers,
+        headers=[*passed_on, timeout],
         first_chunk=req.body or b'',
         is_whole=bool(req.end),
     )
--- a/standins/__main__.py
+++ b/standins/__main__.py
@@ -1,8 +1,14 @@
-"""Starts one stand-in: log, target or traffic."""
+"""Starts one stand-in, or sends traffic to a deployment of them."""
 
 import fire
 
 from standins.log_server import serve_log
 from standins.target_server import serve_target
+from standins.traffic import record_trace, send_traffic
 
-fire.Fire({'log': serve_log, 'target': serve_target})
+fire.Fire({
+    'log': serve_log,
+    'target': serve_target,
+    'traffic': send_traffic,
+    'record': record_trace,
+})
