Claims on the log: at most one run for an idempotency key

Weighed: claims kept by peers in memory (lost with the peers, and two halves of a cut both grant) against claims on the log. Chosen: the first claim of a key on its stream counts, whoever wrote it; a claim is won only when read back, so neither a lapsed lease nor a pause nor a lost answer can run it twice.

Also: a retry refused after an attempt that ended unknown was told as not run; it is now told as unknown.

--- a/filbertdrift/caller.py
+++ b/filbertdrift/caller.py
@@ -13,7 +13,7 @@
     RequestNotRun,
     RequestUnknown,
 )
-from filbertdrift.forward import EntryRequest, ForwardedAnswer, Outcome
+from filbertdrift.forward import Answer, EntryRequest, Outcome
 from filbertdrift.http1 import BodyPart, Headers, RequestHead
 from filbertdrift.serving import REQUEST_ID_HEADER, TIMEOUT_HEADER
 from filbertdrift.snapshot import Route, Snapshot
@@ -47,7 +47,7 @@
         snapshot: Snapshot,
         route: Route,
         req: EntryRequest,
-    ) -> ForwardedAnswer:
+    ) -> Answer:
         """Return the answer to a request."""
 
 
@@ -257,7 +257,7 @@
         snapshot: Snapshot,
         route: Route,
         head: RequestHead,
-    ) -> ForwardedAnswer:
+    ) -> Answer:
         if http1.find_header(head.headers, b'expect'):
             self._writer.write(_CONTINUE)
         async with asyncio.timeout(FIRST_CHUNK_TIMEOUT_S):
@@ -279,7 +279,7 @@
         self,
         head: RequestHead,
         route: Route,
-        answer: ForwardedAnswer,
+        answer: Answer,
     ) -> None:
         part = answer.first_part
         headers = list(answer.headers)
@@ -335,7 +335,8 @@
                 (b'retry-after', b'%d' % seconds),
                 (COME_BACK_HEADER, b'%d' % exc.come_back_ms),
             ]
-            await self._plain(head, 503, str(exc), Outcome.NOT_RUN, come_back)
+            reason, outcome = str(exc), Outcome.NOT_RUN
+            await self._plain(head, exc.status, reason, outcome, come_back)
             return
         status = 504 if 'deadline' in exc.reason else 502
         await self._plain(head, status, str(exc), Outcome.UNKNOWN)
--- a/filbertdrift/daemon.py
+++ b/filbertdrift/daemon.py
@@ -75,6 +75,7 @@
         seeds=settings.peers.seeds,
         open_target=HttpTarget,
         checkpoint_interval_s=settings.log.checkpoint_interval_s,
+        claim_ttl_s=settings.log.claim_ttl_s,
         rng=random.Random(),  # noqa: S311
         tracer=Tracer(settings.tracing.sampled, identity.address),
     )
@@ -89,6 +90,7 @@
         'membership': node.membership.counters,
         'distribution': node.keeper.counters,
         'node': node.counters,
+        'claims': node.claims.counters,
         'log': node.log.counters,
     }
     for name, source in sources.items():
--- a/filbertdrift/errors.py
+++ b/filbertdrift/errors.py
@@ -2,6 +2,8 @@
 
 from typing import ClassVar
 
+STATUS_UNAVAILABLE = 503
+
 EXIT_OK = 0
 EXIT_FAILED = 1
 EXIT_USAGE = 2
@@ -85,6 +87,7 @@
         come_back_ms: When the caller may try again, from now.
         step: The operation that refused.
         peer: The node or target that refused.
+        status: The HTTP status that says so.
     """
 
     def __init__(
@@ -94,10 +97,12 @@
         come_back_ms: int,
         step: str = '',
         peer: str = '',
+        status: int = STATUS_UNAVAILABLE,
     ) -> None:
         """Keep the reason and the time to come back."""
         super().__init__(reason, step=step, peer=peer)
         self.come_back_ms = come_back_ms
+        self.status = status
 
 
 class RequestUnknown(FilbertdriftError):
--- a/filbertdrift/forward.py
+++ b/filbertdrift/forward.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from abc import ABC, abstractmethod
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from enum import Enum
@@ -98,7 +99,36 @@
         return True
 
 
-class ForwardedAnswer:
+class Answer(ABC):
+    """An answer whose body may still be coming.
+
+    Attributes:
+        status: The HTTP status.
+        headers: End-to-end headers.
+        first_part: The beginning of the body.
+    """
+
+    status: int
+    headers: http1.Headers
+    first_part: http1.BodyPart
+
+    @abstractmethod
+    async def part(self, stall_s: float) -> http1.BodyPart:
+        """Return the next part of the body.
+
+        Args:
+            stall_s: How long the body may stand still.
+
+        Raises:
+            RequestUnknown: The answer is cut short.
+        """
+
+    @abstractmethod
+    def close(self) -> None:
+        """End the answer; what has not come yet is given up."""
+
+
+class ForwardedAnswer(Answer):
     """The answer to a forwarded request, whose body may still be coming.
 
     Args:
@@ -114,8 +144,8 @@
         close: Callable[[bool], None],
     ) -> None:
         """Keep the parts."""
-        self.status: int = opened.status
-        self.headers: http1.Headers = [
+        self.status = opened.status
+        self.headers = [
             (header.name, header.content) for header in opened.headers or ()
         ]
         self.first_part = http1.BodyPart(opened.body or b'', bool(opened.end))
@@ -124,14 +154,7 @@
         self._is_whole = self.first_part.end
 
     async def part(self, stall_s: float) -> http1.BodyPart:
-        """Return the next part of the body.
-
-        Args:
-            stall_s: How long the body may stand still.
-
-        Raises:
-            RequestUnknown: The answer is cut short.
-        """
+        """Return the next part of the body."""
         try:
             async with asyncio.timeout(stall_s):
                 body = await self._call.receive()
@@ -201,19 +224,34 @@
             RequestUnknown: It may have run.
         """
         self._budget.earn()
-        attempts = 1 + route.policy.retries
-        while True:
-            attempts -= 1
-            member = self._choose(snapshot, route, req)
+        unknown: RequestUnknown | None = None
+        for left in range(route.policy.retries, -1, -1):
             try:
-                return await self._attempt(member, route, req)
-            except RequestNotRun:
-                if not attempts or not self._may_retry(req):
-                    raise
-            except RequestUnknown:
-                if not attempts or not self._may_repeat(route, req):
+                return await self._try_once(snapshot, route, req)
+            except RequestNotRun as exc:
+                if not left or not self._may_retry(req):
+                    raise unknown or exc from exc
+            except RequestUnknown as exc:
+                unknown = exc
+                if not left or not self._may_repeat(route, req):
                     raise
             self.counters.retries += 1
+        raise AssertionError('the last attempt returns or raises')
+
+    async def _try_once(
+        self,
+        snapshot: Snapshot,
+        route: Route,
+        req: EntryRequest,
+    ) -> ForwardedAnswer:
+        if asyncio.get_running_loop().time() >= req.deadline:
+            raise RequestNotRun(
+                'deadline passed before it was forwarded',
+                come_back_ms=0,
+                step='forward',
+            )
+        member = self._choose(snapshot, route, req)
+        return await self._attempt(member, route, req)
 
     def _choose(
         self,
--- a/filbertdrift/gen/ttypes.py
+++ b/filbertdrift/gen/ttypes.py
@@ -55,6 +55,24 @@
     }
 
 
+class ClaimKind(object):
+    CLAIM = 1
+    DONE = 2
+    RELEASE = 3
+
+    _VALUES_TO_NAMES = {
+        1: "CLAIM",
+        2: "DONE",
+        3: "RELEASE",
+    }
+
+    _NAMES_TO_VALUES = {
+        "CLAIM": 1,
+        "DONE": 2,
+        "RELEASE": 3,
+    }
+
+
 class MemberEntry(object):
     """
     One node and the target announced beside it.
@@ -2839,16 +2857,19 @@
 
 class ClaimEntry(object):
     """
-    A claim to run one request, scoped to its customer.
+    A claim to run one request, its answer, or its release. The key is scoped
+    to its customer; times are milliseconds since the epoch.
 
     Attributes:
      - key
      - claim_id
      - kind
+     - fingerprint
+     - written_ms
+     - expires_ms
      - status
      - body
      - content_type
-     - expires_ms
 
     """
 
@@ -2856,21 +2877,25 @@
         'key',
         'claim_id',
         'kind',
+        'fingerprint',
+        'written_ms',
+        'expires_ms',
         'status',
         'body',
         'content_type',
-        'expires_ms',
     )
 
 
-    def __init__(self, key=None, claim_id=None, kind=None, status=None, body=None, content_type=None, expires_ms=None,):
+    def __init__(self, key=None, claim_id=None, kind=None, fingerprint=None, written_ms=None, expires_ms=None, status=None, body=None, content_type=None,):
         self.key = key
         self.claim_id = claim_id
         self.kind = kind
+        self.fingerprint = fingerprint
+        self.written_ms = written_ms
+        self.expires_ms = expires_ms
         self.status = status
         self.body = body
         self.content_type = content_type
-        self.expires_ms = expires_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2897,25 +2922,35 @@
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
+                if ftype == TType.STRING:
+                    self.fingerprint = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.written_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I64:
+                    self.expires_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
                 if ftype == TType.I32:
                     self.status = iprot.readI32()
                 else:
                     iprot.skip(ftype)
-            elif fid == 5:
+            elif fid == 8:
                 if ftype == TType.STRING:
                     self.body = iprot.readBinary()
                 else:
                     iprot.skip(ftype)
-            elif fid == 6:
+            elif fid == 9:
                 if ftype == TType.STRING:
                     self.content_type = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
-            elif fid == 7:
-                if ftype == TType.I64:
-                    self.expires_ms = iprot.readI64()
-                else:
-                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2938,22 +2973,30 @@
             oprot.writeFieldBegin('kind', TType.I32, 3)
             oprot.writeI32(self.kind)
             oprot.writeFieldEnd()
+        if self.fingerprint is not None:
+            oprot.writeFieldBegin('fingerprint', TType.STRING, 4)
+            oprot.writeString(self.fingerprint.encode('utf-8') if sys.version_info[0] == 2 else self.fingerprint)
+            oprot.writeFieldEnd()
+        if self.written_ms is not None:
+            oprot.writeFieldBegin('written_ms', TType.I64, 5)
+            oprot.writeI64(self.written_ms)
+            oprot.writeFieldEnd()
+        if self.expires_ms is not None:
+            oprot.writeFieldBegin('expires_ms', TType.I64, 6)
+            oprot.writeI64(self.expires_ms)
+            oprot.writeFieldEnd()
         if self.status is not None:
-            oprot.writeFieldBegin('status', TType.I32, 4)
+            oprot.writeFieldBegin('status', TType.I32, 7)
             oprot.writeI32(self.status)
             oprot.writeFieldEnd()
         if self.body is not None:
-            oprot.writeFieldBegin('body', TType.STRING, 5)
+            oprot.writeFieldBegin('body', TType.STRING, 8)
             oprot.writeBinary(self.body)
             oprot.writeFieldEnd()
         if self.content_type is not None:
-            oprot.writeFieldBegin('content_type', TType.STRING, 6)
+            oprot.writeFieldBegin('content_type', TType.STRING, 9)
             oprot.writeString(self.content_type.encode('utf-8') if sys.version_info[0] == 2 else self.content_type)
             oprot.writeFieldEnd()
-        if self.expires_ms is not None:
-            oprot.writeFieldBegin('expires_ms', TType.I64, 7)
-            oprot.writeI64(self.expires_ms)
-            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3141,23 +3184,22 @@
 
 class ClaimVerdict(object):
     """
+    What holds a key on the stream; a failure means that nobody can tell.
+
     Attributes:
-     - won
-     - winner
+     - holder
      - failure
 
     """
 
     __slots__ = (
-        'won',
-        'winner',
+        'holder',
         'failure',
     )
 
 
-    def __init__(self, won=None, winner=None, failure=None,):
-        self.won = won
-        self.winner = winner
+    def __init__(self, holder=None, failure=None,):
+        self.holder = holder
         self.failure = failure
 
     def read(self, iprot):
@@ -3170,17 +3212,12 @@
             if ftype == TType.STOP:
                 break
             if fid == 1:
-                if ftype == TType.BOOL:
-                    self.won = iprot.readBool()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 2:
                 if ftype == TType.STRUCT:
-                    self.winner = ClaimEntry()
-                    self.winner.read(iprot)
+                    self.holder = ClaimEntry()
+                    self.holder.read(iprot)
                 else:
                     iprot.skip(ftype)
-            elif fid == 3:
+            elif fid == 2:
                 if ftype == TType.STRING:
                     self.failure = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
@@ -3195,16 +3232,12 @@
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
         oprot.writeStructBegin('ClaimVerdict')
-        if self.won is not None:
-            oprot.writeFieldBegin('won', TType.BOOL, 1)
-            oprot.writeBool(self.won)
-            oprot.writeFieldEnd()
-        if self.winner is not None:
-            oprot.writeFieldBegin('winner', TType.STRUCT, 2)
-            self.winner.write(oprot)
+        if self.holder is not None:
+            oprot.writeFieldBegin('holder', TType.STRUCT, 1)
+            self.holder.write(oprot)
             oprot.writeFieldEnd()
         if self.failure is not None:
-            oprot.writeFieldBegin('failure', TType.STRING, 3)
+            oprot.writeFieldBegin('failure', TType.STRING, 2)
             oprot.writeString(self.failure.encode('utf-8') if sys.version_info[0] == 2 else self.failure)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3676,10 +3709,12 @@
     (1, TType.STRING, 'key', 'UTF8', None, ),  # 1
     (2, TType.STRING, 'claim_id', 'UTF8', None, ),  # 2
     (3, TType.I32, 'kind', None, None, ),  # 3
-    (4, TType.I32, 'status', None, None, ),  # 4
-    (5, TType.STRING, 'body', 'BINARY', None, ),  # 5
-    (6, TType.STRING, 'content_type', 'UTF8', None, ),  # 6
-    (7, TType.I64, 'expires_ms', None, None, ),  # 7
+    (4, TType.STRING, 'fingerprint', 'UTF8', None, ),  # 4
+    (5, TType.I64, 'written_ms', None, None, ),  # 5
+    (6, TType.I64, 'expires_ms', None, None, ),  # 6
+    (7, TType.I32, 'status', None, None, ),  # 7
+    (8, TType.STRING, 'body', 'BINARY', None, ),  # 8
+    (9, TType.STRING, 'content_type', 'UTF8', None, ),  # 9
 )
 all_structs.append(ClaimBatch)
 ClaimBatch.thrift_spec = (
@@ -3695,9 +3730,8 @@
 all_structs.append(ClaimVerdict)
 ClaimVerdict.thrift_spec = (
     None,  # 0
-    (1, TType.BOOL, 'won', None, None, ),  # 1
-    (2, TType.STRUCT, 'winner', [ClaimEntry, None], None, ),  # 2
-    (3, TType.STRING, 'failure', 'UTF8', None, ),  # 3
+    (1, TType.STRUCT, 'holder', [ClaimEntry, None], None, ),  # 1
+    (2, TType.STRING, 'failure', 'UTF8', None, ),  # 2
 )
 all_structs.append(Frame)
 Frame.thrift_spec = (
--- a/filbertdrift/http1.py
+++ b/filbertdrift/http1.py
@@ -113,21 +113,25 @@
         self._headers: Headers = []
         self._url = b''
         self._head_bytes = 0
+        self._field_bytes = 0
         self._in_head = True
 
     def on_message_begin(self) -> None:
         """Start a new head."""
         self._headers = []
         self._url = b''
+        self._field_bytes = 0
         self._in_head = True
 
     def on_url(self, url: bytes) -> None:
         """Collect the request target."""
         self._url += url
+        self._field_bytes += len(url)
 
     def on_header(self, name: bytes, content: bytes) -> None:
         """Collect a header."""
         self._headers.append((name.lower(), content))
+        self._field_bytes += len(name) + len(content)
 
     def on_body(self, body: bytes) -> None:
         """Queue a part of the body."""
@@ -199,7 +203,8 @@
                 step='parse',
                 peer=self.peer,
             ) from exc
-        if self._in_head and self._head_bytes > MAX_HEAD_BYTES:
+        pending_bytes = self._head_bytes if self._in_head else 0
+        if max(pending_bytes, self._field_bytes) > MAX_HEAD_BYTES:
             raise HeadTooLarge(
                 f'head over {MAX_HEAD_BYTES} bytes',
                 step='parse',
--- /dev/null
+++ b/filbertdrift/keyed.py
@@ -0,0 +1,193 @@
+"""Requests with an idempotency key: run once, repeats get the first answer."""
+
+from filbertdrift import http1
+from filbertdrift.claims import (
+    KEPT_BODY_BYTES,
+    Claims,
+    ClaimUnavailable,
+    claim_key,
+)
+from filbertdrift.errors import RequestNotRun
+from filbertdrift.forward import Answer, EntryRequest, Forwarder
+from filbertdrift.gen import ttypes
+from filbertdrift.snapshot import Route, Snapshot
+
+KEY_HEADER = b'idempotency-key'
+REPLAYED_HEADER = b'x-filbertdrift-replayed'
+CONTENT_TYPE = b'content-type'
+COME_BACK_MS = 1000
+UNAVAILABLE_COME_BACK_MS = 500
+
+STATUS_BAD_REQUEST = 400
+STATUS_CONFLICT = 409
+
+
+class KeptAnswer(Answer):
+    """The first answer to a key, kept on the log.
+
+    Args:
+        holder: The claim that was answered.
+    """
+
+    def __init__(self, holder: ttypes.ClaimEntry) -> None:
+        """Take status and body from the claim."""
+        self.status = holder.status
+        self.headers = [
+            (CONTENT_TYPE, (holder.content_type or '').encode('latin-1')),
+            (REPLAYED_HEADER, b'true'),
+        ]
+        self.first_part = http1.BodyPart(holder.body or b'', end=True)
+
+    async def part(self, stall_s: float) -> http1.BodyPart:
+        """Return the end; the whole body is in the first part."""
+        return http1.BodyPart(b'', end=True)
+
+    def close(self) -> None:
+        """Do nothing."""
+
+
+class ClaimedAnswer(Answer):
+    """The answer to a claimed request, kept for repeats as it passes.
+
+    Args:
+        answer: The answer of the target.
+        claims: Where to keep it.
+        claim: The claim that was won.
+    """
+
+    def __init__(
+        self,
+        answer: Answer,
+        claims: Claims,
+        claim: ttypes.ClaimEntry,
+    ) -> None:
+        """Start with the first part."""
+        self.status = answer.status
+        self.headers = answer.headers
+        self.first_part = answer.first_part
+        self._answer = answer
+        self._claims = claims
+        self._claim = claim
+        self._body = b''
+        self._is_whole = False
+        self._note(answer.first_part)
+
+    async def part(self, stall_s: float) -> http1.BodyPart:
+        """Return the next part of the body."""
+        part = await self._answer.part(stall_s)
+        self._note(part)
+        return part
+
+    def close(self) -> None:
+        """End the call and keep the answer."""
+        self._answer.close()
+        is_kept = self._is_whole and len(self._body) <= KEPT_BODY_BYTES
+        self._claims.done(
+            self._claim,
+            self.status,
+            self._body if is_kept else None,
+            http1.find_header(self.headers, CONTENT_TYPE),
+        )
+
+    def _note(self, part: http1.BodyPart) -> None:
+        if len(self._body) <= KEPT_BODY_BYTES:
+            self._body += part.chunk
+        self._is_whole = part.end
+
+
+class KeyedForwarder:
+    """Forwards requests, those with an idempotency key at most once.
+
+    Args:
+        forwarder: Forwards a request.
+        claims: Decides who runs a key.
+    """
+
+    def __init__(self, forwarder: Forwarder, claims: Claims) -> None:
+        """Keep the parts."""
+        self._forwarder = forwarder
+        self._claims = claims
+
+    async def forward(
+        self,
+        snapshot: Snapshot,
+        route: Route,
+        req: EntryRequest,
+    ) -> Answer:
+        """Return the answer to a request.
+
+        Args:
+            snapshot: What the request began with.
+            route: Its route.
+            req: The request.
+
+        Raises:
+            RequestNotRun: This request was certainly not handed to a target.
+            RequestUnknown: It may have run.
+        """
+        key = http1.find_header(req.headers, KEY_HEADER)
+        if not key and route.policy.key_required:
+            raise RequestNotRun(
+                'this route requires an Idempotency-Key header',
+                come_back_ms=0,
+                step='claim',
+                status=STATUS_BAD_REQUEST,
+            )
+        if not key or not route.policy.key_honoured:
+            return await self._forwarder.forward(snapshot, route, req)
+        return await self._forward_once(snapshot, route, req, key)
+
+    async def _forward_once(
+        self,
+        snapshot: Snapshot,
+        route: Route,
+        req: EntryRequest,
+        key: str,
+    ) -> Answer:
+        request = f'{req.method} {req.path}\n'.encode() + req.first_chunk
+        wanted = claim_key(req.customer, route.name, key, request)
+        try:
+            holder = await self._claims.claim(wanted, req.deadline)
+        except ClaimUnavailable as exc:
+            raise RequestNotRun(
+                f'the key cannot be claimed now: {exc.reason}',
+                come_back_ms=UNAVAILABLE_COME_BACK_MS,
+                step='claim',
+            ) from exc
+        if not holder.is_won:
+            return _repeat(holder.entry, wanted.fingerprint, req.customer)
+        try:
+            answer = await self._forwarder.forward(snapshot, route, req)
+        except RequestNotRun:
+            await self._claims.release(holder.entry)
+            raise
+        return ClaimedAnswer(answer, self._claims, holder.entry)
+
+
+def _repeat(
+    holder: ttypes.ClaimEntry,
+    fingerprint: str,
+    customer: str,
+) -> Answer:
+    if holder.fingerprint != fingerprint:
+        raise _conflict('this key came with another request before')
+    if holder.kind != ttypes.ClaimKind.DONE:
+        raise _conflict(
+            'an earlier request with this key is running or ended unknown; '
+            'this one was not run',
+        )
+    if holder.body is None or not customer:
+        raise _conflict(
+            f'an earlier request with this key was answered with status '
+            f'{holder.status}; this one was not run',
+        )
+    return KeptAnswer(holder)
+
+
+def _conflict(reason: str) -> RequestNotRun:
+    return RequestNotRun(
+        reason,
+        come_back_ms=COME_BACK_MS,
+        step='claim',
+        status=STATUS_CONFLICT,
+    )
--- a/filbertdrift/node.py
+++ b/filbertdrift/node.py
@@ -10,6 +10,7 @@
 
 from filbertdrift.caller import CallerServer
 from filbertdrift.chooser import TargetChooser
+from filbertdrift.claims import Claims
 from filbertdrift.distribution import ConfigKeeper, Distributor
 from filbertdrift.errors import (
     MalformedMessage,
@@ -19,14 +20,15 @@
 from filbertdrift.explain import RequestJournal, RequestReport
 from filbertdrift.fold import ConfigState
 from filbertdrift.forward import (
+    Answer,
     EntryRequest,
-    ForwardedAnswer,
     Forwarder,
     Outcome,
 )
 from filbertdrift.gate import Gate
 from filbertdrift.gen import ttypes
 from filbertdrift.introduction import Introducer
+from filbertdrift.keyed import KeyedForwarder
 from filbertdrift.link import CallStream, LinkPool, serve_connection
 from filbertdrift.log import Log
 from filbertdrift.members import Member, MemberStatus
@@ -107,6 +109,7 @@
         seeds: Nodes to ask first.
         open_target: Makes the connections to an announced target.
         checkpoint_interval_s: Time between checkpoints.
+        claim_ttl_s: How long an idempotency key holds.
         rng: All its random choices.
         tracer: Opens spans; none are opened if not given.
     """
@@ -120,6 +123,7 @@
         seeds: Sequence[str],
         open_target: Callable[[str, int], Target],
         checkpoint_interval_s: float,
+        claim_ttl_s: float,
         rng: random.Random,
         tracer: Tracer | None = None,
     ) -> None:
@@ -154,6 +158,8 @@
         self.introducer = Introducer(log, self.membership, rng)
         self.chooser = TargetChooser(identity.domain, identity.region, rng)
         self.forwarder = Forwarder(self.links, self.chooser, rng)
+        self.claims = Claims(log, self.membership, self.links, claim_ttl_s)
+        self.keyed = KeyedForwarder(self.forwarder, self.claims)
         self.tracer = tracer or Tracer()
         self.server = TargetServer(identity.generation, self.tracer)
         self.callers = CallerServer(self)
@@ -197,6 +203,7 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         self.callers.close()
+        self.claims.close()
         self.links.close()
         await self.network.close()
         await self.log.close()
@@ -289,7 +296,7 @@
         snapshot: Snapshot,
         route: Route,
         req: EntryRequest,
-    ) -> ForwardedAnswer:
+    ) -> Answer:
         """Return the answer to a request that entered here."""
         counters = self.forwarder.counters
         outcome, reason = Outcome.ANSWERED, ''
@@ -301,7 +308,7 @@
                 route=route.name,
             ) as headers:
                 req.headers = headers
-                answer = await self.forwarder.forward(snapshot, route, req)
+                answer = await self.keyed.forward(snapshot, route, req)
         except RequestNotRun as exc:
             outcome, reason = Outcome.NOT_RUN, str(exc)
             counters.not_run += 1
@@ -356,6 +363,7 @@
         loop = asyncio.get_running_loop()
         while True:
             await asyncio.sleep(1)
+            self.claims.forget_expired()
             if self._announced and loop.time() >= self._announced_until:
                 self.counters.announcements_expired += 1
                 self.withdraw()
@@ -427,6 +435,14 @@
     ) -> None:
         await call.send(self.distributor.serve_pull(body))
 
+    @_answer.register
+    async def _answer_claim(
+        self,
+        body: ttypes.ClaimAsk,
+        call: CallStream,
+    ) -> None:
+        await call.send(await self.claims.serve(body))
+
     @_answer.register
     async def _answer_sync(
         self,
--- a/filbertdrift/settings.py
+++ b/filbertdrift/settings.py
@@ -73,6 +73,7 @@
 
     url: str = Field(pattern=r'^https?://\S+$')
     checkpoint_interval_s: float = Field(default=600, ge=1)
+    claim_ttl_s: float = Field(default=1800, ge=10)
 
 
 class ControlSection(_Section):
--- a/idl/filbertdrift.thrift
+++ b/idl/filbertdrift.thrift
@@ -202,15 +202,26 @@
   1: bool reply
 }
 
-/** A claim to run one request, scoped to its customer. */
+enum ClaimKind {
+  CLAIM = 1
+  DONE = 2
+  RELEASE = 3
+}
+
+/**
+ * A claim to run one request, its answer, or its release. The key is scoped
+ * to its customer; times are milliseconds since the epoch.
+ */
 struct ClaimEntry {
   1: string key
   2: string claim_id
-  3: i32 kind
-  4: i32 status
-  5: binary body
-  6: string content_type
-  7: i64 expires_ms
+  3: ClaimKind kind
+  4: string fingerprint
+  5: i64 written_ms
+  6: i64 expires_ms
+  7: i32 status
+  8: optional binary body
+  9: string content_type
 }
 
 /** A record of a claim stream: many claims in one append. */
@@ -223,10 +234,10 @@
   1: ClaimEntry entry
 }
 
+/** What holds a key on the stream; a failure means that nobody can tell. */
 struct ClaimVerdict {
-  1: bool won
-  2: optional ClaimEntry winner
-  3: string failure
+  1: optional ClaimEntry holder
+  2: string failure
 }
 
 /** One frame of a connection between two nodes; one message field is set. */
--- a/standins/__main__.py
+++ b/standins/__main__.py
@@ -6,9 +6,11 @@
 from standins.target_server import serve_target
 from standins.traffic import record_trace, send_traffic
 
-fire.Fire({
-    'log': serve_log,
-    'target': serve_target,
-    'traffic': send_traffic,
-    'record': record_trace,
-})
+fire.Fire(
+    {
+        'log': serve_log,
+        'target': serve_target,
+        'traffic': send_traffic,
+        'record': record_trace,
+    }
+)
--- a/standins/traffic.py
+++ b/standins/traffic.py
@@ -75,12 +75,14 @@
     print(f'answers of another request: {report.wrong_answers}')  # noqa: T201
     print(f'requests executed more than once: {twice}')  # noqa: T201
     (Path(folder) / 'traffic.json').write_text(
-        json.dumps({
-            'sent': report.sent,
-            'outcomes': dict(report.outcomes),
-            'wrong_answers': report.wrong_answers,
-            'executed_twice': twice,
-        }),
+        json.dumps(
+            {
+                'sent': report.sent,
+                'outcomes': dict(report.outcomes),
+                'wrong_answers': report.wrong_answers,
+                'executed_twice': twice,
+            }
+        ),
         'utf-8',
     )
 
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -11,7 +11,7 @@
 
 from filbertdrift import http1
 from filbertdrift.errors import PeerUnavailable
-from filbertdrift.forward import EntryRequest, ForwardedAnswer
+from filbertdrift.forward import Answer, EntryRequest
 from filbertdrift.gen import ttypes
 from filbertdrift.log import MemoryLog, SharedLog
 from filbertdrift.network_memory import Fabric, MemoryNetwork
@@ -362,7 +362,7 @@
         method: str = 'GET',
         request_id: str = '',
         **more: Any,
-    ) -> ForwardedAnswer:
+    ) -> Answer:
         """Send a request through a node, as its callers' port would."""
         node = self.places[address].node
         snapshot = node.snapshot
@@ -386,6 +386,7 @@
                 behaviour,
             ),
             checkpoint_interval_s=self.checkpoint_interval_s,
+            claim_ttl_s=600,
             rng=random.Random(self.rng.getrandbits(64)),
         )
         place = Place(identity, service, log, node, behaviour)
--- /dev/null
+++ b/tests/sockets.py
@@ -0,0 +1,99 @@
+"""Real nodes and scripted targets on loopback sockets."""
+
+import asyncio
+import random
+import socket
+from collections.abc import Awaitable, Callable
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+
+from filbertdrift.log import MemoryLog
+from filbertdrift.network import TcpNetwork
+from filbertdrift.node import Announcement, Identity, Node
+from filbertdrift.profile import PROFILES
+from filbertdrift.target import HttpTarget
+from tests.builders import config_record, service_files
+
+OnTarget = Callable[
+    [asyncio.StreamReader, asyncio.StreamWriter],
+    Awaitable[None],
+]
+
+
+@dataclass
+class Sockets:
+    """A node with a target, and where they listen."""
+
+    node: Node
+    caller_port: int
+    peer_port: int
+
+    async def send(self, raw: bytes, *, half_close: bool = False) -> bytes:
+        """Send bytes as a caller and return all that comes back."""
+        reader, writer = await asyncio.open_connection(
+            '127.0.0.1',
+            self.caller_port,
+        )
+        writer.write(raw)
+        if half_close:
+            writer.close()
+            return b''
+        try:
+            return await reader.read()
+        except ConnectionResetError:
+            return b'reset'
+        finally:
+            writer.close()
+
+    async def get(self, path: str, *headers: str) -> bytes:
+        """Send a GET on a connection of its own."""
+        lines = [f'GET {path} HTTP/1.1', 'host: x', 'connection: close']
+        raw = '\r\n'.join([*lines, *headers, '', '']).encode()
+        return await self.send(raw)
+
+
+def free_port() -> int:
+    """Return a port that is free for TCP and UDP."""
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as probe:
+        probe.bind(('127.0.0.1', 0))
+        return int(probe.getsockname()[1])
+
+
+@asynccontextmanager
+async def one_node(on_target: OnTarget):  # type: ignore[no-untyped-def]
+    """Run a node in force with a target that a function plays."""
+    target = await asyncio.start_server(on_target, '127.0.0.1', 0)
+    target_port = target.sockets[0].getsockname()[1]
+    peer_port, caller_port = free_port(), free_port()
+    address = f'127.0.0.1:{peer_port}'
+    node = Node(
+        identity=Identity(address, 'a', 'one', 1),
+        network=TcpNetwork(address),
+        log=MemoryLog(),
+        profile=PROFILES['convergence'],
+        seeds=(),
+        open_target=HttpTarget,
+        checkpoint_interval_s=600,
+        claim_ttl_s=600,
+        rng=random.Random(1),
+    )
+    await node.start()
+    await node.callers.start('127.0.0.1', caller_port)
+    await node.publisher.publish(config_record('r', service_files('desk')))
+    node.announce(Announcement('desk', f'127.0.0.1:{target_port}', 20, 100))
+    try:
+        yield Sockets(node, caller_port, peer_port)
+    finally:
+        await node.stop()
+        target.close()
+
+
+async def read_request(reader: asyncio.StreamReader) -> bytes:
+    """Return the head of a request and its body, as they came."""
+    head = await reader.readuntil(b'\r\n\r\n')
+    for line in head.lower().split(b'\r\n'):
+        if line.startswith(b'content-length:'):
+            head += await reader.readexactly(int(line.split(b':')[1]))
+        if line == b'transfer-encoding: chunked':
+            head += await reader.readuntil(b'0\r\n\r\n')
+    return head
--- /dev/null
+++ b/tests/test_caller.py
@@ -0,0 +1,195 @@
+"""The callers' port over real sockets: whole answers and bad input."""
+
+import asyncio
+import struct
+
+from testtools import TestCase
+from testtools.matchers import Contains, Equals, HasLength, StartsWith
+
+from tests.sockets import Sockets, one_node, read_request
+
+ANSWER = b'HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\n'
+CHUNKED = b'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n'
+UPLOAD_BYTES = 3_000_000
+
+
+class ScriptedTarget:
+    """A target that notes requests and answers by path."""
+
+    def __init__(self) -> None:
+        self.requests: list[bytes] = []
+        self.body_bytes = 0
+
+    async def __call__(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        """Serve one connection."""
+        try:
+            while True:
+                await self._serve(await read_request(reader), writer)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            writer.close()
+
+    async def _serve(
+        self,
+        request: bytes,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        self.requests.append(request)
+        self.body_bytes = len(request.partition(b'\r\n\r\n')[2])
+        path = request.split()[1]
+        if path.endswith(b'/cut'):
+            writer.write(ANSWER + b'he')
+            writer.close()
+        elif path.endswith(b'/cut-chunk'):
+            writer.write(CHUNKED + b'3\r\nhel\r\n')
+            writer.close()
+        elif path.endswith(b'/chunked'):
+            writer.write(CHUNKED + b'3\r\nhel\r\n')
+            await asyncio.sleep(0.01)
+            writer.write(b'2\r\nlo\r\n0\r\n\r\n')
+        elif path.endswith(b'/garbage'):
+            writer.write(b'what is this\r\n\r\n')
+        else:
+            writer.write(ANSWER)
+            await writer.drain()
+            await asyncio.sleep(0.01)
+            writer.write(b'hello')
+
+
+class CallerTest(TestCase):
+    """Each test sends bytes to one node and looks at what comes back."""
+
+    def run_case(self, case) -> ScriptedTarget:  # type: ignore[no-untyped-def]
+        """Run a case against a node with a scripted target."""
+        target = ScriptedTarget()
+
+        async def main() -> None:
+            async with one_node(target) as sockets:
+                await case(sockets)
+                answer = await sockets.get('/desk/after')
+                self.assertThat(answer, Contains(b'hello'))
+
+        asyncio.run(main())
+        return target
+
+    def test_body_behind_head(self) -> None:
+        async def case(sockets: Sockets) -> None:
+            answer = await sockets.get('/desk/slow')
+            self.assertThat(answer, StartsWith(b'HTTP/1.1 200 OK'))
+            self.assertThat(answer, Contains(b'filbertdrift-outcome: answered'))
+            self.assertThat(answer[-5:], Equals(b'hello'))
+
+        self.run_case(case)
+
+    def test_chunked_answer(self) -> None:
+        async def case(sockets: Sockets) -> None:
+            answer = await sockets.get('/desk/chunked')
+            self.assertThat(answer, Contains(b'transfer-encoding: chunked'))
+            self.assertThat(answer[-5:], Equals(b'0\r\n\r\n'))
+
+        self.run_case(case)
+
+    def test_two_requests_on_one_connection(self) -> None:
+        async def case(sockets: Sockets) -> None:
+            one = b'GET /desk/1 HTTP/1.1\r\nhost: x\r\n\r\n'
+            two = b'GET /desk/2 HTTP/1.1\r\nconnection: close\r\n\r\n'
+            answer = await sockets.send(one + two)
+            self.assertThat(answer.count(b'hello'), Equals(2))
+
+        self.run_case(case)
+
+    def test_cut_answer_never_looks_complete(self) -> None:
+        async def case(sockets: Sockets) -> None:
+            for path in ('/desk/cut', '/desk/cut-chunk'):
+                answer = await sockets.get(path)
+                whole = answer.endswith((b'hello', b'0\r\n\r\n'))
+                self.assertFalse(whole, answer)
+
+        self.run_case(case)
+
+    def test_garbage_from_target_is_unknown(self) -> None:
+        async def case(sockets: Sockets) -> None:
+            request = b'POST /desk/garbage HTTP/1.1\r\ncontent-length: 0\r\n'
+            answer = await sockets.send(request + b'connection: close\r\n\r\n')
+            self.assertThat(answer, StartsWith(b'HTTP/1.1 502'))
+            self.assertThat(answer, Contains(b'outcome: unknown'))
+
+        self.run_case(case)
+
+    def test_body_cut_short_by_caller(self) -> None:
+        async def case(sockets: Sockets) -> None:
+            head = b'POST /desk/x HTTP/1.1\r\ncontent-length: 100\r\n\r\n'
+            await sockets.send(head + b'short', half_close=True)
+
+        target = self.run_case(case)
+        self.assertThat(target.requests, HasLength(1))
+
+    def test_large_head(self) -> None:
+        async def case(sockets: Sockets) -> None:
+            answer = await sockets.get('/desk/x', f'x-large: {"x" * 90_000}')
+            self.assertThat(answer, StartsWith(b'HTTP/1.1 431'))
+
+        self.run_case(case)
+
+    def test_not_http(self) -> None:
+        async def case(sockets: Sockets) -> None:
+            answer = await sockets.send(b'\x16\x03\x01 hello\r\n\r\n')
+            self.assertThat(answer, StartsWith(b'HTTP/1.1 400'))
+            self.assertThat(answer, Contains(b'outcome: not-run'))
+
+        self.run_case(case)
+
+    def test_malformed_frames(self) -> None:
+        async def case(sockets: Sockets) -> None:
+            for raw in (
+                struct.pack('>I', 2**31) + b'x',
+                struct.pack('>I', 5) + b'\xff\xfe\xfd\xfc\xfb',
+                struct.pack('>I', 1) + b'\x00',
+            ):
+                reader, writer = await asyncio.open_connection(
+                    '127.0.0.1',
+                    sockets.peer_port,
+                )
+                writer.write(raw)
+                self.assertThat(await reader.read(), Equals(b''))
+                writer.close()
+            counters = sockets.node.network.counters
+            self.assertThat(counters.malformed, Equals(3))
+
+        self.run_case(case)
+
+    def test_no_route(self) -> None:
+        async def case(sockets: Sockets) -> None:
+            answer = await sockets.get('/nowhere')
+            self.assertThat(answer, StartsWith(b'HTTP/1.1 404'))
+
+        self.run_case(case)
+
+    def test_large_upload(self) -> None:
+        async def case(sockets: Sockets) -> None:
+            head = 'POST /desk/up HTTP/1.1\r\nconnection: close\r\n'
+            head += f'content-length: {UPLOAD_BYTES}\r\n\r\n'
+            answer = await sockets.send(head.encode() + b'x' * UPLOAD_BYTES)
+            self.assertThat(answer, Contains(b'hello'))
+            self.assertThat(target.body_bytes, Equals(UPLOAD_BYTES))
+
+        target = ScriptedTarget()
+
+        async def main() -> None:
+            async with one_node(target) as sockets:
+                await case(sockets)
+
+        asyncio.run(main())
+
+    def test_expect_continue_and_chunked_upload(self) -> None:
+        async def case(sockets: Sockets) -> None:
+            head = b'POST /desk/up HTTP/1.1\r\nexpect: 100-continue\r\n'
+            head += b'connection: close\r\ntransfer-encoding: chunked\r\n\r\n'
+            answer = await sockets.send(head + b'3\r\nabc\r\n0\r\n\r\n')
+            self.assertThat(answer, StartsWith(b'HTTP/1.1 100 Continue'))
+            self.assertThat(answer, Contains(b'hello'))
+
+        self.run_case(case)
