Requests that crash their targets are refused everywhere after two crashes

A gate that loses an exchange and cannot reach its target marks what ran there; marks travel by notices. One good run clears a fingerprint. Cause of a first miscount, found by reading the trace: each of the requests running on one crashed target told of a crash of its own; a target is now told as crashed once until it answers again.

--- /dev/null
+++ b/filbertdrift/crashes.py
@@ -0,0 +1,188 @@
+"""Requests that crash their targets, known to all nodes.
+
+A request is known by the fingerprint of its content. When a target breaks off
+and cannot be reached, whatever ran there gets a mark. A fingerprint with two
+marks from two crashes is refused everywhere for a time. One good run clears
+a fingerprint, so that innocent requests which ran beside it go free.
+"""
+
+import asyncio
+import hashlib
+import itertools
+import random
+from collections import OrderedDict
+from collections.abc import Callable, Iterable, Sequence
+from dataclasses import dataclass, field
+
+from filbertdrift.errors import RequestNotRun
+from filbertdrift.gen import ttypes
+
+CRASHES_TO_CONDEMN = 2
+CONDEMNED_S = 600.0
+COME_BACK_SPREAD = 0.2
+MARKS_KEPT = 4096
+NOTICES_KEPT = 4096
+WELL_KEPT = 8192
+NOTICE_FINGERPRINTS = 16
+MS_PER_S = 1000
+_HASH_BYTES = 12
+
+OnNotice = Callable[[object], None]
+
+
+@dataclass(slots=True)
+class Marks:
+    """The crashes during which a fingerprint ran."""
+
+    expires_at: float
+    crash_ids: set[str] = field(default_factory=set)
+
+
+@dataclass(slots=True)
+class CrashCounters:
+    """What the ledger did."""
+
+    marked: int = 0
+    cleared: int = 0
+    refused: int = 0
+
+
+class CrashLedger:
+    """Which requests crash targets, in bounded memory.
+
+    Args:
+        node: This node, to name the crashes it sees.
+        rng: Spreads the times to come back.
+    """
+
+    def __init__(self, node: str, rng: random.Random) -> None:
+        """Start empty."""
+        self.counters = CrashCounters()
+        self.on_notice: OnNotice = _ignore_notice
+        self._node = node
+        self._rng = rng
+        self._numbers = itertools.count(1)
+        self._marks: OrderedDict[str, Marks] = OrderedDict()
+        self._noticed: OrderedDict[str, None] = OrderedDict()
+        self._ran_well: OrderedDict[str, None] = OrderedDict()
+
+    def check(self, name: str) -> None:
+        """Refuse a request that has crashed targets.
+
+        Args:
+            name: Its fingerprint.
+
+        Raises:
+            RequestNotRun: It crashed too many; this attempt was not run.
+        """
+        marks = self._marks.get(name)
+        if marks is None or len(marks.crash_ids) < CRASHES_TO_CONDEMN:
+            return
+        now = asyncio.get_running_loop().time()
+        if now >= marks.expires_at:
+            self._marks.pop(name)
+            return
+        self.counters.refused += 1
+        spread = 1 + COME_BACK_SPREAD * self._rng.random()
+        wait_s = (marks.expires_at - now) * spread
+        raise RequestNotRun(
+            f'this attempt was not run: earlier ones ended unknown and '
+            f'crashed {len(marks.crash_ids)} targets',
+            come_back_ms=int(wait_s * MS_PER_S),
+            step='check crashes',
+        )
+
+    def is_innocent(self, name: str) -> bool:
+        """Tell whether a fingerprint has run well and has no marks."""
+        return name in self._ran_well and name not in self._marks
+
+    def ran_well(self, name: str) -> None:
+        """Note a good run; it clears the fingerprint everywhere."""
+        self._ran_well[name] = None
+        self._ran_well.move_to_end(name)
+        if len(self._ran_well) > WELL_KEPT:
+            self._ran_well.popitem(last=False)
+        if name in self._marks:
+            self._clear([name])
+            self._tell([name], cleared=True)
+
+    def mark(self, names: Sequence[str]) -> None:
+        """Mark what ran while the target beside this node crashed.
+
+        Args:
+            names: The fingerprints that ran there.
+        """
+        self._tell(names, cleared=False)
+
+    def on_peer_notice(self, notice: ttypes.CrashNotice) -> None:
+        """Take over what another node saw, and pass it on once."""
+        if notice.crash_id in self._noticed:
+            return
+        self._take(notice)
+        self.on_notice(notice)
+
+    def forget_expired(self) -> None:
+        """Drop marks whose time is over."""
+        now = asyncio.get_running_loop().time()
+        for name, marks in list(self._marks.items()):
+            if now >= marks.expires_at:
+                self._marks.pop(name)
+
+    def condemned(self) -> Sequence[str]:
+        """Return the fingerprints that are refused."""
+        return [
+            name
+            for name, marks in self._marks.items()
+            if len(marks.crash_ids) >= CRASHES_TO_CONDEMN
+        ]
+
+    def _tell(self, names: Sequence[str], *, cleared: bool) -> None:
+        known = [name for name in names if name]
+        for start in range(0, len(known), NOTICE_FINGERPRINTS):
+            notice = ttypes.CrashNotice(
+                f'{self._node}/{next(self._numbers)}',
+                known[start : start + NOTICE_FINGERPRINTS],
+                cleared,
+            )
+            self._take(notice)
+            self.on_notice(notice)
+
+    def _take(self, notice: ttypes.CrashNotice) -> None:
+        self._noticed[notice.crash_id] = None
+        if len(self._noticed) > NOTICES_KEPT:
+            self._noticed.popitem(last=False)
+        names = notice.fingerprints or ()
+        if notice.cleared:
+            self._clear(names)
+        else:
+            self._mark(notice.crash_id, names)
+
+    def _mark(self, crash_id: str, names: Iterable[str]) -> None:
+        now = asyncio.get_running_loop().time()
+        for name in names:
+            self.counters.marked += 1
+            marks = self._marks.setdefault(name, Marks(now + CONDEMNED_S))
+            marks.crash_ids.add(crash_id)
+            if len(self._marks) > MARKS_KEPT:
+                self._marks.popitem(last=False)
+
+    def _clear(self, names: Iterable[str]) -> None:
+        for name in names:
+            if self._marks.pop(name, None):
+                self.counters.cleared += 1
+
+
+def fingerprint(method: str, path: str, first_chunk: bytes) -> str:
+    """Return the fingerprint of a request's content.
+
+    Args:
+        method: Upper case.
+        path: The request target, query included.
+        first_chunk: The beginning of the body.
+    """
+    raw = f'{method} {path}\n'.encode() + first_chunk
+    return hashlib.blake2b(raw, digest_size=_HASH_BYTES).hexdigest()
+
+
+def _ignore_notice(notice: object) -> None:
+    """Do nothing."""
--- a/filbertdrift/forward.py
+++ b/filbertdrift/forward.py
@@ -9,6 +9,7 @@
 
 from filbertdrift import http1
 from filbertdrift.chooser import TargetChooser
+from filbertdrift.crashes import CrashLedger, fingerprint
 from filbertdrift.errors import (
     MalformedMessage,
     PeerUnavailable,
@@ -50,6 +51,9 @@
         deadline: When the caller gives up, on the loop's clock.
         customer: Whose request it is, empty if unknown.
         is_inner: The caller is itself serving a request of this system.
+        fingerprint: Hash of the content, the same for a repeat.
+        tried: Nodes that it was sent to.
+        is_body_taken: More of the body was read than its first chunk.
     """
 
     request_id: str
@@ -62,6 +66,7 @@
     deadline: float
     customer: str = ''
     is_inner: bool = False
+    fingerprint: str = ''
     tried: list[str] = field(default_factory=list)
     is_body_taken: bool = False
 
@@ -187,6 +192,7 @@
     Args:
         links: Connections to the other nodes.
         chooser: Chooses the target.
+        crashes: Knows which requests crash targets.
         rng: Spreads the times to come back.
     """
 
@@ -194,9 +200,11 @@
         self,
         links: LinkPool,
         chooser: TargetChooser,
+        crashes: CrashLedger,
         rng: random.Random,
     ) -> None:
         """Start with a full retry budget."""
+        self._crashes = crashes
         self.counters = ForwardCounters()
         self._links = links
         self._chooser = chooser
@@ -224,6 +232,13 @@
             RequestUnknown: It may have run.
         """
         self._budget.earn()
+        if not req.fingerprint:
+            req.fingerprint = fingerprint(
+                req.method,
+                req.path,
+                req.first_chunk,
+            )
+        self._crashes.check(req.fingerprint)
         unknown: RequestUnknown | None = None
         for left in range(route.policy.retries, -1, -1):
             try:
@@ -299,6 +314,7 @@
             self._observe_failure(member, exc)
             raise
         now = loop.time()
+        self._crashes.ran_well(req.fingerprint)
         self._chooser.answered(
             member,
             answer.load_permille or 0,
@@ -352,6 +368,7 @@
             body=req.first_chunk,
             end=req.is_whole,
             request_id=req.request_id,
+            fingerprint=req.fingerprint,
             refusal_statuses=list(route.targets.refusal_statuses),
             generation=member.generation,
             idempotent=req.method in policy.idempotent_methods,
@@ -379,6 +396,8 @@
             return False
         if req.is_inner or not req.is_whole:
             return False
+        if not self._crashes.is_innocent(req.fingerprint):
+            return False
         now = asyncio.get_running_loop().time()
         return now < req.deadline and self._budget.spend()
 
--- a/filbertdrift/gen/ttypes.py
+++ b/filbertdrift/gen/ttypes.py
@@ -860,6 +860,108 @@
         return not (self == other)
 
 
+class CrashNotice(object):
+    """
+    Fingerprints that ran while a target crashed, or that have run well.
+
+    Attributes:
+     - crash_id
+     - fingerprints
+     - cleared
+
+    """
+
+    __slots__ = (
+        'crash_id',
+        'fingerprints',
+        'cleared',
+    )
+
+
+    def __init__(self, crash_id=None, fingerprints=None, cleared=None,):
+        self.crash_id = crash_id
+        self.fingerprints = fingerprints
+        self.cleared = cleared
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.crash_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.fingerprints = []
+                    (_etype24, _size21) = iprot.readListBegin()
+                    for _i25 in range(_size21):
+                        _elem26 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.fingerprints.append(_elem26)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.BOOL:
+                    self.cleared = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('CrashNotice')
+        if self.crash_id is not None:
+            oprot.writeFieldBegin('crash_id', TType.STRING, 1)
+            oprot.writeString(self.crash_id.encode('utf-8') if sys.version_info[0] == 2 else self.crash_id)
+            oprot.writeFieldEnd()
+        if self.fingerprints is not None:
+            oprot.writeFieldBegin('fingerprints', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRING, len(self.fingerprints))
+            for iter27 in self.fingerprints:
+                oprot.writeString(iter27.encode('utf-8') if sys.version_info[0] == 2 else iter27)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.cleared is not None:
+            oprot.writeFieldBegin('cleared', TType.BOOL, 3)
+            oprot.writeBool(self.cleared)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Datagram(object):
     """
     One UDP datagram; exactly one message field is set.
@@ -872,6 +974,7 @@
      - config_notice
      - member_notice
      - generation
+     - crash_notice
 
     """
 
@@ -883,10 +986,11 @@
         'config_notice',
         'member_notice',
         'generation',
+        'crash_notice',
     )
 
 
-    def __init__(self, sender=None, ping=None, ack=None, ping_request=None, config_notice=None, member_notice=None, generation=None,):
+    def __init__(self, sender=None, ping=None, ack=None, ping_request=None, config_notice=None, member_notice=None, generation=None, crash_notice=None,):
         self.sender = sender
         self.ping = ping
         self.ack = ack
@@ -894,6 +998,7 @@
         self.config_notice = config_notice
         self.member_notice = member_notice
         self.generation = generation
+        self.crash_notice = crash_notice
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -944,6 +1049,12 @@
                     self.generation = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.STRUCT:
+                    self.crash_notice = CrashNotice()
+                    self.crash_notice.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -982,6 +1093,10 @@
             oprot.writeFieldBegin('generation', TType.I64, 7)
             oprot.writeI64(self.generation)
             oprot.writeFieldEnd()
+        if self.crash_notice is not None:
+            oprot.writeFieldBegin('crash_notice', TType.STRUCT, 8)
+            self.crash_notice.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1140,11 +1255,11 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.files = []
-                    (_etype24, _size21) = iprot.readListBegin()
-                    for _i25 in range(_size21):
-                        _elem26 = ConfigFile()
-                        _elem26.read(iprot)
-                        self.files.append(_elem26)
+                    (_etype31, _size28) = iprot.readListBegin()
+                    for _i32 in range(_size28):
+                        _elem33 = ConfigFile()
+                        _elem33.read(iprot)
+                        self.files.append(_elem33)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1179,8 +1294,8 @@
         if self.files is not None:
             oprot.writeFieldBegin('files', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.files))
-            for iter27 in self.files:
-                iter27.write(oprot)
+            for iter34 in self.files:
+                iter34.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.author is not None:
@@ -1472,22 +1587,22 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.files = []
-                    (_etype31, _size28) = iprot.readListBegin()
-                    for _i32 in range(_size28):
-                        _elem33 = StoredFile()
-                        _elem33.read(iprot)
-                        self.files.append(_elem33)
+                    (_etype38, _size35) = iprot.readListBegin()
+                    for _i39 in range(_size35):
+                        _elem40 = StoredFile()
+                        _elem40.read(iprot)
+                        self.files.append(_elem40)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.verdicts = []
-                    (_etype37, _size34) = iprot.readListBegin()
-                    for _i38 in range(_size34):
-                        _elem39 = StoredVerdict()
-                        _elem39.read(iprot)
-                        self.verdicts.append(_elem39)
+                    (_etype44, _size41) = iprot.readListBegin()
+                    for _i45 in range(_size41):
+                        _elem46 = StoredVerdict()
+                        _elem46.read(iprot)
+                        self.verdicts.append(_elem46)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1512,15 +1627,15 @@
         if self.files is not None:
             oprot.writeFieldBegin('files', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.files))
-            for iter40 in self.files:
-                iter40.write(oprot)
+            for iter47 in self.files:
+                iter47.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.verdicts is not None:
             oprot.writeFieldBegin('verdicts', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.verdicts))
-            for iter41 in self.verdicts:
-                iter41.write(oprot)
+            for iter48 in self.verdicts:
+                iter48.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1585,10 +1700,10 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.nodes = []
-                    (_etype45, _size42) = iprot.readListBegin()
-                    for _i46 in range(_size42):
-                        _elem47 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.nodes.append(_elem47)
+                    (_etype52, _size49) = iprot.readListBegin()
+                    for _i53 in range(_size49):
+                        _elem54 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.nodes.append(_elem54)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1609,8 +1724,8 @@
         if self.nodes is not None:
             oprot.writeFieldBegin('nodes', TType.LIST, 2)
             oprot.writeListBegin(TType.STRING, len(self.nodes))
-            for iter48 in self.nodes:
-                oprot.writeString(iter48.encode('utf-8') if sys.version_info[0] == 2 else iter48)
+            for iter55 in self.nodes:
+                oprot.writeString(iter55.encode('utf-8') if sys.version_info[0] == 2 else iter55)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1759,11 +1874,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.records = []
-                    (_etype52, _size49) = iprot.readListBegin()
-                    for _i53 in range(_size49):
-                        _elem54 = OffsetRecord()
-                        _elem54.read(iprot)
-                        self.records.append(_elem54)
+                    (_etype59, _size56) = iprot.readListBegin()
+                    for _i60 in range(_size56):
+                        _elem61 = OffsetRecord()
+                        _elem61.read(iprot)
+                        self.records.append(_elem61)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1800,8 +1915,8 @@
         if self.records is not None:
             oprot.writeFieldBegin('records', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.records))
-            for iter55 in self.records:
-                iter55.write(oprot)
+            for iter62 in self.records:
+                iter62.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.config_offset is not None:
@@ -1877,10 +1992,10 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.buckets = []
-                    (_etype59, _size56) = iprot.readListBegin()
-                    for _i60 in range(_size56):
-                        _elem61 = iprot.readI64()
-                        self.buckets.append(_elem61)
+                    (_etype66, _size63) = iprot.readListBegin()
+                    for _i67 in range(_size63):
+                        _elem68 = iprot.readI64()
+                        self.buckets.append(_elem68)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1903,8 +2018,8 @@
         if self.buckets is not None:
             oprot.writeFieldBegin('buckets', TType.LIST, 1)
             oprot.writeListBegin(TType.I64, len(self.buckets))
-            for iter62 in self.buckets:
-                oprot.writeI64(iter62)
+            for iter69 in self.buckets:
+                oprot.writeI64(iter69)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.sender is not None:
@@ -1966,11 +2081,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.entries = []
-                    (_etype66, _size63) = iprot.readListBegin()
-                    for _i67 in range(_size63):
-                        _elem68 = MemberEntry()
-                        _elem68.read(iprot)
-                        self.entries.append(_elem68)
+                    (_etype73, _size70) = iprot.readListBegin()
+                    for _i74 in range(_size70):
+                        _elem75 = MemberEntry()
+                        _elem75.read(iprot)
+                        self.entries.append(_elem75)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1992,8 +2107,8 @@
         if self.entries is not None:
             oprot.writeFieldBegin('entries', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.entries))
-            for iter69 in self.entries:
-                iter69.write(oprot)
+            for iter76 in self.entries:
+                iter76.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.come_back_ms is not None:
@@ -2186,11 +2301,11 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.headers = []
-                    (_etype73, _size70) = iprot.readListBegin()
-                    for _i74 in range(_size70):
-                        _elem75 = Header()
-                        _elem75.read(iprot)
-                        self.headers.append(_elem75)
+                    (_etype80, _size77) = iprot.readListBegin()
+                    for _i81 in range(_size77):
+                        _elem82 = Header()
+                        _elem82.read(iprot)
+                        self.headers.append(_elem82)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2237,10 +2352,10 @@
             elif fid == 12:
                 if ftype == TType.LIST:
                     self.refusal_statuses = []
-                    (_etype79, _size76) = iprot.readListBegin()
-                    for _i80 in range(_size76):
-                        _elem81 = iprot.readI32()
-                        self.refusal_statuses.append(_elem81)
+                    (_etype86, _size83) = iprot.readListBegin()
+                    for _i87 in range(_size83):
+                        _elem88 = iprot.readI32()
+                        self.refusal_statuses.append(_elem88)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2280,8 +2395,8 @@
         if self.headers is not None:
             oprot.writeFieldBegin('headers', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.headers))
-            for iter82 in self.headers:
-                iter82.write(oprot)
+            for iter89 in self.headers:
+                iter89.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.remaining_ms is not None:
@@ -2319,8 +2434,8 @@
         if self.refusal_statuses is not None:
             oprot.writeFieldBegin('refusal_statuses', TType.LIST, 12)
             oprot.writeListBegin(TType.I32, len(self.refusal_statuses))
-            for iter83 in self.refusal_statuses:
-                oprot.writeI32(iter83)
+            for iter90 in self.refusal_statuses:
+                oprot.writeI32(iter90)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.generation is not None:
@@ -2552,11 +2667,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.headers = []
-                    (_etype87, _size84) = iprot.readListBegin()
-                    for _i88 in range(_size84):
-                        _elem89 = Header()
-                        _elem89.read(iprot)
-                        self.headers.append(_elem89)
+                    (_etype94, _size91) = iprot.readListBegin()
+                    for _i95 in range(_size91):
+                        _elem96 = Header()
+                        _elem96.read(iprot)
+                        self.headers.append(_elem96)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2592,8 +2707,8 @@
         if self.headers is not None:
             oprot.writeFieldBegin('headers', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.headers))
-            for iter90 in self.headers:
-                iter90.write(oprot)
+            for iter97 in self.headers:
+                iter97.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.body is not None:
@@ -3059,11 +3174,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.entries = []
-                    (_etype94, _size91) = iprot.readListBegin()
-                    for _i95 in range(_size91):
-                        _elem96 = ClaimEntry()
-                        _elem96.read(iprot)
-                        self.entries.append(_elem96)
+                    (_etype101, _size98) = iprot.readListBegin()
+                    for _i102 in range(_size98):
+                        _elem103 = ClaimEntry()
+                        _elem103.read(iprot)
+                        self.entries.append(_elem103)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3084,8 +3199,8 @@
         if self.entries is not None:
             oprot.writeFieldBegin('entries', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.entries))
-            for iter97 in self.entries:
-                iter97.write(oprot)
+            for iter104 in self.entries:
+                iter104.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3559,6 +3674,13 @@
     None,  # 0
     (1, TType.LIST, 'updates', (TType.STRUCT, [MemberEntry, None], False), None, ),  # 1
 )
+all_structs.append(CrashNotice)
+CrashNotice.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'crash_id', 'UTF8', None, ),  # 1
+    (2, TType.LIST, 'fingerprints', (TType.STRING, 'UTF8', False), None, ),  # 2
+    (3, TType.BOOL, 'cleared', None, None, ),  # 3
+)
 all_structs.append(Datagram)
 Datagram.thrift_spec = (
     None,  # 0
@@ -3569,6 +3691,7 @@
     (5, TType.STRUCT, 'config_notice', [ConfigNotice, None], None, ),  # 5
     (6, TType.STRUCT, 'member_notice', [MemberNotice, None], None, ),  # 6
     (7, TType.I64, 'generation', None, None, ),  # 7
+    (8, TType.STRUCT, 'crash_notice', [CrashNotice, None], None, ),  # 8
 )
 all_structs.append(ConfigFile)
 ConfigFile.thrift_spec = (
--- a/filbertdrift/node.py
+++ b/filbertdrift/node.py
@@ -11,6 +11,7 @@
 from filbertdrift.caller import CallerServer
 from filbertdrift.chooser import TargetChooser
 from filbertdrift.claims import Claims
+from filbertdrift.crashes import CrashLedger
 from filbertdrift.distribution import ConfigKeeper, Distributor
 from filbertdrift.errors import (
     MalformedMessage,
@@ -157,11 +158,22 @@
         self.publisher = Publisher(log, self.distributor)
         self.introducer = Introducer(log, self.membership, rng)
         self.chooser = TargetChooser(identity.domain, identity.region, rng)
-        self.forwarder = Forwarder(self.links, self.chooser, rng)
+        self.crashes = CrashLedger(identity.address, rng)
+        self.crashes.on_notice = self.membership.send_to_drawn
+        self.forwarder = Forwarder(
+            self.links,
+            self.chooser,
+            self.crashes,
+            rng,
+        )
         self.claims = Claims(log, self.membership, self.links, claim_ttl_s)
         self.keyed = KeyedForwarder(self.forwarder, self.claims)
         self.tracer = tracer or Tracer()
-        self.server = TargetServer(identity.generation, self.tracer)
+        self.server = TargetServer(
+            identity.generation,
+            self.tracer,
+            self.crashes,
+        )
         self.callers = CallerServer(self)
         self._seeds = seeds
         self._open_target = open_target
@@ -364,6 +376,7 @@
         while True:
             await asyncio.sleep(1)
             self.claims.forget_expired()
+            self.crashes.forget_expired()
             if self._announced and loop.time() >= self._announced_until:
                 self.counters.announcements_expired += 1
                 self.withdraw()
@@ -407,6 +420,8 @@
             return
         if isinstance(body, ttypes.ConfigNotice):
             self.distributor.on_notice(sender, body)
+        elif isinstance(body, ttypes.CrashNotice):
+            self.crashes.on_peer_notice(body)
 
     async def _on_call(self, call: CallStream, body: object) -> None:
         await self._answer(body, call)
--- a/filbertdrift/serving.py
+++ b/filbertdrift/serving.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass
 
 from filbertdrift import http1
+from filbertdrift.crashes import CrashLedger
 from filbertdrift.errors import (
     FilbertdriftError,
     MalformedMessage,
@@ -37,11 +38,13 @@
         service: The service it belongs to.
         target: The connections to it.
         gate: Its admission.
+        is_crashed: It broke off and has not answered since.
     """
 
     service: str
     target: Target
     gate: Gate
+    is_crashed: bool = False
 
 
 @dataclass(slots=True)
@@ -52,6 +55,7 @@
     not_run: int = 0
     unknown: int = 0
     cancelled: int = 0
+    crashes: int = 0
 
 
 class TargetServer:
@@ -60,10 +64,18 @@
     Args:
         generation: This node's generation; requests for another are refused.
         tracer: Opens a span for each request.
+        crashes: Knows which requests crash targets.
     """
 
-    def __init__(self, generation: int, tracer: Tracer) -> None:
+    def __init__(
+        self,
+        generation: int,
+        tracer: Tracer,
+        crashes: CrashLedger,
+    ) -> None:
         """Start without a target."""
+        self._crashes = crashes
+        self._running: dict[CallStream, str] = {}
         self._tracer = tracer
         self.generation = generation
         self.announced: AnnouncedTarget | None = None
@@ -79,6 +91,7 @@
             req: The opening message.
         """
         self.in_progress += 1
+        self._running[call] = req.fingerprint or ''
         try:
             await self._serve(call, req)
         except RequestNotRun as exc:
@@ -86,16 +99,33 @@
             await self._refuse(call, exc, exc.come_back_ms)
         except RequestUnknown as exc:
             self.counters.unknown += 1
+            await self._note_crash(exc)
             await self._refuse(call, exc, 0)
         except asyncio.CancelledError:
             self.counters.cancelled += 1
             raise
         finally:
             self.in_progress -= 1
+            self._running.pop(call, None)
+
+    async def _note_crash(self, exc: RequestUnknown) -> None:
+        """Mark what ran if the target broke off and cannot be reached."""
+        announced = self.announced
+        if announced is None or not isinstance(exc.__cause__, PeerUnavailable):
+            return
+        if announced.is_crashed:
+            return
+        announced.is_crashed = True
+        running = list(self._running.values())
+        announced.is_crashed = not await announced.target.is_up()
+        if announced.is_crashed:
+            self.counters.crashes += 1
+            self._crashes.mark(running)
 
     async def _serve(self, call: CallStream, req: ttypes.RequestOpen) -> None:
         loop = asyncio.get_running_loop()
         announced = self._matching_target(req)
+        self._crashes.check(req.fingerprint or '')
         deadline = loop.time() + req.remaining_ms / MS_PER_S
         gate = announced.gate
         await gate.admit(req.importance, req.customer or '', deadline)
@@ -112,6 +142,8 @@
                 exchange = await self._connect(announced, request, deadline)
                 with contextlib.closing(exchange):
                     await _Run(call, req, exchange, gate).run(deadline)
+                announced.is_crashed = False
+                self._crashes.ran_well(req.fingerprint or '')
             self.counters.answered += 1
         finally:
             gate.release(req.importance, loop.time() - started_at)
--- a/filbertdrift/target.py
+++ b/filbertdrift/target.py
@@ -96,6 +96,10 @@
             PeerUnavailable: There is no connection to the target.
         """
 
+    @abstractmethod
+    async def is_up(self) -> bool:
+        """Tell whether the target accepts a connection now."""
+
     @abstractmethod
     def close(self) -> None:
         """Close the kept connections."""
@@ -249,6 +253,14 @@
             conn.close()
         return HttpExchange(self, await self._connect(), request)
 
+    async def is_up(self) -> bool:
+        """Tell whether the target accepts a connection now."""
+        try:
+            self.keep(await self._connect())
+        except PeerUnavailable:
+            return False
+        return True
+
     def keep(self, conn: TargetConnection) -> None:
         """Keep a connection for the next exchange."""
         now = asyncio.get_running_loop().time()
--- a/filbertdrift/wire.py
+++ b/filbertdrift/wire.py
@@ -51,6 +51,7 @@
     ttypes.PingRequest: 'ping_request',
     ttypes.ConfigNotice: 'config_notice',
     ttypes.MemberNotice: 'member_notice',
+    ttypes.CrashNotice: 'crash_notice',
 }
 
 
--- a/idl/filbertdrift.thrift
+++ b/idl/filbertdrift.thrift
@@ -63,6 +63,13 @@
   1: list<MemberEntry> updates
 }
 
+/** Fingerprints that ran while a target crashed, or that have run well. */
+struct CrashNotice {
+  1: string crash_id
+  2: list<string> fingerprints
+  3: bool cleared
+}
+
 /** One UDP datagram; exactly one message field is set. */
 struct Datagram {
   1: string sender
@@ -72,6 +79,7 @@
   5: optional ConfigNotice config_notice
   6: optional MemberNotice member_notice
   7: i64 generation
+  8: optional CrashNotice crash_notice
 }
 
 /** One file of operators' configuration; no content means removal. */
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -128,6 +128,10 @@
             raise PeerUnavailable('refused', step='connect to target')
         return MemoryExchange(self, request)
 
+    async def is_up(self) -> bool:
+        """Tell whether the target is up."""
+        return self.behaviour.is_up
+
     def close(self) -> None:
         """Do nothing."""
 
@@ -149,6 +153,9 @@
             return
         request_id = http1.find_header(self._request.headers, b'x-request-id')
         behaviour.executions[request_id] += 1
+        key = http1.find_header(self._request.headers, b'idempotency-key')
+        if key:
+            behaviour.executions[f'key {key}'] += 1
         if self._request.is_whole:
             self._sent.set()
 
--- a/tests/replay.py
+++ b/tests/replay.py
@@ -49,6 +49,7 @@
     outcome: str
     status: int = 0
     text: str = ''
+    customer: str = ''
 
 
 @dataclass
@@ -289,7 +290,7 @@
         key = more.pop('key', '')
         if key:
             more = {**more, 'headers': [(b'idempotency-key', key.encode())]}
-        answer = Answer(0, name, 'answered')
+        answer = Answer(0, name, 'answered', customer=more.get('customer', ''))
         try:
             forwarded = await self.result.fleet.call(
                 node,
@@ -448,6 +449,53 @@
                     return f'{address} knows an old start of {node}'
         return ''
 
+    def _expect_total(self, name: str, least: int, most: int) -> str:
+        total = 0
+        for node in self.result.fleet.nodes:
+            found: Any = node
+            for part in name.split('.'):
+                found = getattr(found, part)
+            total += found
+        return '' if least <= total <= most else f'{name} is {total}'
+
+    def _expect_answers(self, wanted: dict[str, str]) -> str:
+        found = {
+            answer.request_id: answer.outcome for answer in self.result.answers
+        }
+        wrong = {
+            name: found.get(name)
+            for name, outcome in wanted.items()
+            if found.get(name) != outcome
+        }
+        return f'{wrong}' if wrong else ''
+
+    def _expect_ran_once(self, keys: list[str]) -> str:
+        ran = self._executions()
+        wrong = {key: ran[f'key {key}'] for key in keys}
+        wrong = {key: count for key, count in wrong.items() if count != 1}
+        return f'{wrong}' if wrong else ''
+
+    def _expect_unsafe_at_most_once(self, prefix: str) -> str:
+        twice = {
+            name: count
+            for name, count in self._executions().items()
+            if name.startswith(prefix) and count > 1
+        }
+        return f'{twice}' if twice else ''
+
+    def _expect_own_customer(self) -> str:
+        wrong = [
+            answer.text
+            for answer in self.result.answers
+            if answer.outcome == 'answered'
+            and not answer.text.startswith(answer.customer)
+        ]
+        return f'{wrong[:3]}' if wrong else ''
+
+    def _expect_all_told(self, count: int) -> str:
+        told = len(self.result.answers)
+        return '' if told == count else f'{told} of {count}'
+
     def _expect_no_deaths(self, by: list[str]) -> str:
         for address in self._addresses(by):
             table = self.result.fleet.places[address].node.membership.table
--- a/tests/variants.py
+++ b/tests/variants.py
@@ -5,6 +5,8 @@
 from typing import Any
 
 from filbertdrift import fold, snapshot
+from filbertdrift.claims import ClaimStream, Holder
+from filbertdrift.errors import RequestNotRun, RequestUnknown
 from filbertdrift.gen import ttypes
 from filbertdrift.link import PeerLink
 from filbertdrift.log import LogRecord
@@ -178,3 +180,60 @@
         """Do nothing."""
 
     node.drain = drain  # type: ignore[method-assign]
+
+
+def grants_every_claim(node: Node) -> None:
+    """Win every claim without reading it back."""
+    claim = node.claims.claim
+
+    async def claim_won(key: Any, deadline: float) -> Holder:
+        holder = await claim(key, deadline)
+        return Holder(holder.entry, is_won=True)
+
+    node.claims.claim = claim_won  # type: ignore[method-assign]
+
+
+def claims_in_memory(node: Node) -> None:
+    """Keep claims with the batching node instead of on the log."""
+
+    def stream_in_memory(name: str) -> ClaimStream:
+        stream = streams.setdefault(name, ClaimStream(node.log, name))
+
+        async def write(entries: Sequence[ttypes.ClaimEntry]) -> None:
+            stream.fold(ttypes.ClaimBatch('', list(entries)))
+
+        stream._write = write  # type: ignore[method-assign]
+        return stream
+
+    streams: dict[str, ClaimStream] = {}
+    node.claims._stream = stream_in_memory  # type: ignore[method-assign]
+
+
+def repeats_everything(node: Node) -> None:
+    """Repeat a request that ended unknown, idempotent or not."""
+    node.forwarder._may_repeat = (  # type: ignore[method-assign]
+        lambda route, req: True
+    )
+
+
+def tells_not_run_always(node: Node) -> None:
+    """Tell every caller without an answer that nothing was run."""
+    forward = node.keyed.forward
+
+    async def forward_lying(*parts: Any) -> Any:
+        try:
+            return await forward(*parts)
+        except RequestUnknown as exc:
+            raise RequestNotRun(exc.reason, come_back_ms=0) from exc
+
+    node.keyed.forward = forward_lying  # type: ignore[method-assign]
+
+
+def forgets_crashes(node: Node) -> None:
+    """Never mark what ran while a target crashed."""
+    node.crashes.mark = lambda names: None  # type: ignore[method-assign]
+
+
+def condemns_bystanders(node: Node) -> None:
+    """Let no good run clear a fingerprint."""
+    node.crashes._clear = lambda names: None  # type: ignore[method-assign]
