Paused nodes refuse what waited in their buffers; doubled frames run once

A pause is noticed at the first frame after waking, before anything is handed to the target. Call ids of a connection only grow; a lower or equal one is dropped.

--- a/filbertdrift/link.py
+++ b/filbertdrift/link.py
@@ -335,6 +335,7 @@
         self._on_call = on_call
         self._calls: dict[int, CallStream] = {}
         self._tasks: dict[int, asyncio.Task[None]] = {}
+        self._last_opened = 0
 
     async def run(self) -> None:
         """Read until the connection ends."""
@@ -363,7 +364,8 @@
             self._cancel(call_id)
         elif call is not None:
             call.deliver(body)
-        elif not isinstance(body, (ttypes.BodyChunk, ttypes.Credit)):
+        elif call_id > self._last_opened:
+            self._last_opened = call_id
             self._open(call_id, body)
 
     def _open(self, call_id: int, body: object) -> None:
--- a/filbertdrift/membership.py
+++ b/filbertdrift/membership.py
@@ -37,7 +37,6 @@
 LARGE_SYNC_BURST = 8
 NOTICE_ENTRIES = 8
 SURVEY_BATCH = 64
-PAUSE_S = 2.0
 TICK_S = 0.25
 MS_PER_S = 1000
 
@@ -56,7 +55,6 @@
     declared_dead: int = 0
     refuted: int = 0
     syncs: int = 0
-    pauses: int = 0
     stale_datagrams: int = 0
 
 
@@ -108,7 +106,6 @@
         self._changed_at = 0.0
         self._syncing: set[str] = set()
         self._sync_limit = RateLimit(LARGE_SYNCS_PER_S, LARGE_SYNC_BURST, rng)
-        self._ticked_at = 0.0
         self._tasks: set[asyncio.Task[None]] = set()
         self.table.apply(me, 0)
 
@@ -214,26 +211,14 @@
 
     async def _watch_time(self) -> None:
         loop = asyncio.get_running_loop()
-        self._ticked_at = loop.time()
         while True:
             await asyncio.sleep(TICK_S)
-            self.check_pause()
             self._expire_suspicions(loop.time())
             self.table.forget_expired(loop.time())
 
-    def check_pause(self) -> bool:
-        """Tell whether this process was paused since the last tick.
-
-        After a pause all suspicions are dropped, because it was this node
-        that did not listen.
-        """
-        now = asyncio.get_running_loop().time()
-        paused = self._ticked_at > 0 and now - self._ticked_at > PAUSE_S
-        self._ticked_at = now
-        if paused:
-            self.counters.pauses += 1
-            self._suspect_until.clear()
-        return paused
+    def drop_suspicions(self) -> None:
+        """Forget all suspicions, because it was this node that was paused."""
+        self._suspect_until.clear()
 
     # Probing
 
--- a/filbertdrift/node.py
+++ b/filbertdrift/node.py
@@ -35,6 +35,7 @@
 from filbertdrift.members import Member, MemberStatus
 from filbertdrift.membership import Membership
 from filbertdrift.network import Connection, Network
+from filbertdrift.pause import PauseGuard
 from filbertdrift.profile import Profile
 from filbertdrift.publisher import Publisher
 from filbertdrift.serving import AnnouncedTarget, TargetServer
@@ -53,6 +54,7 @@
 LEAVE_NOTICE_S = 2.0
 DRAIN_POLL_S = 0.05
 ANNOUNCEMENT_S = 6.0
+PAUSE_COME_BACK_MS = 500
 
 
 @dataclass(frozen=True, slots=True)
@@ -97,6 +99,7 @@
     dangling_routes: int = 0
     announcements: int = 0
     announcements_expired: int = 0
+    refused_after_pause: int = 0
 
 
 class Node:
@@ -181,6 +184,8 @@
         self._announced: Announcement | None = None
         self._announced_until = 0.0
         self._tasks: list[asyncio.Task[None]] = []
+        self.pause = PauseGuard()
+        self.pause.on_pause = self.membership.drop_suspicions
         self.keeper.on_adopt = self._on_config
         self.membership.on_change = self._on_members
 
@@ -195,6 +200,7 @@
         await self.network.start(self._on_connection, self._on_datagram)
         loop = asyncio.get_running_loop()
         self._tasks.append(loop.create_task(self.links.run()))
+        self._tasks.append(loop.create_task(self.pause.run()))
         self._tasks.append(loop.create_task(self._boot()))
 
     async def drain(self) -> None:
@@ -440,6 +446,17 @@
         body: ttypes.RequestOpen,
         call: CallStream,
     ) -> None:
+        if self.pause.check():
+            self.counters.refused_after_pause += 1
+            await call.send(
+                ttypes.Refusal(
+                    ttypes.RefusalKind.NOT_RUN,
+                    'this node was paused; the request may be old',
+                    PAUSE_COME_BACK_MS,
+                    0,
+                ),
+            )
+            return
         await self.server.serve(call, body)
 
     @_answer.register
--- a/tests/test_caller.py
+++ b/tests/test_caller.py
@@ -193,3 +193,27 @@
             self.assertThat(answer, Contains(b'hello'))
 
         self.run_case(case)
+
+    def test_drain_answers_what_is_in_progress(self) -> None:
+        target = ScriptedTarget()
+
+        async def main() -> None:
+            async with one_node(target) as sockets:
+                reader, writer = await asyncio.open_connection(
+                    '127.0.0.1',
+                    sockets.caller_port,
+                )
+                request = b'GET /desk/slow HTTP/1.1\r\nhost: x\r\n\r\n'
+                writer.write(request)
+                await reader.readuntil(b'hello')
+                writer.write(request)
+                while len(target.requests) < 2:
+                    await asyncio.sleep(0)
+                draining = asyncio.create_task(sockets.node.drain())
+                answer = await reader.readuntil(b'hello')
+                self.assertThat(answer, Contains(b'200 OK'))
+                writer.close()
+                await draining
+
+        asyncio.run(main())
+        self.assertThat(target.requests, HasLength(2))
