--- a/filbertdrift/daemon.py
+++ b/filbertdrift/daemon.py
@@ -88,6 +88,8 @@
         'requests': node.forwarder.counters,
         'served': node.server.counters,
         'membership': node.membership.counters,
+        'pings': node.membership.prober.counters,
+        'member_sync': node.membership.sync.counters,
         'distribution': node.keeper.counters,
         'node': node.counters,
         'claims': node.claims.counters,
--- a/filbertdrift/explain.py
+++ b/filbertdrift/explain.py
@@ -148,7 +148,7 @@
     """
     membership = node.membership
     asked_at = asyncio.get_running_loop().time()
-    await membership.survey()
+    await membership.prober.ping_everyone()
     found = {
         member.node: membership.heard.get(member.node)
         for member in membership.table.alive()
--- a/filbertdrift/node.py
+++ b/filbertdrift/node.py
@@ -185,7 +185,7 @@
         self._announced_until = 0.0
         self._tasks: list[asyncio.Task[None]] = []
         self.pause = PauseGuard()
-        self.pause.on_pause = self.membership.drop_suspicions
+        self.pause.on_pause = self.membership.suspicions.drop_all
         self.keeper.on_adopt = self._on_config
         self.membership.on_change = self._on_members
 
--- /dev/null
+++ b/filbertdrift/prober.py
@@ -0,0 +1,140 @@
+"""Pings and acknowledgements, direct and through helpers."""
+
+import asyncio
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from filbertdrift.gen import ttypes
+from filbertdrift.members import Member, MemberStatus, MemberTable
+
+INDIRECT_PINGS = 3
+INDIRECT_TIMEOUT_FACTOR = 2
+SURVEY_BATCH = 64
+
+Send = Callable[[str, object], None]
+
+
+@dataclass(slots=True)
+class ProberCounters:
+    """Pings sent and acknowledgements missed."""
+
+    pings: int = 0
+    missed_acks: int = 0
+
+
+class Prober:
+    """Pings members and waits for their acknowledgements.
+
+    Args:
+        node: This node's address.
+        table: All members.
+        send: Sends a datagram to a node.
+        digest: Returns what this node holds, sent with every ping.
+        ack_timeout_s: How long to wait for an acknowledgement.
+        rng: Draws members and helpers.
+    """
+
+    def __init__(
+        self,
+        node: str,
+        table: MemberTable,
+        send: Send,
+        digest: Callable[[], ttypes.StateDigest],
+        ack_timeout_s: float,
+        rng: random.Random,
+    ) -> None:
+        """Start without pings in flight."""
+        self.counters = ProberCounters()
+        self._node = node
+        self._table = table
+        self._send = send
+        self._digest = digest
+        self._ack_timeout_s = ack_timeout_s
+        self._rng = rng
+        self._sequence = 0
+        self._acks: dict[int, asyncio.Future[None]] = {}
+        self._order: list[str] = []
+
+    def next_in_domain(self, domain: str) -> Member | None:
+        """Return the next member of a domain to ping, each once a round."""
+        for _ in range(2):
+            while self._order:
+                member = self._table.get(self._order.pop())
+                if member and member.status != MemberStatus.DEAD:
+                    return member
+            self._order = [
+                member.node
+                for member in self._table.in_domain(domain)
+                if member.node != self._node
+            ]
+            self._rng.shuffle(self._order)
+        return None
+
+    async def ping(self, node: str) -> bool:
+        """Ping a node; tell whether it answered in time."""
+        self.counters.pings += 1
+        sequence, fut = self._expect_ack()
+        self._send(node, ttypes.Ping(sequence, self._digest()))
+        return await self._await_ack(sequence, fut, self._ack_timeout_s)
+
+    async def ping_any_way(self, member: Member) -> bool:
+        """Ping a member directly, then also through helpers."""
+        if await self.ping(member.node):
+            return True
+        helpers = [
+            helper.node
+            for helper in self._table.in_domain(member.domain)
+            if helper.node not in {self._node, member.node}
+        ]
+        chosen = self._rng.sample(helpers, min(INDIRECT_PINGS, len(helpers)))
+        sequence, fut = self._expect_ack()
+        for helper in chosen:
+            self._send(helper, ttypes.PingRequest(sequence, member.node))
+        self._send(member.node, ttypes.Ping(sequence, self._digest()))
+        timeout_s = self._ack_timeout_s * INDIRECT_TIMEOUT_FACTOR
+        return await self._await_ack(sequence, fut, timeout_s)
+
+    async def ping_for(self, sender: str, req: ttypes.PingRequest) -> None:
+        """Ping a node for another one and pass the acknowledgement on."""
+        if await self.ping(req.node):
+            self._send(sender, ttypes.Ack(req.sequence, None, []))
+
+    async def ping_everyone(self) -> None:
+        """Ping every member once."""
+        members = [
+            member.node
+            for member in self._table.alive()
+            if member.node != self._node
+        ]
+        for start in range(0, len(members), SURVEY_BATCH):
+            batch = members[start : start + SURVEY_BATCH]
+            await asyncio.gather(*(self.ping(node) for node in batch))
+
+    def acknowledge(self, sequence: int) -> None:
+        """Note the acknowledgement of a ping."""
+        fut = self._acks.get(sequence)
+        if fut and not fut.done():
+            fut.set_result(None)
+
+    def _expect_ack(self) -> tuple[int, asyncio.Future[None]]:
+        self._sequence += 1
+        fut = asyncio.get_running_loop().create_future()
+        self._acks[self._sequence] = fut
+        return self._sequence, fut
+
+    async def _await_ack(
+        self,
+        sequence: int,
+        fut: asyncio.Future[None],
+        timeout_s: float,
+    ) -> bool:
+        try:
+            async with asyncio.timeout(timeout_s):
+                await fut
+        except TimeoutError:
+            self.counters.missed_acks += 1
+            return False
+        finally:
+            self._acks.pop(sequence, None)
+        return True
--- a/tests/variants.py
+++ b/tests/variants.py
@@ -1,7 +1,6 @@
 """Broken variants of a node, to show that the outcomes of a trace notice."""
 
 from collections.abc import Sequence
-from types import MethodType
 from typing import Any
 
 from filbertdrift import fold, snapshot
@@ -130,7 +129,7 @@
     """Declare members of other domains dead."""
     membership = node.membership
 
-    def next_anywhere(self: object) -> Member | None:
+    def next_anywhere(domain: str) -> Member | None:
         others = [
             member
             for member in membership.table.alive()
@@ -138,18 +137,12 @@
         ]
         return membership._rng.choice(others) if others else None
 
-    def note_all(self: object, member: Member) -> None:
+    def note_all(member: Member) -> None:
         if member.status == MemberStatus.SUSPECT:
-            membership._suspect_until.setdefault(member.node, 0)
+            membership.suspicions._until.setdefault(member.node, 0)
 
-    membership._next_in_domain = MethodType(  # type: ignore
-        next_anywhere,
-        membership,
-    )
-    membership._note_suspicion = MethodType(  # type: ignore
-        note_all,
-        membership,
-    )
+    membership.prober.next_in_domain = next_anywhere  # type: ignore
+    membership.suspicions.note = note_all  # type: ignore[method-assign]
 
 
 def forgets_generations(node: Node) -> None:
