--- a/filbertdrift/admin.py
+++ b/filbertdrift/admin.py
@@ -30,8 +30,11 @@
 from filbertdrift.settings import Address
 
 METRICS_TYPE = 'text/plain; version=0.0.4; charset=utf-8'
-MAX_BODY_BYTES = 4 * 1024 * 1024
+MAX_BODY_BYTES = 4_194_304
+MAX_NAME_CHARS = 128
+MAX_SLOTS = 100_000
 
+_OK = 200
 _UNAVAILABLE = 503
 
 
@@ -42,10 +45,10 @@
 class AnnounceBody(_Body):
     """A target's announcement."""
 
-    service: str = Field(min_length=1, max_length=128)
+    service: str = Field(min_length=1, max_length=MAX_NAME_CHARS)
     address: Address
-    slots: int = Field(ge=1, le=100_000)
-    connections: int = Field(default=100, ge=1, le=100_000)
+    slots: int = Field(ge=1, le=MAX_SLOTS)
+    connections: int = Field(default=100, ge=1, le=MAX_SLOTS)
 
 
 class LeaseBody(_Body):
@@ -64,7 +67,7 @@
 class PublishBody(_Body):
     """A change to publish."""
 
-    record_id: Annotated[str, Field(min_length=8, max_length=64)]
+    record_id: Annotated[str, Field(min_length=8, max_length=MAX_NAME_CHARS)]
     base_offset: int
     files: list[FileBody]
     author: str = ''
@@ -87,7 +90,7 @@
     files: dict[str, str]
 
 
-@post('/announce', status_code=200)
+@post('/announce', status_code=_OK)
 async def announce(data: AnnounceBody, state: State) -> LeaseBody:
     """Take or renew the announcement of the target beside this node."""
     node: Node = state['node']
@@ -97,7 +100,7 @@
     return LeaseBody(renew_within_s=ANNOUNCEMENT_S)
 
 
-@post('/withdraw', status_code=200)
+@post('/withdraw', status_code=_OK)
 async def withdraw(state: State) -> LeaseBody:
     """Take the announcement back."""
     node: Node = state['node']
@@ -105,7 +108,7 @@
     return LeaseBody(renew_within_s=0)
 
 
-@post('/publish', status_code=200)
+@post('/publish', status_code=_OK)
 async def publish(data: PublishBody, state: State) -> PublishedBody:
     """Publish a change and say what became of it."""
     node: Node = state['node']
--- a/filbertdrift/caller.py
+++ b/filbertdrift/caller.py
@@ -19,7 +19,7 @@
 from filbertdrift.snapshot import Route, Snapshot
 
 MS_PER_S = 1000
-FIRST_CHUNK_BYTES = 64 * 1024
+FIRST_CHUNK_BYTES = 65_536
 IDLE_TIMEOUT_S = 75.0
 LINGER_S = 1.0
 FIRST_CHUNK_TIMEOUT_S = 10.0
--- a/filbertdrift/claims.py
+++ b/filbertdrift/claims.py
@@ -30,13 +30,15 @@
 STREAMS = 8
 BATCH_INTERVAL_S = 0.1
 BATCH_ENTRIES = 500
-ASK_TIMEOUT_S = 3.0
+ASK_TIMEOUT_S = 1.5
 HOLDERS_TRIED = 2
 READ_BACK_TRIES = 3
 READ_BACK_INTERVAL_S = 0.1
 IDLE_STREAM_S = 600.0
 KEPT_BODY_BYTES = 4096
 MS_PER_S = 1000
+STREAM_DIGITS = 4
+HEX = 16
 _HASH_BYTES = 16
 
 
@@ -141,11 +143,10 @@
         for entry in batch.entries or ():
             holder = self._holders.get(entry.key)
             if holder and holder.expires_ms <= entry.written_ms:
-                holder = None
+                self._holders.pop(entry.key)
             if entry.kind == ttypes.ClaimKind.CLAIM:
-                if holder is None:
-                    self._holders[entry.key] = entry
-            elif holder and holder.claim_id == entry.claim_id:
+                self._holders.setdefault(entry.key, entry)
+            else:
                 self._settle(entry)
 
     def holder(self, key: str) -> ttypes.ClaimEntry | None:
@@ -158,6 +159,9 @@
             self._worker.cancel()
 
     def _settle(self, entry: ttypes.ClaimEntry) -> None:
+        holder = self._holders.get(entry.key)
+        if holder is None or holder.claim_id != entry.claim_id:
+            return
         if entry.kind == ttypes.ClaimKind.DONE:
             self._holders[entry.key] = entry
         else:
@@ -436,7 +440,7 @@
 
 
 def _stream_of(key: str) -> str:
-    return f'{CLAIM_STREAM_PREFIX}{int(key[:4], 16) % STREAMS}'
+    return f'{CLAIM_STREAM_PREFIX}{int(key[:STREAM_DIGITS], HEX) % STREAMS}'
 
 
 def _digest(raw: bytes) -> str:
--- a/filbertdrift/cli.py
+++ b/filbertdrift/cli.py
@@ -174,8 +174,8 @@
 def _many_lines(plain: object) -> str:
     if not isinstance(plain, dict):
         return f'{plain}\n'
-    lines = [f'{name}: {_text(entry)}' for name, entry in plain.items()]
-    return '\n'.join(lines) + '\n'
+    lines = (f'{name}: {_text(entry)}\n' for name, entry in plain.items())
+    return ''.join(lines)
 
 
 def _one_line(plain: object) -> str:
--- a/filbertdrift/configfile.py
+++ b/filbertdrift/configfile.py
@@ -25,8 +25,12 @@
 
 RULES_SUPPORTED = 2
 RULES_FIRST = 1
-MAX_FILE_BYTES = 256 * 1024
+MAX_FILE_BYTES = 262_144
 MAX_TIMEOUT_MS = 3_600_000
+DEFAULT_PROBE_MS = 2000
+DEFAULT_SLOW_START_MS = 5000
+DEFAULT_TIMEOUT_MS = 10_000
+DEFAULT_STALL_MS = 5000
 PARSE_CACHE_FILES = 4096
 NAME_PATTERN = re.compile(r'^[A-Za-z0-9][A-Za-z0-9._-]{0,127}$')
 
@@ -103,8 +107,12 @@
 
     service: str = Field(min_length=1)
     probe_path: str = Field(default='', pattern=r'^(/\S*)?$')
-    probe_interval_ms: int = Field(default=2000, ge=100, le=MAX_TIMEOUT_MS)
-    slow_start_ms: int = Field(default=5000, ge=0, le=MAX_TIMEOUT_MS)
+    probe_interval_ms: int = Field(
+        default=DEFAULT_PROBE_MS, ge=100, le=MAX_TIMEOUT_MS
+    )
+    slow_start_ms: int = Field(
+        default=DEFAULT_SLOW_START_MS, ge=0, le=MAX_TIMEOUT_MS
+    )
     refusal_statuses: Annotated[
         tuple[int, ...],
         Field(description='statuses that promise the request was not run'),
@@ -116,8 +124,8 @@
 class PolicyModel(_Model):
     """A request policy: time limits, retries and importance."""
 
-    timeout_ms: int = Field(default=10_000, ge=1, le=MAX_TIMEOUT_MS)
-    stall_ms: int = Field(default=5000, ge=10, le=MAX_TIMEOUT_MS)
+    timeout_ms: int = Field(default=DEFAULT_TIMEOUT_MS, ge=1, le=MAX_TIMEOUT_MS)
+    stall_ms: int = Field(default=DEFAULT_STALL_MS, ge=10, le=MAX_TIMEOUT_MS)
     idempotent_methods: Words = ('GET', 'HEAD', 'OPTIONS')
     retries: int = Field(default=2, ge=0, le=10)
     importance: Importance = 'normal'
--- a/filbertdrift/forward.py
+++ b/filbertdrift/forward.py
@@ -244,11 +244,11 @@
             try:
                 return await self._try_once(snapshot, route, req)
             except RequestNotRun as exc:
-                if not left or not self._may_retry(req):
+                if not self._may_retry(left, req):
                     raise unknown or exc from exc
             except RequestUnknown as exc:
                 unknown = exc
-                if not left or not self._may_repeat(route, req):
+                if not self._may_repeat(left, route, req):
                     raise
             self.counters.retries += 1
         raise AssertionError('the last attempt returns or raises')
@@ -259,7 +259,7 @@
         route: Route,
         req: EntryRequest,
     ) -> ForwardedAnswer:
-        if asyncio.get_running_loop().time() >= req.deadline:
+        if self._is_late(req):
             raise RequestNotRun(
                 'deadline passed before it was forwarded',
                 come_back_ms=0,
@@ -382,25 +382,27 @@
         elif isinstance(exc, RequestUnknown):
             self._chooser.failed(member, now, unreachable=False)
 
-    def _may_retry(self, req: EntryRequest) -> bool:
-        now = asyncio.get_running_loop().time()
-        if now >= req.deadline or req.is_body_taken:
+    def _may_retry(self, left: int, req: EntryRequest) -> bool:
+        if not left or req.is_body_taken or self._is_late(req):
+            return False
+        return self._spend()
+
+    def _may_repeat(self, left: int, route: Route, req: EntryRequest) -> bool:
+        is_safe = req.method in route.policy.idempotent_methods
+        is_replayable = req.is_whole and not req.is_inner
+        if not left or not is_safe or not is_replayable or self._is_late(req):
             return False
+        return self._crashes.is_innocent(req.fingerprint) and self._spend()
+
+    def _is_late(self, req: EntryRequest) -> bool:
+        return asyncio.get_running_loop().time() >= req.deadline
+
+    def _spend(self) -> bool:
         if self._budget.spend():
             return True
         self.counters.retries_denied += 1
         return False
 
-    def _may_repeat(self, route: Route, req: EntryRequest) -> bool:
-        if req.method not in route.policy.idempotent_methods:
-            return False
-        if req.is_inner or not req.is_whole:
-            return False
-        if not self._crashes.is_innocent(req.fingerprint):
-            return False
-        now = asyncio.get_running_loop().time()
-        return now < req.deadline and self._budget.spend()
-
     def _not_run(self, exc: PeerUnavailable) -> RequestNotRun:
         return RequestNotRun(
             exc.reason,
--- a/filbertdrift/http1.py
+++ b/filbertdrift/http1.py
@@ -10,8 +10,8 @@
 
 from filbertdrift.errors import MalformedMessage, PeerUnavailable
 
-READ_BYTES = 64 * 1024
-MAX_HEAD_BYTES = 64 * 1024
+READ_BYTES = 65_536
+MAX_HEAD_BYTES = 65_536
 
 Headers = list[tuple[bytes, bytes]]
 
@@ -335,7 +335,8 @@
 def response_bytes(status: int, headers: Headers) -> bytes:
     """Return the head of a response as bytes."""
     reason = _REASONS.get(status, b'Status')
-    return b'HTTP/1.1 %d %s\r\n' % (status, reason) + _header_lines(headers)
+    lines = _header_lines(headers)
+    return b'HTTP/1.1 %d %s\r\n%s' % (status, reason, lines)
 
 
 def chunk_bytes(chunk: bytes) -> bytes:
@@ -344,7 +345,6 @@
 
 
 def _header_lines(headers: Headers) -> bytes:
-    lines = b''.join(
-        b'%s: %s\r\n' % (name, content) for name, content in headers
-    )
-    return lines + b'\r\n'
+    lines = [b'%s: %s\r\n' % header for header in headers]
+    lines.append(b'\r\n')
+    return b''.join(lines)
--- a/filbertdrift/link.py
+++ b/filbertdrift/link.py
@@ -15,8 +15,8 @@
 from filbertdrift.gen import ttypes
 from filbertdrift.network import Connection, Network
 
-CHUNK_BYTES = 64 * 1024
-WINDOW_BYTES = 256 * 1024
+CHUNK_BYTES = 65_536
+WINDOW_BYTES = 262_144
 KEEP_ALIVE_S = 1.0
 SILENT_S = 3.0
 IDLE_CLOSE_S = 60.0
--- a/filbertdrift/membership.py
+++ b/filbertdrift/membership.py
@@ -9,6 +9,7 @@
 import random
 from collections.abc import Callable, Coroutine, Sequence
 from dataclasses import dataclass, replace
+from functools import singledispatchmethod
 
 from filbertdrift.errors import MalformedMessage, PeerUnavailable
 from filbertdrift.gen import ttypes
@@ -31,6 +32,7 @@
 ACK_TIMEOUT_SHARE = 0.3
 SUSPICION_HEARTBEATS = 4
 SYNC_SETTLE_S = 0.5
+HEARTBEAT_MIN_SPREAD = 0.75
 NOTICE_ENTRIES = 8
 TICK_S = 0.25
 
@@ -81,7 +83,7 @@
         self.me = me
         self.table = MemberTable()
         self.counters = MembershipCounters()
-        self.config_digest: DigestSource = lambda: (-1, b'')
+        self.config_digest: DigestSource = _no_config
         self.on_config_digest: OnDigest = _ignore_digest
         self.on_change: OnChange = _ignore_change
         self.heard: dict[str, Heard] = {}
@@ -100,7 +102,7 @@
             profile.domain_ping_s,
             rng,
         )
-        self.reachability.on_change = lambda: self.on_change(())
+        self.reachability.on_change = self._on_reachability
         self.suspicions = Suspicions(
             me.domain,
             self.table,
@@ -126,8 +128,8 @@
         Args:
             me: The new state; its version is set here.
         """
-        known = self.table.get(me.node)
-        version = max(self.me.version, known.version if known else 0) + 1
+        known = self.table.get(me.node) or self.me
+        version = max(self.me.version, known.version) + 1
         self.me = replace(me, version=version)
         self._learn([self.me])
 
@@ -202,21 +204,45 @@
             self.counters.stale_datagrams += 1
             self._send(sender, ttypes.MemberNotice([to_entry(known)]))
             return True
-        if isinstance(body, ttypes.Ping):
-            self._on_ping(sender, body)
-        elif isinstance(body, ttypes.Ack):
-            self._on_ack(sender, body)
-        elif isinstance(body, ttypes.PingRequest):
-            self._spawn(self.prober.ping_for(sender, body))
-        elif isinstance(body, ttypes.MemberNotice):
-            self._on_entries(body.updates or ())
-        else:
-            return False
+        return self._take(body, sender)
+
+    @singledispatchmethod
+    def _take(self, body: object, sender: str) -> bool:
+        return False
+
+    @_take.register
+    def _take_ping(self, body: ttypes.Ping, sender: str) -> bool:
+        updates = []
+        known = self.table.get(sender)
+        if known and known.status >= MemberStatus.SUSPECT:
+            updates.append(to_entry(known))
+        self._send(sender, ttypes.Ack(body.sequence, self._digest(), updates))
+        if body.digest:
+            self._compare(sender, body.digest)
+        return True
+
+    @_take.register
+    def _take_ack(self, body: ttypes.Ack, sender: str) -> bool:
+        self.prober.acknowledge(body.sequence)
+        if body.updates:
+            self._on_entries(body.updates)
+        if body.digest:
+            self._compare(sender, body.digest)
+        return True
+
+    @_take.register
+    def _take_request(self, body: ttypes.PingRequest, sender: str) -> bool:
+        self._spawn(self.prober.ping_for(sender, body))
+        return True
+
+    @_take.register
+    def _take_notice(self, body: ttypes.MemberNotice, sender: str) -> bool:
+        self._on_entries(body.updates or ())
         return True
 
     async def _ping_own_domain(self) -> None:
         while True:
-            spread = 0.75 + self._rng.random() / 2
+            spread = HEARTBEAT_MIN_SPREAD + self._rng.random() / 2
             await asyncio.sleep(self._profile.heartbeat_s * spread)
             member = self.prober.next_in_domain(self.me.domain)
             if member and not await self.prober.ping_any_way(member):
@@ -231,6 +257,9 @@
                 self._learn([with_status(member, MemberStatus.DEAD)])
             self.table.forget_expired(loop.time())
 
+    def _on_reachability(self) -> None:
+        self.on_change(())
+
     def _suspect(self, node: str) -> None:
         member = self.table.get(node)
         if member is None or member.status >= MemberStatus.SUSPECT:
@@ -294,22 +323,6 @@
     def _draw(self, nodes: list[str], count: int) -> list[str]:
         return self._rng.sample(nodes, min(count, len(nodes)))
 
-    def _on_ping(self, sender: str, ping: ttypes.Ping) -> None:
-        updates = []
-        known = self.table.get(sender)
-        if known and known.status >= MemberStatus.SUSPECT:
-            updates.append(to_entry(known))
-        self._send(sender, ttypes.Ack(ping.sequence, self._digest(), updates))
-        if ping.digest:
-            self._compare(sender, ping.digest)
-
-    def _on_ack(self, sender: str, ack: ttypes.Ack) -> None:
-        self.prober.acknowledge(ack.sequence)
-        if ack.updates:
-            self._on_entries(ack.updates)
-        if ack.digest:
-            self._compare(sender, ack.digest)
-
     def _on_entries(
         self,
         entries: Sequence[ttypes.MemberEntry],
@@ -366,6 +379,10 @@
         task.add_done_callback(self._tasks.discard)
 
 
+def _no_config() -> tuple[int, bytes]:
+    return -1, b''
+
+
 def _ignore_digest(sender: str, offset: int, digest: bytes) -> None:
     """Do nothing."""
 
--- a/filbertdrift/network.py
+++ b/filbertdrift/network.py
@@ -21,8 +21,8 @@
 )
 
 CONNECT_TIMEOUT_S = 1.0
-DRAIN_ABOVE_BYTES = 64 * 1024
-READ_BUFFER_BYTES = 256 * 1024
+DRAIN_ABOVE_BYTES = 65_536
+READ_BUFFER_BYTES = 262_144
 
 OnConnection = Callable[['Connection'], Awaitable[None]]
 OnDatagram = Callable[[str, int, object], None]
@@ -278,12 +278,13 @@
             port,
             limit=READ_BUFFER_BYTES,
         )
-        self._datagrams, _ = await loop.create_datagram_endpoint(
+        endpoint = await loop.create_datagram_endpoint(
             lambda: _DatagramReceiver(
                 lambda payload: self._deliver(payload, on_datagram),
             ),
             local_addr=(host, port),
         )
+        self._datagrams = endpoint[0]
 
     async def connect(self, address: str) -> Connection:
         """Open a TCP connection."""
@@ -343,4 +344,4 @@
 def format_peer(writer: asyncio.StreamWriter) -> str:
     """Return the other side of a connection as host and port."""
     name = writer.get_extra_info('peername')
-    return f'{name[0]}:{name[1]}' if name else 'closed'
+    return ':'.join(str(part) for part in name[:2]) if name else 'closed'
--- a/filbertdrift/network_memory.py
+++ b/filbertdrift/network_memory.py
@@ -88,11 +88,11 @@
         """
 
         def arrive() -> None:
-            for end in (sender, address):
-                if end in self._held:
-                    self._held[end].append(arrive)
-                    return
-            hand()
+            held = self._held.get(sender, self._held.get(address))
+            if held is None:
+                hand()
+            else:
+                held.append(arrive)
 
         loop = asyncio.get_running_loop()
         link = (sender, address)
@@ -239,7 +239,8 @@
             self.address,
             other.counters,
         )
-        near.twin, far.twin = far, near
+        near.twin = far
+        far.twin = near
         self.open_connections.append(near)
         other.accept(far)
         return near
--- a/filbertdrift/node.py
+++ b/filbertdrift/node.py
@@ -12,7 +12,7 @@
 from filbertdrift.chooser import TargetChooser
 from filbertdrift.claims import Claims
 from filbertdrift.crashes import CrashLedger
-from filbertdrift.distribution import ConfigKeeper, Distributor
+from filbertdrift.distribution import Distributor
 from filbertdrift.errors import (
     MalformedMessage,
     RequestNotRun,
@@ -29,9 +29,11 @@
 from filbertdrift.gate import Gate
 from filbertdrift.gen import ttypes
 from filbertdrift.introduction import Introducer
+from filbertdrift.keeper import ConfigKeeper
 from filbertdrift.keyed import KeyedForwarder
 from filbertdrift.link import CallStream, LinkPool, serve_connection
 from filbertdrift.log import Log
+from filbertdrift.logreader import LogReader
 from filbertdrift.members import Member, MemberStatus
 from filbertdrift.membership import Membership
 from filbertdrift.network import Connection, Network
@@ -149,16 +151,22 @@
         )
         self.membership = Membership(me, network, self.links, profile, rng)
         self.keeper = ConfigKeeper()
+        self.reader = LogReader(
+            self.keeper,
+            self.membership,
+            log,
+            checkpoint_interval_s,
+            rng,
+        )
         self.distributor = Distributor(
             self.keeper,
+            self.reader,
             self.membership,
             self.links,
-            log,
             pushes_records=profile.pushes_records,
-            checkpoint_interval_s=checkpoint_interval_s,
             rng=rng,
         )
-        self.publisher = Publisher(log, self.distributor)
+        self.publisher = Publisher(log, self.reader, self.keeper)
         self.introducer = Introducer(log, self.membership, rng)
         self.chooser = TargetChooser(identity.domain, identity.region, rng)
         self.crashes = CrashLedger(identity.address, rng)
@@ -239,7 +247,7 @@
         )
         await asyncio.gather(
             self.membership.run(),
-            self.distributor.run(),
+            self.reader.run(),
             self.introducer.run(),
             self._watch_announcement(),
         )
--- a/filbertdrift/publisher.py
+++ b/filbertdrift/publisher.py
@@ -3,7 +3,6 @@
 import asyncio
 from dataclasses import dataclass
 
-from filbertdrift.distribution import Distributor
 from filbertdrift.errors import (
     LogAnswerLost,
     LogGap,
@@ -12,7 +11,9 @@
 )
 from filbertdrift.fold import Verdict, VerdictKind
 from filbertdrift.gen import ttypes
+from filbertdrift.keeper import ConfigKeeper
 from filbertdrift.log import CONFIG_STREAM, Log
+from filbertdrift.logreader import LogReader
 from filbertdrift.wire import encode
 
 PUBLISH_TIMEOUT_S = 10.0
@@ -42,13 +43,20 @@
 
     Args:
         log: The platform's log.
-        distributor: Folds the log.
+        reader: Reads the log.
+        keeper: Folds it.
     """
 
-    def __init__(self, log: Log, distributor: Distributor) -> None:
+    def __init__(
+        self,
+        log: Log,
+        reader: LogReader,
+        keeper: ConfigKeeper,
+    ) -> None:
         """Keep the parts."""
         self._log = log
-        self._distributor = distributor
+        self._reader = reader
+        self._keeper = keeper
 
     async def publish(self, record: ttypes.ConfigRecord) -> Published:
         """Publish a change; the same record id is never two changes.
@@ -66,35 +74,40 @@
         """
         loop = asyncio.get_running_loop()
         deadline = loop.time() + PUBLISH_TIMEOUT_S
-        payload = encode(record)
         appends = 0
-        may_be_appended = False
         while True:
             verdict = await self._find_verdict(record.record_id)
             if verdict is not None:
                 return Published(verdict, appends)
-            try:
-                await self._log.append(CONFIG_STREAM, payload)
+            if await self._append(record, may_be_appended=appends > 0):
                 appends += 1
-                may_be_appended = True
                 continue
-            except LogAnswerLost:
-                appends += 1
-                may_be_appended = True
-            except LogUnavailable:
-                if not may_be_appended:
-                    raise
+            appends += 1
             await self._wait(deadline)
 
+    async def _append(
+        self,
+        record: ttypes.ConfigRecord,
+        *,
+        may_be_appended: bool,
+    ) -> bool:
+        """Append a record; tell whether it certainly took effect."""
+        try:
+            await self._log.append(CONFIG_STREAM, encode(record))
+        except LogAnswerLost:
+            return False
+        except LogUnavailable:
+            if may_be_appended:
+                return False
+            raise
+        return True
+
     async def _find_verdict(self, record_id: str) -> Verdict | None:
         try:
-            await self._distributor.catch_up_with_log()
-        except LogGap as exc:
-            raise LogUnavailable(exc.reason, step='publish') from exc
-        except RulesUnknown as exc:
+            await self._reader.catch_up()
+        except (LogGap, RulesUnknown) as exc:
             raise LogUnavailable(exc.reason, step='publish') from exc
-        state = self._distributor.keeper.state
-        return state.verdict_of(record_id)
+        return self._keeper.state.verdict_of(record_id)
 
     async def _wait(self, deadline: float) -> None:
         if asyncio.get_running_loop().time() + RETRY_S > deadline:
--- a/filbertdrift/settings.py
+++ b/filbertdrift/settings.py
@@ -21,6 +21,8 @@
 
 ENVIRONMENT_PREFIX = 'FILBERTDRIFT_'
 MAX_PORT = 65_535
+DEFAULT_CHECKPOINT_S = 600
+DEFAULT_CLAIM_TTL_S = 1800
 
 _PART_SEPARATOR = '__'
 
@@ -72,8 +74,8 @@
     """The platform's log."""
 
     url: str = Field(pattern=r'^https?://\S+$')
-    checkpoint_interval_s: float = Field(default=600, ge=1)
-    claim_ttl_s: float = Field(default=1800, ge=10)
+    checkpoint_interval_s: float = Field(default=DEFAULT_CHECKPOINT_S, ge=1)
+    claim_ttl_s: float = Field(default=DEFAULT_CLAIM_TTL_S, ge=10)
 
 
 class ControlSection(_Section):
--- a/filbertdrift/tracing.py
+++ b/filbertdrift/tracing.py
@@ -106,6 +106,7 @@
         context = trace.set_span_in_context(span)
         self._propagator.inject(carrier, context)
         kept = [header for header in headers if header[0] != TRACEPARENT]
-        if 'traceparent' in carrier:
-            kept.append((TRACEPARENT, carrier['traceparent'].encode()))
+        traceparent = carrier.get('traceparent')
+        if traceparent:
+            kept.append((TRACEPARENT, traceparent.encode()))
         return kept
--- a/filbertdrift/wire.py
+++ b/filbertdrift/wire.py
@@ -11,7 +11,7 @@
 from filbertdrift.errors import MalformedMessage
 from filbertdrift.gen import ttypes
 
-MAX_FRAME_BYTES = 4 * 1024 * 1024
+MAX_FRAME_BYTES = 4_194_304
 MAX_DATAGRAM_BYTES = 1200
 LENGTH_BYTES = 4
 
@@ -122,7 +122,7 @@
     Raises:
         MalformedMessage: The length is over the limit.
     """
-    (length,) = _LENGTH.unpack(prefix)
+    length = _LENGTH.unpack(prefix)[0]
     if length > MAX_FRAME_BYTES:
         raise MalformedMessage(f'frame of {length} bytes', step='read frame')
     return int(length)
--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -7,8 +7,8 @@
 from testtools.matchers import Equals, HasLength
 
 from filbertdrift import fold
-from filbertdrift.distribution import ConfigKeeper
 from filbertdrift.errors import LogGap, RulesUnknown
+from filbertdrift.keeper import ConfigKeeper
 from filbertdrift.log import LogRecord
 from filbertdrift.wire import encode
 from tests import variants
