--- /dev/null
+++ b/standins/fleet.py
@@ -0,0 +1,424 @@
+"""Real nodes on a network, a log and targets in memory, on virtual time."""
+
+import asyncio
+import random
+from collections import Counter
+from collections.abc import Coroutine, Mapping, Sequence
+from dataclasses import dataclass, field
+from typing import Any
+
+import async_solipsism
+
+from filbertdrift import http1
+from filbertdrift.errors import PeerUnavailable
+from filbertdrift.forward import Answer, EntryRequest
+from filbertdrift.gen import ttypes
+from filbertdrift.log import MemoryLog, SharedLog
+from filbertdrift.network_memory import Fabric, MemoryNetwork
+from filbertdrift.node import Announcement, Identity, Node
+from filbertdrift.profile import PROFILES, Profile
+from filbertdrift.publisher import Published
+from filbertdrift.target import Exchange, Target, TargetRequest
+
+RENEW_S = 2.0
+CLAIM_TTL_S = 600.0
+CHECKPOINT_INTERVAL_S = 600.0
+
+
+def run_virtual(coro: Coroutine[Any, Any, Any]) -> Any:
+    """Run a coroutine on virtual time and return its result."""
+    loop = async_solipsism.EventLoop()
+    try:
+        return loop.run_until_complete(coro)
+    finally:
+        pending = asyncio.all_tasks(loop)
+        for task in pending:
+            task.cancel()
+        loop.run_until_complete(
+            asyncio.gather(*pending, return_exceptions=True),
+        )
+        loop.close()
+
+
+def config_record(
+    record_id: str,
+    files: Mapping[str, str | None],
+    base_offset: int = -1,
+    raise_rules: int = 0,
+) -> ttypes.ConfigRecord:
+    """Return a record of the configuration stream."""
+    return ttypes.ConfigRecord(
+        record_id=record_id,
+        base_offset=base_offset,
+        files=[
+            ttypes.ConfigFile(name, content) for name, content in files.items()
+        ],
+        author='test',
+        raise_rules=raise_rules,
+    )
+
+
+@dataclass
+class TargetBehaviour:
+    """How a memory target behaves, and what it did.
+
+    Executions are counted by request id over all targets that share it.
+    """
+
+    work_s: float = 0.005
+    slots: int = 20
+    is_up: bool = True
+    is_silent: bool = False
+    sheds: bool = False
+    truncates: bool = False
+    crashes_on: str = ''
+    running: int = 0
+    cancelled: int = 0
+    executions: Counter[str] = field(default_factory=Counter)
+
+
+class MemoryTarget(Target):
+    """A target in memory.
+
+    Args:
+        address: Its address.
+        behaviour: How it behaves.
+    """
+
+    def __init__(self, address: str, behaviour: TargetBehaviour) -> None:
+        self.address = address
+        self.behaviour = behaviour
+
+    async def exchange(self, request: TargetRequest) -> Exchange:
+        """Return an exchange unless the target is down."""
+        await asyncio.sleep(0.0002)
+        if not self.behaviour.is_up:
+            raise PeerUnavailable('refused', step='connect to target')
+        return MemoryExchange(self, request)
+
+    async def is_up(self) -> bool:
+        """Tell whether the target is up."""
+        return self.behaviour.is_up
+
+    def close(self) -> None:
+        """Do nothing."""
+
+
+class MemoryExchange(Exchange):
+    """One request to a memory target."""
+
+    def __init__(self, target: MemoryTarget, request: TargetRequest) -> None:
+        self._target = target
+        self._request = request
+        self._body = request.first_chunk
+        self._sent = asyncio.Event()
+        self._answered = False
+
+    async def send_head(self) -> None:
+        """Count the execution."""
+        behaviour = self._target.behaviour
+        if behaviour.sheds:
+            return
+        request_id = http1.find_header(self._request.headers, b'x-request-id')
+        behaviour.executions[request_id] += 1
+        key = http1.find_header(self._request.headers, b'idempotency-key')
+        if key:
+            behaviour.executions[f'key {key}'] += 1
+        if self._request.is_whole:
+            self._sent.set()
+
+    async def send_body(self, chunk: bytes, *, end: bool) -> None:
+        """Collect the body."""
+        self._body += chunk
+        if end:
+            self._sent.set()
+
+    async def head(self) -> http1.ResponseHead:
+        """Work, then answer, crash or shed."""
+        behaviour = self._target.behaviour
+        if behaviour.sheds:
+            return http1.ResponseHead(503, [], keep_alive=True)
+        await self._sent.wait()
+        behaviour.running += 1
+        try:
+            await self._work(behaviour)
+        except asyncio.CancelledError:
+            behaviour.cancelled += 1
+            raise
+        finally:
+            behaviour.running -= 1
+        customer = http1.find_header(self._request.headers, b'x-customer')
+        self._text = f'{customer} {self._request.path}'.encode()
+        length = b'%d' % len(self._text)
+        return http1.ResponseHead(
+            200,
+            [(b'content-length', length)],
+            keep_alive=True,
+        )
+
+    def parsed(self) -> http1.BodyPart:
+        """Return nothing yet."""
+        return http1.BodyPart(b'', end=False)
+
+    async def part(self) -> http1.BodyPart:
+        """Return the body, or break off."""
+        if self._target.behaviour.sheds:
+            return http1.BodyPart(b'', end=True)
+        if self._target.behaviour.truncates:
+            raise http1.MessageTruncated('cut short', step='read body')
+        return http1.BodyPart(self._text, end=True)
+
+    def close(self) -> None:
+        """Do nothing."""
+
+    async def _work(self, behaviour: TargetBehaviour) -> None:
+        if behaviour.is_silent:
+            await asyncio.sleep(3600)
+        if behaviour.crashes_on and behaviour.crashes_on in self._request.path:
+            behaviour.is_up = False
+            raise PeerUnavailable('reset', step='await target')
+        await asyncio.sleep(behaviour.work_s)
+        if not behaviour.is_up:
+            raise PeerUnavailable('reset', step='await target')
+
+
+@dataclass
+class Place:
+    """One instance of a fleet: its node, log view and target."""
+
+    identity: Identity
+    service: str
+    log: SharedLog
+    node: Node
+    behaviour: TargetBehaviour
+    announcing: asyncio.Task[None] | None = None
+
+
+class Fleet:
+    """Real nodes on a network, a log and targets in memory.
+
+    Args:
+        seed: Decides everything that is random.
+        profile: What the nodes spend for control.
+    """
+
+    def __init__(
+        self,
+        seed: int = 1,
+        profile: str | Profile = 'convergence',
+    ) -> None:
+        self.rng = random.Random(seed)
+        self.fabric = Fabric(random.Random(seed + 1))
+        self.log = MemoryLog()
+        self.places: dict[str, Place] = {}
+        self.checkpoint_interval_s = CHECKPOINT_INTERVAL_S
+        self._profile = (
+            PROFILES[profile] if isinstance(profile, str) else profile
+        )
+        self._generation = 1_000
+
+    @property
+    def nodes(self) -> list[Node]:
+        """Return the nodes that run, in the order of their addresses."""
+        return [place.node for place in self.places.values()]
+
+    def address(self, domain: str, number: int) -> str:
+        """Return the address of an instance."""
+        return f'{domain}-{number}:7000'
+
+    async def add(
+        self,
+        domain: str,
+        service: str = '',
+        count: int = 1,
+        region: str = 'one',
+    ) -> list[Node]:
+        """Start nodes in a domain, with targets if a service is given."""
+        added = []
+        for _ in range(count):
+            number = sum(
+                place.identity.domain == domain
+                for place in self.places.values()
+            )
+            self._generation += 10
+            identity = Identity(
+                self.address(domain, number),
+                domain,
+                region,
+                self._generation,
+            )
+            added.append(await self._start(identity, service))
+        return added
+
+    async def kill(self, address: str) -> Place:
+        """End a node and its target without a word."""
+        place = self.places.pop(address)
+        place.behaviour.is_up = False
+        if place.announcing:
+            place.announcing.cancel()
+        await place.node.stop()
+        return place
+
+    async def restart(self, place: Place) -> Node:
+        """Start a killed node again in place."""
+        self._generation += 10
+        old = place.identity
+        identity = Identity(
+            old.address,
+            old.domain,
+            old.region,
+            self._generation,
+        )
+        return await self._start(identity, place.service)
+
+    def domain(self, name: str) -> list[str]:
+        """Return the addresses of the nodes in a domain."""
+        return [
+            address
+            for address, place in self.places.items()
+            if place.identity.domain == name
+        ]
+
+    def cut(self, *domains: str, log: bool = False) -> None:
+        """Cut domains off from all others, and from the log if asked."""
+        inside = [address for name in domains for address in self.domain(name)]
+        outside = [address for address in self.places if address not in inside]
+        self.fabric.cut(inside, outside)
+        for address in inside if log else ():
+            self.places[address].log.is_cut = True
+
+    def heal(self) -> None:
+        """Mend all cuts."""
+        self.fabric.heal()
+        for place in self.places.values():
+            place.log.is_cut = False
+
+    async def publish(
+        self,
+        files: Mapping[str, str | None],
+        record_id: str = '',
+        base_offset: int | None = None,
+        by: str = '',
+    ) -> Published:
+        """Publish a change through a node."""
+        node = self.places[by].node if by else self.nodes[0]
+        base = node.keeper.state.offset if base_offset is None else base_offset
+        name = record_id or f'record-{self.rng.getrandbits(64):x}'
+        return await node.publisher.publish(config_record(name, files, base))
+
+    def offsets(self) -> dict[str, int]:
+        """Return the offset in force on each node."""
+        return {
+            address: place.node.keeper.state.offset
+            for address, place in self.places.items()
+        }
+
+    async def until_in_force(self, offset: int, limit_s: float) -> float:
+        """Wait until every node has an offset; return how long it took."""
+        loop = asyncio.get_running_loop()
+        started_at = loop.time()
+        while min(self.offsets().values()) < offset:
+            if loop.time() - started_at > limit_s:
+                raise AssertionError(f'lagging: {self.offsets()}')
+            await asyncio.sleep(0.01)
+        return loop.time() - started_at
+
+    def executions(self) -> Counter[str]:
+        """Return how often each request ran, over all targets."""
+        total: Counter[str] = Counter()
+        for place in self.places.values():
+            total.update(place.behaviour.executions)
+        return total
+
+    async def call(
+        self,
+        address: str,
+        path: str,
+        method: str = 'GET',
+        request_id: str = '',
+        **more: Any,
+    ) -> Answer:
+        """Send a request through a node, as its callers' port would."""
+        node = self.places[address].node
+        snapshot = node.snapshot
+        assert snapshot is not None
+        route = snapshot.match(method, path)
+        assert route is not None
+        req = entry_request(path, method, request_id, **more)
+        return await node.forward(snapshot, route, req)
+
+    async def _start(self, identity: Identity, service: str) -> Node:
+        log = SharedLog(self.log)
+        behaviour = TargetBehaviour()
+        node = Node(
+            identity=identity,
+            network=MemoryNetwork(self.fabric, identity.address),
+            log=log,
+            profile=self._profile,
+            seeds=self._seeds(),
+            open_target=lambda address, limit: MemoryTarget(
+                address,
+                behaviour,
+            ),
+            checkpoint_interval_s=self.checkpoint_interval_s,
+            claim_ttl_s=CLAIM_TTL_S,
+            rng=random.Random(self.rng.getrandbits(64)),
+        )
+        place = Place(identity, service, log, node, behaviour)
+        self.places[identity.address] = place
+        await node.start()
+        if service:
+            loop = asyncio.get_running_loop()
+            place.announcing = loop.create_task(_announce(place))
+        return node
+
+    def _seeds(self) -> Sequence[str]:
+        known = list(self.places)
+        return self.rng.sample(known, min(3, len(known)))
+
+
+async def _announce(place: Place) -> None:
+    announcement = Announcement(
+        place.service,
+        f'{place.identity.address}-target',
+        place.behaviour.slots,
+        100,
+    )
+    while True:
+        if place.behaviour.is_up:
+            place.node.announce(announcement)
+        await asyncio.sleep(RENEW_S)
+
+
+def entry_request(
+    path: str,
+    method: str = 'GET',
+    request_id: str = '',
+    timeout_s: float = 3.0,
+    customer: str = '',
+    headers: http1.Headers | None = None,
+    **more: Any,
+) -> EntryRequest:
+    """Return a whole request as it enters at a node."""
+    now = asyncio.get_running_loop().time()
+    name = request_id or f'request-{now}'
+    return EntryRequest(
+        request_id=name,
+        method=method,
+        path=path,
+        headers=[
+            (b'x-request-id', name.encode()),
+            (b'x-customer', customer.encode()),
+            *(headers or []),
+        ],
+        first_chunk=more.pop('body', b''),
+        is_whole=True,
+        read_body=_no_body,
+        deadline=now + timeout_s,
+        customer=customer,
+        **more,
+    )
+
+
+async def _no_body() -> http1.BodyPart:
+    return http1.BodyPart(b'', end=True)
--- a/tests/replay.py
+++ b/tests/replay.py
@@ -15,13 +15,8 @@
 from filbertdrift.errors import FilbertdriftError
 from filbertdrift.members import MemberStatus
 from filbertdrift.node import Node
-from tests.builders import (
-    Fleet,
-    Place,
-    run_virtual,
-    service_file,
-    service_files,
-)
+from standins.fleet import Fleet, Place, run_virtual
+from tests.builders import service_file, service_files
 
 TRACES = Path(__file__).parent / 'traces'
 SETTLE_S = 5.0
