--- a/filbertdrift/rendezvous.py
+++ b/filbertdrift/rendezvous.py
@@ -1,8 +1,10 @@
 """Rendezvous ranking: who of the live members does a shared piece of work."""
 
+import functools
 import hashlib
 from collections.abc import Iterable, Sequence
 
+WEIGHTS_KEPT = 65_536
 _HASH_BYTES = 8
 
 
@@ -19,6 +21,7 @@
     return sorted(nodes, key=lambda node: (_weight(key, node), node))
 
 
+@functools.lru_cache(maxsize=WEIGHTS_KEPT)
 def _weight(key: str, node: str) -> bytes:
     return hashlib.blake2b(
         f'{key}\0{node}'.encode(),
--- a/standins/control_bench.py
+++ b/standins/control_bench.py
@@ -24,10 +24,13 @@
 SERVICES_AT_SIZE = 89
 NODES_AT_SIZE = 970
 SETTLE_S = 20.0
+CONFIG_KINDS = ('ConfigNotice', 'PullConfig', 'ConfigDelta')
+MEMBER_KINDS = ('MemberNotice', 'SyncMembers', 'MembersDelta')
 IDLE_S = 30.0
 CHANGES = 20
 CHANGE_INTERVAL_S = 5.0
 RESTARTS = 6
+EVENTS_PER_RESTART = 2
 DATAGRAM_HEAD_BYTES = 28
 NEAR_DELAY_S = 0.0005
 FAR_DELAY_S = 0.02
@@ -192,9 +195,12 @@
         for number in range(CHANGES):
             times.extend(await self._change(number))
         span_s = CHANGES * CHANGE_INTERVAL_S
-        sent = _on_wire(self._sent() - before, self._messages() - messages)
-        idle = report.idle_bytes_per_node_s * self._nodes * span_s
-        report.change_bytes_per_node = (sent - idle) / self._nodes / CHANGES
+        sent = _on_wire(
+            self._sent() - before,
+            self._messages() - messages,
+            CONFIG_KINDS,
+        )
+        report.change_bytes_per_node = sent / self._nodes / CHANGES
         idle_reads = report.log_reads_per_s * span_s
         report.log_reads_per_change = (
             fleet.log.counters.reads - reads - idle_reads
@@ -229,18 +235,19 @@
 
     async def _measure_endpoint_events(self) -> None:
         fleet = self._fleet
-        span_s = RESTARTS * CHANGE_INTERVAL_S
         before, messages = self._sent(), self._messages()
         for number in range(RESTARTS):
             address = list(fleet.places)[-1 - number]
             place = fleet.places[address]
             place.node.withdraw()
             await asyncio.sleep(CHANGE_INTERVAL_S)
-        sent = _on_wire(self._sent() - before, self._messages() - messages)
-        idle = self._report.idle_bytes_per_node_s * self._nodes * span_s
-        self._report.endpoint_event_bytes_per_node = (
-            (sent - idle) / self._nodes / RESTARTS / 2
+        sent = _on_wire(
+            self._sent() - before,
+            self._messages() - messages,
+            MEMBER_KINDS,
         )
+        events = RESTARTS * EVENTS_PER_RESTART
+        self._report.endpoint_event_bytes_per_node = sent / self._nodes / events
 
     def _sent(self) -> Counter[str]:
         total: Counter[str] = Counter()
@@ -255,9 +262,13 @@
         return total
 
 
-def _on_wire(sent: Counter[str], messages: Counter[str]) -> int:
-    heads = sum(messages[kind] for kind in CONTROL) * DATAGRAM_HEAD_BYTES
-    return sum(sent[kind] for kind in CONTROL) + heads
+def _on_wire(
+    sent: Counter[str],
+    messages: Counter[str],
+    kinds: Sequence[str] = CONTROL,
+) -> int:
+    heads = sum(messages[kind] for kind in kinds) * DATAGRAM_HEAD_BYTES
+    return sum(sent[kind] for kind in kinds) + heads
 
 
 def _timed(adopt, times, began, wanted):  # type: ignore[no-untyped-def]
