--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -70,6 +70,7 @@
     is_up: bool = True
     is_silent: bool = False
     sheds: bool = False
+    limits_slots: bool = False
     truncates: bool = False
     crashes_on: str = ''
     running: int = 0
@@ -171,13 +172,19 @@
     def close(self) -> None:
         """Do nothing."""
 
+    def _crowding(self, behaviour: TargetBehaviour) -> float:
+        """Return how much slower work is with more requests than slots."""
+        if not behaviour.limits_slots:
+            return 1
+        return max(behaviour.running / behaviour.slots, 1)
+
     async def _work(self, behaviour: TargetBehaviour) -> None:
         if behaviour.is_silent:
             await asyncio.sleep(3600)
         if behaviour.crashes_on and behaviour.crashes_on in self._request.path:
             behaviour.is_up = False
             raise PeerUnavailable('reset', step='await target')
-        await asyncio.sleep(behaviour.work_s)
+        await asyncio.sleep(behaviour.work_s * self._crowding(behaviour))
         if not behaviour.is_up:
             raise PeerUnavailable('reset', step='await target')
 
