Broken targets no longer attract work; slow ones get less

Ruled out: the gates' deadline check (refusals came within 2.4 ms, and load was below the slots). Change: a refusal by a gate with free slots ejects the target, with growing times; candidates are compared by load times latency.

--- a/filbertdrift/chooser.py
+++ b/filbertdrift/chooser.py
@@ -21,8 +21,8 @@
 SLOW_START_PENALTY_PERMILLE = 300
 OWN_REQUEST_PERMILLE = 1000
 LATENCY_WEIGHT = 0.2
-SLOW_FACTOR = 3.0
-MIN_SLOW_LATENCY_S = 0.05
+IDLE_COST_PERMILLE = 200
+FULL_PERMILLE = 1000
 
 
 @dataclass(slots=True)
@@ -111,9 +111,20 @@
         seen.latency_s += LATENCY_WEIGHT * (latency_s - seen.latency_s)
 
     def refused(self, member: Member, load_permille: int, now: float) -> None:
-        """Note that the target's gate refused a request."""
+        """Note that a request was refused.
+
+        A gate with a free slot refuses only because its target is broken.
+
+        Args:
+            member: The target's member.
+            load_permille: The load of its gate.
+            now: The time on the event loop's clock.
+        """
+        if load_permille < FULL_PERMILLE:
+            self.failed(member, now, unreachable=True)
+            return
         seen = self._seen(member, now)
-        seen.load_permille = max(load_permille, SPILL_PERMILLE)
+        seen.load_permille = load_permille
         seen.load_at = now
 
     def failed(self, member: Member, now: float, *, unreachable: bool) -> None:
@@ -167,7 +178,7 @@
         if len(group) == 1:
             return group[0]
         pair = self._rng.sample(group, 2)
-        return min(pair, key=lambda found: self._score(found, now))
+        return min(pair, key=lambda found: self._cost(found, now))
 
     def _score(self, member: Member, now: float) -> float:
         seen = self._observed.get(member.node)
@@ -180,6 +191,12 @@
         penalty = cold * SLOW_START_PENALTY_PERMILLE
         return max(load, own) + penalty
 
+    def _cost(self, member: Member, now: float) -> float:
+        """Return the load times the latency seen; unseen targets are cheap."""
+        seen = self._observed.get(member.node)
+        latency_s = seen.latency_s if seen else 0
+        return (self._score(member, now) + IDLE_COST_PERMILLE) * latency_s
+
     def _seen(self, member: Member, now: float) -> Observed:
         seen = self._observed.get(member.node)
         if seen is None or seen.generation != member.generation:
--- a/filbertdrift/forward.py
+++ b/filbertdrift/forward.py
@@ -311,7 +311,7 @@
         except BaseException as exc:
             link.end(call, cancel=True)
             self._chooser.ended(member, loop.time())
-            self._observe_failure(member, exc)
+            self._observe_failure(member, attempt, exc)
             raise
         now = loop.time()
         self._crashes.ran_well(req.fingerprint)
@@ -375,10 +375,15 @@
             stall_ms=int(policy.stall_s * MS_PER_S),
         )
 
-    def _observe_failure(self, member: Member, exc: BaseException) -> None:
+    def _observe_failure(
+        self,
+        member: Member,
+        attempt: '_Attempt',
+        exc: BaseException,
+    ) -> None:
         now = asyncio.get_running_loop().time()
         if isinstance(exc, RequestNotRun):
-            self._chooser.refused(member, 0, now)
+            self._chooser.refused(member, attempt.refused_load_permille, now)
         elif isinstance(exc, RequestUnknown):
             self._chooser.failed(member, now, unreachable=False)
 
@@ -433,6 +438,7 @@
         self._route = route
         self._req = req
         self._upload: asyncio.Task[None] | None = None
+        self.refused_load_permille = 0
 
     async def run(self, opening: ttypes.RequestOpen) -> ttypes.AnswerOpen:
         """Send the request and return the opened answer.
@@ -502,6 +508,7 @@
                 await self._call.send_chunk(part.chunk, end=end)
 
     def _refusal(self, body: ttypes.Refusal) -> Exception:
+        self.refused_load_permille = body.load_permille or 0
         if body.kind == ttypes.RefusalKind.NOT_RUN:
             return RequestNotRun(
                 body.reason or '',
