Health of the target: observed outcomes first, probes only when idle

The node beside a target probes it, nobody else, and only while no request has shown lately how it is. A service whose targets all look unhealthy is still called.

--- a/filbertdrift/daemon.py
+++ b/filbertdrift/daemon.py
@@ -95,6 +95,8 @@
         'distribution': node.distributor.counters,
         'node': node.counters,
         'claims': node.claims.counters,
+        'crashes': node.crashes.counters,
+        'health': node.health.counters,
         'log': node.log.counters,
     }
     for name, source in sources.items():
--- a/filbertdrift/errors.py
+++ b/filbertdrift/errors.py
@@ -64,6 +64,8 @@
 class PeerUnavailable(FilbertdriftError):
     """Another node cannot be reached or broke the connection."""
 
+    exit_code = EXIT_UNAVAILABLE
+
 
 class MalformedMessage(FilbertdriftError):
     """Bytes from another process are not a valid message."""
--- a/filbertdrift/members.py
+++ b/filbertdrift/members.py
@@ -135,8 +135,15 @@
         return list(self._by_domain[domain].values())
 
     def of_service(self, service: str) -> Sequence[Member]:
-        """Return the members with a target of a service that take work."""
-        return list(self._by_service[service].values())
+        """Return the members with a target of a service that take work.
+
+        If none does, those whose targets look unhealthy are better than none.
+        """
+        known = list(self._by_service[service].values())
+        serving = [
+            member for member in known if member.status == MemberStatus.SERVING
+        ]
+        return serving or known
 
     def in_buckets(self, numbers: Iterable[int]) -> Sequence[Member]:
         """Return the members in some buckets, the dead included."""
@@ -162,7 +169,7 @@
             return
         self._forget_at.pop(member.node, None)
         self._by_domain[member.domain][member.node] = member
-        if member.status == MemberStatus.SERVING and member.service:
+        if member.status <= MemberStatus.SERVING and member.service:
             self._by_service[member.service][member.node] = member
         self._toggle(member)
 
--- a/filbertdrift/node.py
+++ b/filbertdrift/node.py
@@ -28,6 +28,7 @@
 )
 from filbertdrift.gate import Gate
 from filbertdrift.gen import ttypes
+from filbertdrift.health import TargetHealth
 from filbertdrift.introduction import Introducer
 from filbertdrift.keeper import ConfigKeeper
 from filbertdrift.keyed import KeyedForwarder
@@ -180,10 +181,12 @@
         self.claims = Claims(log, self.membership, self.links, claim_ttl_s)
         self.keyed = KeyedForwarder(self.forwarder, self.claims)
         self.tracer = tracer or Tracer()
+        self.health = TargetHealth(self._probe_target, self._on_health)
         self.server = TargetServer(
             identity.generation,
             self.tracer,
             self.crashes,
+            self.health,
         )
         self.callers = CallerServer(self)
         self._seeds = seeds
@@ -250,6 +253,7 @@
             self.reader.run(),
             self.introducer.run(),
             self._watch_announcement(),
+            self.health.run(),
         )
 
     async def _try_boot(self) -> bool:
@@ -280,6 +284,7 @@
         self.withdraw()
         self._announced = announcement
         slow_start_s = self._slow_start_s(announcement.service)
+        self.health.reset()
         gate = Gate(
             announcement.slots,
             self._rng,
@@ -385,6 +390,27 @@
             default=0,
         )
 
+    async def _probe_target(self) -> bool:
+        announced = self.server.announced
+        if announced is None:
+            return True
+        paths = (
+            ['']
+            if self.snapshot is None
+            else [
+                found.probe_path
+                for found in self.snapshot.target_sets.values()
+                if found.service == announced.service
+            ]
+        )
+        return await announced.target.is_well(max(paths, default=''))
+
+    def _on_health(self, is_healthy: bool) -> None:
+        if self.server.announced is None or self.is_leaving:
+            return
+        status = MemberStatus.SERVING if is_healthy else MemberStatus.IDLE
+        self.membership.update_me(replace(self.membership.me, status=status))
+
     async def _watch_announcement(self) -> None:
         loop = asyncio.get_running_loop()
         while True:
--- a/filbertdrift/serving.py
+++ b/filbertdrift/serving.py
@@ -20,6 +20,7 @@
 )
 from filbertdrift.gate import Gate
 from filbertdrift.gen import ttypes
+from filbertdrift.health import TargetHealth
 from filbertdrift.link import WINDOW_BYTES, CallStream
 from filbertdrift.target import Exchange, Target, TargetRequest
 from filbertdrift.tracing import Tracer
@@ -65,6 +66,7 @@
         generation: This node's generation; requests for another are refused.
         tracer: Opens a span for each request.
         crashes: Knows which requests crash targets.
+        health: Is told what requests show of the target.
     """
 
     def __init__(
@@ -72,8 +74,10 @@
         generation: int,
         tracer: Tracer,
         crashes: CrashLedger,
+        health: TargetHealth,
     ) -> None:
         """Start without a target."""
+        self._health = health
         self._crashes = crashes
         self._running: dict[CallStream, str] = {}
         self._tracer = tracer
@@ -113,6 +117,7 @@
         announced = self.announced
         if announced is None or not isinstance(exc.__cause__, PeerUnavailable):
             return
+        self._health.failed()
         if announced.is_crashed:
             return
         announced.is_crashed = True
@@ -143,6 +148,7 @@
                 with contextlib.closing(exchange):
                     await _Run(call, req, exchange, gate).run(deadline)
                 announced.is_crashed = False
+                self._health.succeeded()
                 self._crashes.ran_well(req.fingerprint or '')
             self.counters.answered += 1
         finally:
@@ -172,6 +178,7 @@
         try:
             exchange = await announced.target.exchange(request)
         except PeerUnavailable as exc:
+            self._health.failed()
             raise RequestNotRun(
                 exc.reason,
                 come_back_ms=COME_BACK_MS,
--- a/filbertdrift/target.py
+++ b/filbertdrift/target.py
@@ -6,10 +6,12 @@
 from dataclasses import dataclass
 
 from filbertdrift import http1
-from filbertdrift.errors import PeerUnavailable
+from filbertdrift.errors import MalformedMessage, PeerUnavailable
 from filbertdrift.network import split_address
 
 CONNECT_TIMEOUT_S = 1.0
+PROBE_TIMEOUT_S = 1.0
+STATUS_ERROR = 400
 IDLE_REUSE_S = 4.0
 LAST_CHUNK = b'0\r\n\r\n'
 
@@ -100,6 +102,17 @@
     async def is_up(self) -> bool:
         """Tell whether the target accepts a connection now."""
 
+    @abstractmethod
+    async def is_well(self, probe_path: str) -> bool:
+        """Ask the target's health endpoint.
+
+        Args:
+            probe_path: Its path; without one a connection is enough.
+
+        Returns:
+            True if it answered in time with a status below 400.
+        """
+
     @abstractmethod
     def close(self) -> None:
         """Close the kept connections."""
@@ -261,6 +274,29 @@
             return False
         return True
 
+    async def is_well(self, probe_path: str) -> bool:
+        """Ask the target's health endpoint."""
+        if not probe_path:
+            return await self.is_up()
+        host = (b'host', self.address.encode())
+        request = TargetRequest('GET', probe_path, [host], b'', is_whole=True)
+        try:
+            async with asyncio.timeout(PROBE_TIMEOUT_S):
+                return await self._probe(request)
+        except (PeerUnavailable, MalformedMessage, TimeoutError):
+            return False
+
+    async def _probe(self, request: TargetRequest) -> bool:
+        exchange = await self.exchange(request)
+        try:
+            await exchange.send_head()
+            head = await exchange.head()
+            while not (await exchange.part()).end:
+                continue
+        finally:
+            exchange.close()
+        return head.status < STATUS_ERROR
+
     def keep(self, conn: TargetConnection) -> None:
         """Keep a connection for the next exchange."""
         now = asyncio.get_running_loop().time()
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -21,6 +21,7 @@
 from filbertdrift.target import Exchange, Target, TargetRequest
 
 RENEW_S = 2.0
+PROBE_S = 0.006
 CLAIM_TTL_S = 600.0
 CHECKPOINT_INTERVAL_S = 600.0
 
@@ -31,15 +32,17 @@
     try:
         return loop.run_until_complete(coro)
     finally:
-        pending = asyncio.all_tasks(loop)
-        for task in pending:
-            task.cancel()
-        loop.run_until_complete(
-            asyncio.gather(*pending, return_exceptions=True),
-        )
+        loop.run_until_complete(_cancel_others())
         loop.close()
 
 
+async def _cancel_others() -> None:
+    others = asyncio.all_tasks() - {asyncio.current_task()}
+    for task in others:
+        task.cancel()
+    await asyncio.gather(*others, return_exceptions=True)
+
+
 def config_record(
     record_id: str,
     files: Mapping[str, str | None],
@@ -75,6 +78,8 @@
     crashes_on: str = ''
     running: int = 0
     cancelled: int = 0
+    probes: int = 0
+    says_well: bool | None = None
     executions: Counter[str] = field(default_factory=Counter)
 
 
@@ -101,6 +106,14 @@
         """Tell whether the target is up."""
         return self.behaviour.is_up
 
+    async def is_well(self, probe_path: str) -> bool:
+        """Tell what the health endpoint says."""
+        self.behaviour.probes += 1
+        await asyncio.sleep(PROBE_S)
+        if self.behaviour.says_well is not None:
+            return self.behaviour.says_well
+        return self.behaviour.is_up and not self.behaviour.is_silent
+
     def close(self) -> None:
         """Do nothing."""
 
--- /dev/null
+++ b/tests/test_cli.py
@@ -0,0 +1,83 @@
+"""The command line: output, exit codes, messages."""
+
+import contextlib
+import io
+import json
+import tempfile
+from pathlib import Path
+
+from testtools import TestCase
+from testtools.matchers import Contains, Equals
+
+from filbertdrift import cli
+from filbertdrift.errors import (
+    EXIT_OK,
+    EXIT_REFUSED,
+    EXIT_UNAVAILABLE,
+    EXIT_USAGE,
+)
+
+EXAMPLES = Path(__file__).parent.parent / 'examples'
+
+
+class CliTest(TestCase):
+    """Runs commands in this process."""
+
+    def run_cli(self, *words: str) -> tuple[int, str, str]:
+        """Return exit code, output and errors of a command."""
+        out, err = io.StringIO(), io.StringIO()
+        with (
+            contextlib.redirect_stdout(out),
+            contextlib.redirect_stderr(err),
+        ):
+            code = cli.run(words)
+        return code, out.getvalue(), err.getvalue()
+
+    def check_text(self, text: str) -> tuple[int, str, str]:
+        """Check a folder with one file."""
+        with tempfile.TemporaryDirectory() as folder:
+            (Path(folder) / 'a.ini').write_text(text)
+            return self.run_cli('check', folder)
+
+    def test_examples_are_valid(self) -> None:
+        for name in ('etiketa', 'roadbook'):
+            code, out, _ = self.run_cli('--json', 'check', str(EXAMPLES / name))
+            self.assertThat(code, Equals(EXIT_OK))
+            self.assertThat(json.loads(out)['routes'], Equals(5))
+
+    def test_message_names_file_section_key_and_mend(self) -> None:
+        code, _, err = self.check_text(
+            '[route r]\npath = no-slash\ntargts = t\npolicy = p\n'
+            '[targets t]\nservice = s\n[policy p]\ntimeout_ms = soon\n',
+        )
+        self.assertThat(code, Equals(EXIT_REFUSED))
+        for part in (
+            'a.ini [route r] path:',
+            "a.ini [route r] targts: unknown key; did you mean 'targets'?",
+            'a.ini [policy p] timeout_ms:',
+            "got 'soon'",
+        ):
+            self.assertThat(err, Contains(part))
+
+    def test_dangling_reference(self) -> None:
+        code, _, err = self.check_text(
+            '[route r]\npath = /x\ntargets = desk\npolicy = p\n'
+            '[targets desks]\nservice = s\n[policy p]\n',
+        )
+        self.assertThat(code, Equals(EXIT_REFUSED))
+        self.assertThat(err, Contains("did you mean 'desks'?"))
+
+    def test_node_that_does_not_answer(self) -> None:
+        code, _, err = self.run_cli('status', '--admin', '127.0.0.1:9')
+        self.assertThat(code, Equals(EXIT_UNAVAILABLE))
+        self.assertThat(err, Contains('127.0.0.1:9'))
+
+    def test_missing_settings(self) -> None:
+        code, _, err = self.run_cli('node', '/nowhere/node.ini')
+        self.assertThat(code, Equals(EXIT_USAGE))
+        self.assertThat(err, Contains('/nowhere/node.ini'))
+
+    def test_missing_file_to_publish(self) -> None:
+        code, _, err = self.run_cli('publish', '/nowhere/a.ini')
+        self.assertThat(code, Equals(EXIT_REFUSED))
+        self.assertThat(err, Contains('/nowhere/a.ini'))
--- /dev/null
+++ b/tests/test_gate.py
@@ -0,0 +1,144 @@
+"""The gate: slots, deadlines, importance, fairness."""
+
+import asyncio
+import random
+from collections import Counter
+
+from testtools import TestCase
+from testtools.matchers import Equals, GreaterThan, LessThan
+
+from filbertdrift.errors import RequestNotRun
+from filbertdrift.gate import BULK, QUEUE_PER_SLOT, Gate
+from tests.builders import run_virtual
+
+CRITICAL, NORMAL = 0, 1
+
+
+class GateTest(TestCase):
+    """Requests compete for a few slots on virtual time."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.outcomes: Counter[str] = Counter()
+        self.most_running = 0
+
+    async def request(
+        self,
+        gate: Gate,
+        name: str,
+        importance: int = NORMAL,
+        timeout_s: float = 10,
+        work_s: float = 0.1,
+    ) -> None:
+        """Pass one request through a gate."""
+        loop = asyncio.get_running_loop()
+        try:
+            await gate.admit(importance, name, loop.time() + timeout_s)
+        except RequestNotRun:
+            self.outcomes[f'{name} refused'] += 1
+            return
+        self.most_running = max(self.most_running, gate.running)
+        await asyncio.sleep(work_s)
+        gate.release(importance, work_s)
+        self.outcomes[name] += 1
+
+    def test_keeps_to_slots_and_answers_all(self) -> None:
+        async def case() -> None:
+            gate = Gate(4, random.Random(1))
+            await asyncio.gather(*(self.request(gate, 'a') for _ in range(20)))
+            self.assertThat(gate.running, Equals(0))
+            self.assertThat(gate.waiting, Equals(0))
+
+        run_virtual(case())
+        self.assertThat(self.most_running, Equals(4))
+        self.assertThat(self.outcomes['a'], Equals(20))
+
+    def test_sheds_bulk_for_critical(self) -> None:
+        async def case() -> None:
+            gate = Gate(2, random.Random(1))
+            bulk = [self.request(gate, 'bulk', BULK) for _ in range(12)]
+            first = asyncio.gather(*bulk)
+            await asyncio.sleep(0.01)
+            last = [self.request(gate, 'critical', CRITICAL) for _ in range(6)]
+            await asyncio.gather(first, *last)
+
+        run_virtual(case())
+        self.assertThat(self.outcomes['critical'], Equals(6))
+        self.assertThat(self.outcomes['bulk refused'], GreaterThan(3))
+
+    def test_bulk_leaves_slots_free(self) -> None:
+        async def case() -> None:
+            gate = Gate(4, random.Random(1))
+            bulk = [
+                self.request(gate, 'bulk', BULK, work_s=5) for _ in range(8)
+            ]
+            running = asyncio.gather(*bulk)
+            await asyncio.sleep(0.01)
+            began = asyncio.get_running_loop().time()
+            await self.request(gate, 'lookup')
+            waited = asyncio.get_running_loop().time() - began
+            self.assertThat(waited, LessThan(0.2))
+            running.cancel()
+
+        run_virtual(case())
+
+    def test_fair_between_customers(self) -> None:
+        async def case() -> None:
+            gate = Gate(2, random.Random(1))
+            many = [self.request(gate, 'greedy') for _ in range(60)]
+            crowd = asyncio.gather(*many)
+            await asyncio.sleep(0.01)
+            await asyncio.gather(*(self.request(gate, 'b') for _ in range(3)))
+            await crowd
+
+        run_virtual(case())
+        self.assertThat(self.outcomes['b'], Equals(3))
+        queue = 2 * QUEUE_PER_SLOT
+        self.assertThat(self.outcomes['greedy'], LessThan(2 + queue + 1))
+
+    def test_refuses_what_cannot_meet_its_deadline(self) -> None:
+        async def case() -> None:
+            gate = Gate(1, random.Random(1))
+            await self.request(gate, 'warm', work_s=1)
+            await asyncio.gather(
+                *(
+                    self.request(gate, 'late', timeout_s=1.2, work_s=1)
+                    for _ in range(4)
+                ),
+            )
+            self.assertThat(gate.waiting, Equals(0))
+
+        run_virtual(case())
+        self.assertThat(self.outcomes['late'], LessThan(3))
+
+    def test_cancelled_waiters_leave_no_trace(self) -> None:
+        async def case() -> None:
+            gate = Gate(1, random.Random(1))
+            tasks = [
+                asyncio.ensure_future(self.request(gate, str(number % 3)))
+                for number in range(5)
+            ]
+            await asyncio.sleep(0.05)
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+            self.assertThat(gate.waiting, Equals(0))
+            gate.release(NORMAL, 0.1)
+            await self.request(gate, 'after')
+
+        run_virtual(case())
+        self.assertThat(self.outcomes['after'], Equals(1))
+
+    def test_times_to_come_back_are_spread(self) -> None:
+        async def case() -> set[int]:
+            gate = Gate(1, random.Random(1))
+            gate.drain()
+            found = set()
+            for _ in range(50):
+                try:
+                    await gate.admit(NORMAL, 'a', 1e9)
+                except RequestNotRun as exc:
+                    found.add(exc.come_back_ms)
+            return found
+
+        self.assertThat(len(run_virtual(case())), GreaterThan(20))
--- /dev/null
+++ b/tests/test_health.py
@@ -0,0 +1,109 @@
+"""Health of targets: observed outcomes before what endpoints say."""
+
+import asyncio
+
+from testtools import TestCase
+from testtools.matchers import Equals, GreaterThan, LessThan
+
+from filbertdrift.errors import FilbertdriftError
+from filbertdrift.members import MemberStatus
+from tests.builders import Fleet, run_virtual, small_fleet
+
+
+class HealthTest(TestCase):
+    """Targets that fail, lie or recover."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.errors: list[str] = []
+
+    async def calls(self, fleet: Fleet, count: int) -> int:
+        """Call the service desk; return how many calls were answered."""
+        answered = 0
+        for number in range(count):
+            try:
+                answer = await fleet.call('b-1:7000', f'/desk/{number}')
+                await answer.part(1)
+                answer.close()
+            except FilbertdriftError as exc:
+                self.errors.append(str(exc))
+            else:
+                answered += 1
+        return answered
+
+    def status(self, fleet: Fleet, node: str) -> MemberStatus:
+        """Return how another node sees a member."""
+        found = fleet.places['c-1:7000'].node.membership.table.get(node)
+        return found.status if found else MemberStatus.DEAD
+
+    def test_dead_target_leaves_and_returns(self) -> None:
+        async def case() -> None:
+            fleet = await small_fleet(seed=61)
+            behaviour = fleet.places['a-0:7000'].behaviour
+            behaviour.is_up = False
+            await asyncio.sleep(9)
+            self.assertThat(
+                self.status(fleet, 'a-0:7000'),
+                Equals(MemberStatus.IDLE),
+            )
+            behaviour.is_up = True
+            await asyncio.sleep(3)
+            self.assertThat(
+                self.status(fleet, 'a-0:7000'),
+                Equals(MemberStatus.SERVING),
+            )
+
+        run_virtual(case())
+
+    def test_working_target_is_believed_over_its_endpoint(self) -> None:
+        async def case() -> None:
+            fleet = await small_fleet(seed=62)
+            for place in fleet.places.values():
+                place.behaviour.says_well = False
+            for _ in range(20):
+                self.assertThat(await self.calls(fleet, 15), Equals(15))
+                await asyncio.sleep(0.1)
+            busy = [
+                place
+                for place in fleet.places.values()
+                if place.behaviour.executions
+            ]
+            for place in busy:
+                self.assertTrue(place.node.health.is_healthy)
+
+        run_virtual(case())
+
+    def test_service_whose_endpoints_all_lie_is_still_called(self) -> None:
+        async def case() -> None:
+            fleet = await small_fleet(seed=65)
+            for place in fleet.places.values():
+                place.behaviour.says_well = False
+            await asyncio.sleep(30)
+            self.assertThat(await self.calls(fleet, 20), Equals(20))
+
+        run_virtual(case())
+
+    def test_lying_endpoint_does_not_bring_work(self) -> None:
+        async def case() -> None:
+            fleet = await small_fleet(seed=63)
+            liar = fleet.places['b-0:7000'].behaviour
+            liar.is_up = False
+            liar.says_well = True
+            await self.calls(fleet, 30)
+            self.assertThat(await self.calls(fleet, 100), GreaterThan(97))
+
+        run_virtual(case())
+
+    def test_busy_targets_are_not_probed(self) -> None:
+        async def case() -> None:
+            fleet = await small_fleet(seed=64)
+            place = fleet.places['a-3:7000']
+            place.behaviour.probes = 0
+            for _ in range(100):
+                answer = await fleet.call('a-0:7000', '/ledger/x')
+                await answer.part(1)
+                answer.close()
+                await asyncio.sleep(0.1)
+            self.assertThat(place.behaviour.probes, LessThan(2))
+
+        run_virtual(case())
--- /dev/null
+++ b/tests/test_log.py
@@ -0,0 +1,118 @@
+"""The log: its twin in memory and the stand-in over HTTP behave alike."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+import uvicorn
+from litestar import Litestar
+from litestar.datastructures import State
+from testtools import TestCase
+from testtools.matchers import Equals
+
+from filbertdrift.errors import LogAnswerLost, LogUnavailable
+from filbertdrift.log import LAST_RECORD, HttpLog, Log, MemoryLog
+from standins import log_server
+from tests.sockets import free_port
+
+Case = Callable[[Log, Callable[[bool, int], None]], Awaitable[None]]
+
+
+class LogTest(TestCase):
+    """Every case runs against both."""
+
+    def run_both(self, case: Case) -> None:
+        """Run a case against the twin and the stand-in."""
+        asyncio.run(self._in_memory(case))
+        asyncio.run(self._over_http(case))
+
+    async def _in_memory(self, case: Case) -> None:
+        log = MemoryLog(0)
+
+        def switch(down: bool, lost: int) -> None:
+            log.is_down = down
+            log.lost_answers = lost
+
+        await case(log, switch)
+
+    async def _over_http(self, case: Case) -> None:
+        port = free_port()
+        store = log_server.StreamStore(3600, 1000)
+        app = Litestar(
+            [log_server.append, log_server.read],
+            state=State({'store': store}),
+            logging_config=None,
+        )
+        config = uvicorn.Config(
+            app,
+            port=port,
+            log_config=None,
+            lifespan='off',
+        )
+        server = uvicorn.Server(config)
+        serving = asyncio.create_task(server.serve())
+        while not server.started:
+            await asyncio.sleep(0.01)
+
+        def switch(down: bool, lost: int) -> None:
+            store.faults = log_server.Faults(down=down, lost_answers=lost)
+
+        log = HttpLog(f'http://127.0.0.1:{port}')
+        try:
+            await case(log, switch)
+        finally:
+            await log.close()
+            server.should_exit = True
+            await serving
+
+    def test_append_and_read(self) -> None:
+        async def case(
+            log: Log,
+            switch: Callable[[bool, int], None],
+        ) -> None:
+            for number in range(3):
+                offset = await log.append('s', b'record %d' % number)
+                self.assertThat(offset, Equals(number))
+            page = await log.read('s', 1)
+            found = [record.payload for record in page.records]
+            self.assertThat(found, Equals([b'record 1', b'record 2']))
+            last = await log.read('s', LAST_RECORD)
+            self.assertThat(last.records[0].offset, Equals(2))
+            self.assertThat(last.next_offset, Equals(3))
+
+        self.run_both(case)
+
+    def test_long_poll_wakes(self) -> None:
+        async def case(
+            log: Log,
+            switch: Callable[[bool, int], None],
+        ) -> None:
+            waiting = asyncio.create_task(log.read('s', 0, 30))
+            await asyncio.sleep(0.05)
+            await log.append('s', b'woken')
+            page = await waiting
+            self.assertThat(page.records[0].payload, Equals(b'woken'))
+
+        self.run_both(case)
+
+    def test_faults(self) -> None:
+        async def case(
+            log: Log,
+            switch: Callable[[bool, int], None],
+        ) -> None:
+            switch(True, 0)
+            error = await self._error(log)
+            self.assertThat(type(error), Equals(LogUnavailable))
+            switch(False, 1)
+            error = await self._error(log)
+            self.assertThat(type(error), Equals(LogAnswerLost))
+            page = await log.read('s', 0)
+            self.assertThat(len(page.records), Equals(1))
+
+        self.run_both(case)
+
+    async def _error(self, log: Log) -> BaseException | None:
+        try:
+            await log.append('s', b'x')
+        except LogUnavailable as exc:
+            return exc
+        return None
