The bytes profile tells one member more

Cause: its 99th percentile of convergence waited for the heartbeat's repair, because two notices reach too few members; the idle rate, which does not depend on the fanout, is most of its bytes.

--- a/filbertdrift/admin.py
+++ b/filbertdrift/admin.py
@@ -8,6 +8,7 @@
 from litestar import Litestar, Response, get, post
 from litestar.datastructures import State
 from litestar.exceptions import HTTPException
+from litestar.params import FromPath, FromQuery
 from pydantic import BaseModel, ConfigDict, Field
 
 from filbertdrift.errors import LogAnswerLost, LogUnavailable
@@ -159,7 +160,7 @@
 
 
 @get('/fleet')
-async def fleet(state: State, offset: int = 0) -> FleetReport:
+async def fleet(state: State, offset: FromQuery[int] = 0) -> FleetReport:
     """Ping every node and return which configuration each has in force."""
     return await report_fleet(state['node'], offset)
 
@@ -172,13 +173,17 @@
 
 
 @get('/targets')
-async def targets(state: State, service: str = '') -> list[TargetReport]:
+async def targets(
+    state: State, service: FromQuery[str] = ''
+) -> list[TargetReport]:
     """Return why each target gets work from this node or does not."""
     return explain_targets(state['node'], service)
 
 
 @get('/requests/{request_id:str}')
-async def request_report(state: State, request_id: str) -> RequestReport:
+async def request_report(
+    state: State, request_id: FromPath[str]
+) -> RequestReport:
     """Return what became of one request that entered at this node."""
     return explain_request(state['node'], request_id)
 
--- a/filbertdrift/profile.py
+++ b/filbertdrift/profile.py
@@ -34,7 +34,7 @@
     'bytes': Profile(
         heartbeat_s=2.0,
         domain_ping_s=4.0,
-        fanout=2,
+        fanout=3,
         far_fanout=1,
         pushes_records=False,
     ),
--- a/standins/log_server.py
+++ b/standins/log_server.py
@@ -9,6 +9,7 @@
 from litestar import Litestar, Request, get, post
 from litestar.datastructures import State
 from litestar.exceptions import HTTPException
+from litestar.params import FromPath, FromQuery
 from pydantic import BaseModel
 
 from filbertdrift.log import LogRecord, MemoryStream, page_of
@@ -155,7 +156,9 @@
 
 
 @post('/streams/{name:str}', status_code=201)
-async def append(name: str, request: Request, state: State) -> Appended:
+async def append(
+    name: FromPath[str], request: Request, state: State
+) -> Appended:
     """Append the body as one record."""
     payload = await request.body()
     return Appended(offset=await state['store'].append(name, payload))
@@ -163,10 +166,10 @@
 
 @get('/streams/{name:str}')
 async def read(
-    name: str,
+    name: FromPath[str],
     state: State,
-    offset: int = 0,
-    wait_ms: int = 0,
+    offset: FromQuery[int] = 0,
+    wait_ms: FromQuery[int] = 0,
 ) -> PageBody:
     """Return records, waiting for the next one if asked to."""
     store: StreamStore = state['store']
