Nodes that started apart find each other; crash notices are repaired

Cause of 503 for all lab-ledger requests in a deployment: nodes 4 and 5 started before any of their seeds was up, found nobody and never asked again, so two fleets ran side by side. Ruled out: health (all targets well), ejection. Nodes now ask seeds that are not members, from 1 s to 60 s apart; the first-ranked node of a domain reads the introductions each 30 s and meets strangers.

Cause of a third crash in the poison trace: one node missed a notice, and notices were not repaired. They now have a digest on heartbeats, which is left out while there are none.

Cause of 95 of 120 answered in the outcomes trace: a target that went silent kept its old good latency and got a third of the calls. The time a target keeps calls waiting now counts as its latency.

Callers' connections stay open after a refusal whose request was read whole.

--- a/filbertdrift/caller.py
+++ b/filbertdrift/caller.py
@@ -176,6 +176,7 @@
         self._messages = http1.RequestReader(reader, 'caller')
         self._is_closing = False
         self._is_idle = False
+        self._has_read_body = False
         self._task = asyncio.current_task()
 
     async def run(self) -> None:
@@ -213,6 +214,7 @@
 
     async def _next_head(self) -> RequestHead | None:
         self._is_idle = True
+        self._has_read_body = False
         try:
             async with asyncio.timeout(IDLE_TIMEOUT_S):
                 return await self._messages.head()
@@ -262,9 +264,15 @@
             self._writer.write(_CONTINUE)
         async with asyncio.timeout(FIRST_CHUNK_TIMEOUT_S):
             first = await self._first_part()
-        req = entry_request(route, head, first, self._messages.part)
+        self._has_read_body = first.end
+        req = entry_request(route, head, first, self._read_body)
         return await self._handler.forward(snapshot, route, req)
 
+    async def _read_body(self) -> BodyPart:
+        part = await self._messages.part()
+        self._has_read_body = part.end
+        return part
+
     async def _first_part(self) -> BodyPart:
         part = await self._messages.part()
         chunks = [part.chunk]
@@ -357,7 +365,7 @@
             (REASON_HEADER, _header_safe(reason)),
             *(extra or ()),
         ]
-        if not self._messages.parsed().end:
+        if not self._has_read_body and not self._messages.parsed().end:
             self._is_closing = True
         self._end_headers(head, headers)
         body = b'' if head.method == 'HEAD' else text
--- a/filbertdrift/chooser.py
+++ b/filbertdrift/chooser.py
@@ -32,6 +32,7 @@
     generation: int
     first_seen_at: float
     in_flight: int = 0
+    heard_at: float = 0.0
     load_permille: int = 0
     load_at: float = 0.0
     latency_s: float = 0.0
@@ -85,7 +86,10 @@
 
     def began(self, member: Member, now: float) -> None:
         """Note that a request was sent to a target."""
-        self._seen(member, now).in_flight += 1
+        seen = self._seen(member, now)
+        if not seen.in_flight:
+            seen.heard_at = now
+        seen.in_flight += 1
 
     def ended(self, member: Member, now: float) -> None:
         """Note that a request to a target is over."""
@@ -103,6 +107,7 @@
         seen = self._seen(member, now)
         seen.load_permille = load_permille
         seen.load_at = now
+        seen.heard_at = now
         seen.failures = 0
         seen.ejections = 0
         seen.ejected_until = 0
@@ -192,9 +197,17 @@
         return max(load, own) + penalty
 
     def _cost(self, member: Member, now: float) -> float:
-        """Return the load times the latency seen; unseen targets are cheap."""
+        """Return the load times the latency seen; unseen targets are cheap.
+
+        A target that keeps requests waiting longer than it used to counts
+        with that longer time.
+        """
         seen = self._observed.get(member.node)
-        latency_s = seen.latency_s if seen else 0
+        if seen is None:
+            return 0
+        latency_s = seen.latency_s
+        if seen.in_flight:
+            latency_s = max(latency_s, now - seen.heard_at)
         return (self._score(member, now) + IDLE_COST_PERMILLE) * latency_s
 
     def _seen(self, member: Member, now: float) -> Observed:
--- a/filbertdrift/crashes.py
+++ b/filbertdrift/crashes.py
@@ -11,7 +11,7 @@
 import itertools
 import random
 from collections import OrderedDict
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Collection, Iterable, Sequence
 from dataclasses import dataclass, field
 
 from filbertdrift.errors import RequestNotRun
@@ -21,10 +21,12 @@
 CONDEMNED_S = 600.0
 COME_BACK_SPREAD = 0.2
 MARKS_KEPT = 4096
-NOTICES_KEPT = 4096
+NOTICES_KEPT = 512
+SEEN_KEPT = 8192
 WELL_KEPT = 8192
 NOTICE_FINGERPRINTS = 16
 MS_PER_S = 1000
+DIGEST_BYTES = 7
 _HASH_BYTES = 12
 
 OnNotice = Callable[[object], None]
@@ -47,6 +49,14 @@
     refused: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class _KeptNotice:
+    """A notice and when it may be forgotten."""
+
+    notice: ttypes.CrashNotice
+    expires_at: float
+
+
 class CrashLedger:
     """Which requests crash targets, in bounded memory.
 
@@ -61,9 +71,11 @@
         self.on_notice: OnNotice = _ignore_notice
         self._node = node
         self._rng = rng
+        self._digest = 0
         self._numbers = itertools.count(1)
         self._marks: OrderedDict[str, Marks] = OrderedDict()
-        self._noticed: OrderedDict[str, None] = OrderedDict()
+        self._notices: OrderedDict[str, _KeptNotice] = OrderedDict()
+        self._seen: OrderedDict[str, None] = OrderedDict()
         self._ran_well: OrderedDict[str, None] = OrderedDict()
 
     def check(self, name: str) -> None:
@@ -116,17 +128,39 @@
 
     def on_peer_notice(self, notice: ttypes.CrashNotice) -> None:
         """Take over what another node saw, and pass it on once."""
-        if notice.crash_id in self._noticed:
+        if notice.crash_id in self._seen:
             return
         self._take(notice)
         self.on_notice(notice)
 
+    def digest(self) -> int:
+        """Return a digest of the notices kept, zero if there are none."""
+        return self._digest
+
+    def known_ids(self) -> Sequence[str]:
+        """Return the notices kept, the newest last."""
+        return list(self._notices)
+
+    def notices_beyond(
+        self,
+        known_ids: Collection[str],
+    ) -> Sequence[ttypes.CrashNotice]:
+        """Return the notices that another node does not know."""
+        return [
+            kept.notice
+            for crash_id, kept in self._notices.items()
+            if crash_id not in known_ids
+        ]
+
     def forget_expired(self) -> None:
         """Drop marks whose time is over."""
         now = asyncio.get_running_loop().time()
         for name, marks in list(self._marks.items()):
             if now >= marks.expires_at:
                 self._marks.pop(name)
+        for crash_id, kept in list(self._notices.items()):
+            if now >= kept.expires_at:
+                self._forget_notice(crash_id)
 
     def condemned(self) -> Sequence[str]:
         """Return the fingerprints that are refused."""
@@ -148,15 +182,27 @@
             self.on_notice(notice)
 
     def _take(self, notice: ttypes.CrashNotice) -> None:
-        self._noticed[notice.crash_id] = None
-        if len(self._noticed) > NOTICES_KEPT:
-            self._noticed.popitem(last=False)
+        self._keep(notice)
         names = notice.fingerprints or ()
         if notice.cleared:
             self._clear(names)
         else:
             self._mark(notice.crash_id, names)
 
+    def _keep(self, notice: ttypes.CrashNotice) -> None:
+        now = asyncio.get_running_loop().time()
+        self._seen[notice.crash_id] = None
+        if len(self._seen) > SEEN_KEPT:
+            self._seen.popitem(last=False)
+        self._notices[notice.crash_id] = _KeptNotice(notice, now + CONDEMNED_S)
+        self._digest ^= _hash_of(notice.crash_id)
+        if len(self._notices) > NOTICES_KEPT:
+            self._forget_notice(next(iter(self._notices)))
+
+    def _forget_notice(self, crash_id: str) -> None:
+        self._notices.pop(crash_id)
+        self._digest ^= _hash_of(crash_id)
+
     def _mark(self, crash_id: str, names: Iterable[str]) -> None:
         now = asyncio.get_running_loop().time()
         for name in names:
@@ -184,5 +230,10 @@
     return hashlib.blake2b(raw, digest_size=_HASH_BYTES).hexdigest()
 
 
+def _hash_of(crash_id: str) -> int:
+    raw = hashlib.blake2b(crash_id.encode(), digest_size=DIGEST_BYTES).digest()
+    return int.from_bytes(raw, 'big')
+
+
 def _ignore_notice(notice: object) -> None:
     """Do nothing."""
--- a/filbertdrift/gen/ttypes.py
+++ b/filbertdrift/gen/ttypes.py
@@ -247,6 +247,7 @@
      - config_offset
      - config_digest
      - members_digest
+     - crashes_digest
 
     """
 
@@ -254,13 +255,15 @@
         'config_offset',
         'config_digest',
         'members_digest',
+        'crashes_digest',
     )
 
 
-    def __init__(self, config_offset=None, config_digest=None, members_digest=None,):
+    def __init__(self, config_offset=None, config_digest=None, members_digest=None, crashes_digest=None,):
         self.config_offset = config_offset
         self.config_digest = config_digest
         self.members_digest = members_digest
+        self.crashes_digest = crashes_digest
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -286,6 +289,11 @@
                     self.members_digest = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.crashes_digest = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -308,6 +316,10 @@
             oprot.writeFieldBegin('members_digest', TType.I64, 3)
             oprot.writeI64(self.members_digest)
             oprot.writeFieldEnd()
+        if self.crashes_digest is not None:
+            oprot.writeFieldBegin('crashes_digest', TType.I64, 4)
+            oprot.writeI64(self.crashes_digest)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2140,6 +2152,161 @@
         return not (self == other)
 
 
+class SyncCrashes(object):
+    """
+    Asks for the crash notices that the sender does not know.
+
+    Attributes:
+     - known_ids
+
+    """
+
+    __slots__ = (
+        'known_ids',
+    )
+
+
+    def __init__(self, known_ids=None,):
+        self.known_ids = known_ids
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.known_ids = []
+                    (_etype80, _size77) = iprot.readListBegin()
+                    for _i81 in range(_size77):
+                        _elem82 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.known_ids.append(_elem82)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('SyncCrashes')
+        if self.known_ids is not None:
+            oprot.writeFieldBegin('known_ids', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRING, len(self.known_ids))
+            for iter83 in self.known_ids:
+                oprot.writeString(iter83.encode('utf-8') if sys.version_info[0] == 2 else iter83)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class CrashesDelta(object):
+    """
+    Attributes:
+     - notices
+
+    """
+
+    __slots__ = (
+        'notices',
+    )
+
+
+    def __init__(self, notices=None,):
+        self.notices = notices
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.notices = []
+                    (_etype87, _size84) = iprot.readListBegin()
+                    for _i88 in range(_size84):
+                        _elem89 = CrashNotice()
+                        _elem89.read(iprot)
+                        self.notices.append(_elem89)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('CrashesDelta')
+        if self.notices is not None:
+            oprot.writeFieldBegin('notices', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRUCT, len(self.notices))
+            for iter90 in self.notices:
+                iter90.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Header(object):
     """
     Attributes:
@@ -2301,11 +2468,11 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.headers = []
-                    (_etype80, _size77) = iprot.readListBegin()
-                    for _i81 in range(_size77):
-                        _elem82 = Header()
-                        _elem82.read(iprot)
-                        self.headers.append(_elem82)
+                    (_etype94, _size91) = iprot.readListBegin()
+                    for _i95 in range(_size91):
+                        _elem96 = Header()
+                        _elem96.read(iprot)
+                        self.headers.append(_elem96)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2352,10 +2519,10 @@
             elif fid == 12:
                 if ftype == TType.LIST:
                     self.refusal_statuses = []
-                    (_etype86, _size83) = iprot.readListBegin()
-                    for _i87 in range(_size83):
-                        _elem88 = iprot.readI32()
-                        self.refusal_statuses.append(_elem88)
+                    (_etype100, _size97) = iprot.readListBegin()
+                    for _i101 in range(_size97):
+                        _elem102 = iprot.readI32()
+                        self.refusal_statuses.append(_elem102)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2395,8 +2562,8 @@
         if self.headers is not None:
             oprot.writeFieldBegin('headers', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.headers))
-            for iter89 in self.headers:
-                iter89.write(oprot)
+            for iter103 in self.headers:
+                iter103.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.remaining_ms is not None:
@@ -2434,8 +2601,8 @@
         if self.refusal_statuses is not None:
             oprot.writeFieldBegin('refusal_statuses', TType.LIST, 12)
             oprot.writeListBegin(TType.I32, len(self.refusal_statuses))
-            for iter90 in self.refusal_statuses:
-                oprot.writeI32(iter90)
+            for iter104 in self.refusal_statuses:
+                oprot.writeI32(iter104)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.generation is not None:
@@ -2667,11 +2834,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.headers = []
-                    (_etype94, _size91) = iprot.readListBegin()
-                    for _i95 in range(_size91):
-                        _elem96 = Header()
-                        _elem96.read(iprot)
-                        self.headers.append(_elem96)
+                    (_etype108, _size105) = iprot.readListBegin()
+                    for _i109 in range(_size105):
+                        _elem110 = Header()
+                        _elem110.read(iprot)
+                        self.headers.append(_elem110)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2707,8 +2874,8 @@
         if self.headers is not None:
             oprot.writeFieldBegin('headers', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.headers))
-            for iter97 in self.headers:
-                iter97.write(oprot)
+            for iter111 in self.headers:
+                iter111.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.body is not None:
@@ -3174,11 +3341,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.entries = []
-                    (_etype101, _size98) = iprot.readListBegin()
-                    for _i102 in range(_size98):
-                        _elem103 = ClaimEntry()
-                        _elem103.read(iprot)
-                        self.entries.append(_elem103)
+                    (_etype115, _size112) = iprot.readListBegin()
+                    for _i116 in range(_size112):
+                        _elem117 = ClaimEntry()
+                        _elem117.read(iprot)
+                        self.entries.append(_elem117)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3199,8 +3366,8 @@
         if self.entries is not None:
             oprot.writeFieldBegin('entries', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.entries))
-            for iter104 in self.entries:
-                iter104.write(oprot)
+            for iter118 in self.entries:
+                iter118.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3399,6 +3566,8 @@
      - members_delta
      - claim_ask
      - claim_verdict
+     - sync_crashes
+     - crashes_delta
 
     """
 
@@ -3417,10 +3586,12 @@
         'members_delta',
         'claim_ask',
         'claim_verdict',
+        'sync_crashes',
+        'crashes_delta',
     )
 
 
-    def __init__(self, call_id=None, request_open=None, body_chunk=None, credit=None, answer_open=None, refusal=None, cancel=None, keep_alive=None, pull_config=None, config_delta=None, sync_members=None, members_delta=None, claim_ask=None, claim_verdict=None,):
+    def __init__(self, call_id=None, request_open=None, body_chunk=None, credit=None, answer_open=None, refusal=None, cancel=None, keep_alive=None, pull_config=None, config_delta=None, sync_members=None, members_delta=None, claim_ask=None, claim_verdict=None, sync_crashes=None, crashes_delta=None,):
         self.call_id = call_id
         self.request_open = request_open
         self.body_chunk = body_chunk
@@ -3435,6 +3606,8 @@
         self.members_delta = members_delta
         self.claim_ask = claim_ask
         self.claim_verdict = claim_verdict
+        self.sync_crashes = sync_crashes
+        self.crashes_delta = crashes_delta
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3528,6 +3701,18 @@
                     self.claim_verdict.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 15:
+                if ftype == TType.STRUCT:
+                    self.sync_crashes = SyncCrashes()
+                    self.sync_crashes.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 16:
+                if ftype == TType.STRUCT:
+                    self.crashes_delta = CrashesDelta()
+                    self.crashes_delta.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3594,6 +3779,14 @@
             oprot.writeFieldBegin('claim_verdict', TType.STRUCT, 14)
             self.claim_verdict.write(oprot)
             oprot.writeFieldEnd()
+        if self.sync_crashes is not None:
+            oprot.writeFieldBegin('sync_crashes', TType.STRUCT, 15)
+            self.sync_crashes.write(oprot)
+            oprot.writeFieldEnd()
+        if self.crashes_delta is not None:
+            oprot.writeFieldBegin('crashes_delta', TType.STRUCT, 16)
+            self.crashes_delta.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3636,6 +3829,7 @@
     (1, TType.I64, 'config_offset', None, None, ),  # 1
     (2, TType.STRING, 'config_digest', 'BINARY', None, ),  # 2
     (3, TType.I64, 'members_digest', None, None, ),  # 3
+    (4, TType.I64, 'crashes_digest', None, None, ),  # 4
 )
 all_structs.append(Ping)
 Ping.thrift_spec = (
@@ -3765,6 +3959,16 @@
     (1, TType.LIST, 'entries', (TType.STRUCT, [MemberEntry, None], False), None, ),  # 1
     (2, TType.I32, 'come_back_ms', None, None, ),  # 2
 )
+all_structs.append(SyncCrashes)
+SyncCrashes.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'known_ids', (TType.STRING, 'UTF8', False), None, ),  # 1
+)
+all_structs.append(CrashesDelta)
+CrashesDelta.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'notices', (TType.STRUCT, [CrashNotice, None], False), None, ),  # 1
+)
 all_structs.append(Header)
 Header.thrift_spec = (
     None,  # 0
@@ -3873,6 +4077,8 @@
     (12, TType.STRUCT, 'members_delta', [MembersDelta, None], None, ),  # 12
     (13, TType.STRUCT, 'claim_ask', [ClaimAsk, None], None, ),  # 13
     (14, TType.STRUCT, 'claim_verdict', [ClaimVerdict, None], None, ),  # 14
+    (15, TType.STRUCT, 'sync_crashes', [SyncCrashes, None], None, ),  # 15
+    (16, TType.STRUCT, 'crashes_delta', [CrashesDelta, None], None, ),  # 16
 )
 fix_spec(all_structs)
 del all_structs
--- a/filbertdrift/introduction.py
+++ b/filbertdrift/introduction.py
@@ -19,6 +19,9 @@
 JOINED_NODES = 3
 CHECK_S = 5.0
 REFRESH_S = 600.0
+READ_S = 30.0
+FIRST_REJOIN_S = 1.0
+MAX_REJOIN_S = 60.0
 LOOK_BACK_RECORDS = 60
 
 
@@ -28,6 +31,7 @@
     Args:
         log: The platform's log.
         membership: The other nodes.
+        seeds: Nodes from the settings.
         rng: Spreads times.
     """
 
@@ -35,42 +39,74 @@
         self,
         log: Log,
         membership: Membership,
+        seeds: Sequence[str],
         rng: random.Random,
     ) -> None:
         """Start without having introduced anybody."""
+        self._seeds = seeds
         self._log = log
         self._membership = membership
         self._rng = rng
         self._introduced: list[str] = []
         self._refresh_at = 0.0
+        self._read_at = 0.0
 
-    async def join(self, seeds: Sequence[str]) -> int:
+    async def join(self) -> int:
         """Join the members that the seeds know, or those the log names.
 
-        Args:
-            seeds: Nodes from the settings.
-
         Returns:
             How many nodes answered.
         """
-        chosen = self._draw(seeds)
-        answered = await self._membership.join(chosen)
+        answered = await self._membership.join(self._draw(self._seeds))
         if answered:
             return answered
-        try:
-            introduced = await self._read()
-        except LogUnavailable:
-            return 0
-        return await self._membership.join(self._draw(introduced))
+        return await self._join_introduced()
 
     async def run(self) -> None:
-        """Keep this domain's introduction current until cancelled."""
+        """Introduce and be introduced until cancelled."""
+        await asyncio.gather(self._introduce(), self._rejoin())
+
+    async def _introduce(self) -> None:
+        """Keep this domain's introduction current, and meet the others'."""
         while True:
-            await asyncio.sleep(CHECK_S * (0.5 + self._rng.random()))
+            await asyncio.sleep(self._jittered(CHECK_S))
+            if not self.is_introducer():
+                continue
             try:
                 await self.introduce_if_due()
             except LogUnavailable:
                 await asyncio.sleep(CHECK_S)
+            now = asyncio.get_running_loop().time()
+            if now >= self._read_at:
+                self._read_at = now + self._jittered(READ_S)
+                await self._join_introduced()
+
+    async def _rejoin(self) -> None:
+        """Ask seeds that are not members, more and more seldom.
+
+        Nodes that started while none of their seeds was up, or that were cut
+        off until everybody they knew was replaced, find each other this way.
+        """
+        interval_s = FIRST_REJOIN_S
+        while True:
+            await asyncio.sleep(self._jittered(interval_s))
+            interval_s = min(interval_s * 2, MAX_REJOIN_S)
+            if len(self._membership.table) == 1:
+                interval_s = FIRST_REJOIN_S
+                await self.join()
+            else:
+                await self._membership.join(self._strangers(self._seeds)[:1])
+
+    async def _join_introduced(self) -> int:
+        try:
+            introduced = await self._read()
+        except LogUnavailable:
+            return 0
+        return await self._membership.join(self._strangers(introduced))
+
+    def is_introducer(self) -> bool:
+        """Tell whether this node introduces its domain."""
+        return self._ranked()[:1] == [self._membership.me.node]
 
     async def introduce_if_due(self) -> bool:
         """Append this domain's introduction if it changed or grew old.
@@ -81,28 +117,34 @@
         Raises:
             LogUnavailable: The log did not answer.
         """
-        domain = self._membership.me.domain
-        nodes = [
-            member.node for member in self._membership.table.in_domain(domain)
-        ]
-        ranked = list(rank(INTRODUCTION_STREAM, nodes))[:INTRODUCED_NODES]
+        ranked = self._ranked()
         now = asyncio.get_running_loop().time()
-        is_old = now >= self._refresh_at
-        if ranked[:1] != [self._membership.me.node]:
-            return False
-        if ranked == self._introduced and not is_old:
+        if ranked == self._introduced and now < self._refresh_at:
             return False
-        record = ttypes.Introduction(domain, ranked)
+        record = ttypes.Introduction(self._membership.me.domain, ranked)
         await self._log.append(INTRODUCTION_STREAM, encode(record))
         self._introduced = ranked
         self._refresh_at = now + REFRESH_S
         return True
 
+    def _ranked(self) -> list[str]:
+        members = self._membership.table.in_domain(self._membership.me.domain)
+        nodes = [member.node for member in members]
+        return list(rank(INTRODUCTION_STREAM, nodes))[:INTRODUCED_NODES]
+
+    def _strangers(self, nodes: Sequence[str]) -> Sequence[str]:
+        """Return a few nodes that are not members, drawn at random."""
+        alive = {member.node for member in self._membership.table.alive()}
+        return self._draw([node for node in nodes if node not in alive])
+
     def _draw(self, nodes: Sequence[str]) -> Sequence[str]:
         me = self._membership.me.node
         others = [node for node in nodes if node != me]
         return self._rng.sample(others, min(JOINED_NODES, len(others)))
 
+    def _jittered(self, span_s: float) -> float:
+        return span_s * (0.5 + self._rng.random())
+
     async def _read(self) -> Sequence[str]:
         newest = await self._log.read(INTRODUCTION_STREAM, -1)
         start = max(newest.next_offset - LOOK_BACK_RECORDS, 0)
--- a/filbertdrift/membership.py
+++ b/filbertdrift/membership.py
@@ -85,6 +85,8 @@
         self.counters = MembershipCounters()
         self.config_digest: DigestSource = _no_config
         self.on_config_digest: OnDigest = _ignore_digest
+        self.crashes_digest: Callable[[], int] = int
+        self.on_crashes_digest: Callable[[str, int], None] = _ignore_crashes
         self.on_change: OnChange = _ignore_change
         self.heard: dict[str, Heard] = {}
         self.prober = Prober(
@@ -345,6 +347,7 @@
             digest.config_offset,
             digest.config_digest or b'',
         )
+        self.on_crashes_digest(sender, digest.crashes_digest or 0)
         is_settled = now - self._changed_at >= SYNC_SETTLE_S
         differs = digest.members_digest != self.table.digest
         if differs and is_settled and not self._is_syncing:
@@ -368,7 +371,12 @@
 
     def _digest(self) -> ttypes.StateDigest:
         offset, digest = self.config_digest()
-        return ttypes.StateDigest(offset, digest, self.table.digest)
+        return ttypes.StateDigest(
+            offset,
+            digest,
+            self.table.digest,
+            self.crashes_digest() or None,
+        )
 
     def _send(self, node: str, body: object) -> None:
         self._network.send(node, self.me.generation, body)
@@ -389,3 +397,7 @@
 
 def _ignore_change(changed: Sequence[Member]) -> None:
     """Do nothing."""
+
+
+def _ignore_crashes(sender: str, digest: int) -> None:
+    """Do nothing."""
--- a/filbertdrift/node.py
+++ b/filbertdrift/node.py
@@ -11,6 +11,7 @@
 from filbertdrift.caller import CallerServer
 from filbertdrift.chooser import TargetChooser
 from filbertdrift.claims import Claims
+from filbertdrift.crash_sync import CrashSync
 from filbertdrift.crashes import CrashLedger
 from filbertdrift.distribution import Distributor
 from filbertdrift.errors import (
@@ -168,10 +169,13 @@
             rng=rng,
         )
         self.publisher = Publisher(log, self.reader, self.keeper)
-        self.introducer = Introducer(log, self.membership, rng)
+        self.introducer = Introducer(log, self.membership, seeds, rng)
         self.chooser = TargetChooser(identity.domain, identity.region, rng)
         self.crashes = CrashLedger(identity.address, rng)
         self.crashes.on_notice = self.membership.send_to_drawn
+        self.crash_sync = CrashSync(self.crashes, self.links)
+        self.membership.crashes_digest = self.crashes.digest
+        self.membership.on_crashes_digest = self.crash_sync.compare
         self.forwarder = Forwarder(
             self.links,
             self.chooser,
@@ -189,7 +193,6 @@
             self.health,
         )
         self.callers = CallerServer(self)
-        self._seeds = seeds
         self._open_target = open_target
         self._rng = rng
         self._announced: Announcement | None = None
@@ -257,7 +260,7 @@
         )
 
     async def _try_boot(self) -> bool:
-        await self.introducer.join(self._seeds)
+        await self.introducer.join()
         known = [
             member.node
             for member in self.membership.table.alive()
@@ -509,6 +512,14 @@
     ) -> None:
         await call.send(await self.claims.serve(body))
 
+    @_answer.register
+    async def _answer_crashes(
+        self,
+        body: ttypes.SyncCrashes,
+        call: CallStream,
+    ) -> None:
+        await call.send(self.crash_sync.serve(body))
+
     @_answer.register
     async def _answer_sync(
         self,
--- a/filbertdrift/wire.py
+++ b/filbertdrift/wire.py
@@ -44,6 +44,8 @@
     ttypes.MembersDelta: 'members_delta',
     ttypes.ClaimAsk: 'claim_ask',
     ttypes.ClaimVerdict: 'claim_verdict',
+    ttypes.SyncCrashes: 'sync_crashes',
+    ttypes.CrashesDelta: 'crashes_delta',
 }
 _DATAGRAM_FIELD_BY_TYPE = {
     ttypes.Ping: 'ping',
--- a/idl/filbertdrift.thrift
+++ b/idl/filbertdrift.thrift
@@ -27,6 +27,7 @@
   1: i64 config_offset
   2: binary config_digest
   3: i64 members_digest
+  4: optional i64 crashes_digest
 }
 
 struct Ping {
@@ -150,6 +151,15 @@
   2: i32 come_back_ms
 }
 
+/** Asks for the crash notices that the sender does not know. */
+struct SyncCrashes {
+  1: list<string> known_ids
+}
+
+struct CrashesDelta {
+  1: list<CrashNotice> notices
+}
+
 struct Header {
   1: binary name
   2: binary content
@@ -264,4 +274,6 @@
   12: optional MembersDelta members_delta
   13: optional ClaimAsk claim_ask
   14: optional ClaimVerdict claim_verdict
+  15: optional SyncCrashes sync_crashes
+  16: optional CrashesDelta crashes_delta
 }
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -235,6 +235,7 @@
         self._profile = (
             PROFILES[profile] if isinstance(profile, str) else profile
         )
+        self.fixed_seeds: Sequence[str] | None = None
         self._generation = 1_000
 
     @property
@@ -393,6 +394,8 @@
         return node
 
     def _seeds(self) -> Sequence[str]:
+        if self.fixed_seeds is not None:
+            return self.fixed_seeds
         known = list(self.places)
         return self.rng.sample(known, min(3, len(known)))
 
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -1,6 +1,12 @@
 """Requests that crash their targets."""
 
+import asyncio
+
+from testtools import TestCase
+from testtools.matchers import Equals, HasLength
+
 from tests import variants
+from tests.builders import run_virtual, small_fleet
 from tests.cases import TraceTest
 
 
@@ -15,3 +21,24 @@
 
     def test_notices_condemned_bystanders(self) -> None:
         self.notices('poison', variants.condemns_bystanders)
+
+
+class RepairTest(TestCase):
+    """Notices that were lost arrive with the heartbeats."""
+
+    def test_lost_notices_are_repaired(self) -> None:
+        async def case() -> None:
+            fleet = await small_fleet(seed=81)
+            fleet.fabric.loss = 1.0
+            for address in ('a-0:7000', 'b-0:7000'):
+                fleet.places[address].node.crashes.mark(['poison'])
+            await asyncio.sleep(0.1)
+            fleet.fabric.loss = 0
+            await asyncio.sleep(8)
+            for node in fleet.nodes:
+                self.assertThat(node.crashes.condemned(), HasLength(1))
+            await asyncio.sleep(700)
+            for node in fleet.nodes:
+                self.assertThat(node.crashes.digest(), Equals(0))
+
+        run_virtual(case())
--- /dev/null
+++ b/tests/test_introduction.py
@@ -0,0 +1,46 @@
+"""Nodes find each other although no seed was up when they started."""
+
+import asyncio
+
+from testtools import TestCase
+from testtools.matchers import Equals, LessThan
+
+from tests.builders import Fleet, run_virtual
+
+
+class IntroductionTest(TestCase):
+    """Nodes that started apart become one fleet."""
+
+    def test_seed_that_starts_later(self) -> None:
+        async def case() -> None:
+            fleet = Fleet(seed=71)
+            fleet.log.is_down = True
+            fleet.fixed_seeds = [fleet.address('a', 0)]
+            await fleet.add('b', 'desk', 2)
+            await asyncio.sleep(5)
+            await fleet.add('a', 'desk')
+            await asyncio.sleep(20)
+            self.assert_one_fleet(fleet)
+
+        run_virtual(case())
+
+    def test_introduced_by_the_log(self) -> None:
+        async def case() -> None:
+            fleet = Fleet(seed=72)
+            fleet.fixed_seeds = []
+            for domain in ('a', 'b', 'c'):
+                await fleet.add(domain, 'desk', 3)
+            await asyncio.sleep(60)
+            self.assert_one_fleet(fleet)
+            reads = fleet.log.counters.reads
+            await asyncio.sleep(60)
+            per_s = (fleet.log.counters.reads - reads) / 60
+            self.assertThat(per_s, LessThan(4))
+
+        run_virtual(case())
+
+    def assert_one_fleet(self, fleet: Fleet) -> None:
+        """Want every node to know every other one."""
+        for node in fleet.nodes:
+            known = len(node.membership.table)
+            self.assertThat(known, Equals(len(fleet.nodes)))
