--- a/filbertdrift/target.py
+++ b/filbertdrift/target.py
@@ -291,8 +291,10 @@
         try:
             await exchange.send_head()
             head = await exchange.head()
-            while not (await exchange.part()).end:
-                continue
+            end = False
+            while not end:
+                part = await exchange.part()
+                end = part.end
         finally:
             exchange.close()
         return head.status < STATUS_ERROR
