--- a/filbertdrift/cli.py
+++ b/filbertdrift/cli.py
@@ -74,9 +74,23 @@
         path: str,
         calls: int = 3000,
         per_s: float = 100,
+        depth: int = 1,
     ) -> None:
         """What two nodes add to a call; scripts/bench_hop.sh starts them."""
-        report = porcelain.bench_hop(direct, via, path, calls, per_s)
+        report = porcelain.bench_hop(direct, via, path, calls, per_s, depth)
+        self._print.show(report)
+
+    def rate(
+        self,
+        via: str,
+        path: str,
+        pids: object,
+        connections: int = 32,
+        seconds: float = 5,
+    ) -> None:
+        """Calls a second, processor time and memory under full load."""
+        numbers = [int(word) for word in _words(pids)]
+        report = porcelain.bench_rate(via, path, numbers, connections, seconds)
         self._print.show(report)
 
 
--- a/filbertdrift/porcelain.py
+++ b/filbertdrift/porcelain.py
@@ -341,9 +341,23 @@
     path: str,
     calls: int,
     per_s: float,
+    depth: int,
 ) -> object:
     """Measure what two nodes add to a call."""
-    return _bench('hop_bench').bench_hop(direct, via, path, calls, per_s)
+    bench = _bench('hop_bench')
+    return bench.bench_hop(direct, via, path, calls, per_s, depth)
+
+
+def bench_rate(
+    via: str,
+    path: str,
+    pids: Sequence[int],
+    connections: int,
+    seconds: float,
+) -> object:
+    """Measure calls a second, processor time and memory under full load."""
+    bench = _bench('hop_bench')
+    return bench.bench_rate(via, path, pids, connections, seconds)
 
 
 def _bench(name: str) -> Any:
--- a/scripts/bench_hop.sh
+++ b/scripts/bench_hop.sh
@@ -1,7 +1,7 @@
 #!/bin/sh
 # Measures what two nodes add to a call, over separate processes on loopback.
 #
-# usage: bench_hop.sh [CALLS [PER_S]]
+# usage: bench_hop.sh [CALLS [PER_S [DEPTH]]]
 set -eu
 cd "$(dirname "$0")/.."
 dir=$(mktemp -d)
@@ -16,4 +16,7 @@
 # the entry node has no lab-ledger target beside it, so both hops are real
 filbertdrift bench hop --direct "127.0.0.1:$((PORT_BASE + 43))" \
   --via "127.0.0.1:$((PORT_BASE + 11))" --path /nutrients/salt \
-  --calls "${1:-3000}" --per_s "${2:-100}"
+  --calls "${1:-3000}" --per_s "${2:-100}" --depth "${3:-1}"
+pids=$(cat "$dir"/node*.pid | tr '\n' ' ')
+filbertdrift bench rate --via "127.0.0.1:$((PORT_BASE + 11))" \
+  --path /nutrients/salt --pids "$pids" --connections 32
--- a/scripts/deployment.sh
+++ b/scripts/deployment.sh
@@ -49,7 +49,7 @@
   python -m standins target --service="$service" \
     --address="127.0.0.1:$((peer + 3))" --node="127.0.0.1:$((peer + 2))" \
     --slots="$slots" --connections="$connections" \
-    --work-ms="${WORK_MS:-2}" \
+    --work-ms="${WORK_MS:-2}" --record="$dir/executions" \
     > "$dir/target$index.out" 2>&1 &
   echo $! > "$dir/target$index.pid"
   echo $! >> "$dir/pids"
--- a/standins/hop_bench.py
+++ b/standins/hop_bench.py
@@ -1,21 +1,28 @@
-"""Benchmark of one call through two nodes, against the direct call.
+"""Benchmark of calls through two nodes, against the direct call.
 
 Both are measured in the same run, in turns, so that the machine's own noise
 falls on both. The noise floor is the difference between two direct series.
 """
 
 import asyncio
+import os
 import time
 from collections.abc import Sequence
 from dataclasses import dataclass
+from pathlib import Path
 
 from hdrh.histogram import HdrHistogram
 
+from standins.kept import KeptConnection, open_kept
+
 LOWEST_US = 1
 HIGHEST_US = 60_000_000
 DIGITS = 3
 US_PER_S = 1_000_000
+US_PER_MS = 1000
 WARM_UP_CALLS = 200
+CLOCK_TICKS = os.sysconf('SC_CLK_TCK')
+PAGE_KIB = os.sysconf('SC_PAGE_SIZE') // 1024
 
 
 @dataclass(slots=True)
@@ -24,6 +31,7 @@
 
     calls: int
     per_s: float
+    depth: int
     direct_median_ms: float
     direct_tail_ms: float
     via_median_ms: float
@@ -35,34 +43,18 @@
     failures: int
 
 
-class _Connection:
-    """A kept HTTP connection that times bare calls."""
-
-    def __init__(self, address: str, path: str) -> None:
-        self._host, _, port = address.rpartition(':')
-        self._port = int(port)
-        head = f'GET {path} HTTP/1.1\r\nhost: {address}\r\n\r\n'
-        self._request = head.encode()
-        self.failures = 0
-
-    async def open(self) -> None:
-        """Connect."""
-        self._reader, self._writer = await asyncio.open_connection(
-            self._host,
-            self._port,
-        )
-
-    async def call(self) -> float:
-        """Make one call and return its seconds."""
-        began = time.perf_counter()
-        self._writer.write(self._request)
-        head = await self._reader.readuntil(b'\r\n\r\n')
-        for line in head.lower().split(b'\r\n'):
-            if line.startswith(b'content-length:'):
-                await self._reader.readexactly(int(line[15:]))
-        if not head.startswith(b'HTTP/1.1 200'):
-            self.failures += 1
-        return time.perf_counter() - began
+@dataclass(slots=True)
+class RateReport:
+    """Throughput, processor time and memory of nodes under full load."""
+
+    connections: int
+    calls: int
+    per_s: float
+    median_ms: float
+    tail_ms: float
+    node_us_per_call: float
+    memory_kib_per_connection: float
+    failures: int
 
 
 def bench_hop(
@@ -71,6 +63,7 @@
     path: str,
     calls: int = 3000,
     per_s: float = 100,
+    depth: int = 1,
 ) -> HopReport:
     """Measure direct calls and calls through the nodes in turns.
 
@@ -80,50 +73,59 @@
         path: The path to call on both.
         calls: How many calls of each kind.
         per_s: Calls a second of each kind.
+        depth: Length of the chain; each target makes the next call the way
+            the first was made, directly or through the nodes.
+    """
+    return asyncio.run(_hop(direct, via, path, calls, per_s, depth))
+
+
+def bench_rate(
+    via: str,
+    path: str,
+    pids: Sequence[int],
+    connections: int = 32,
+    seconds: float = 5,
+) -> RateReport:
+    """Call as fast as answers come back.
+
+    Args:
+        via: A node's address for callers.
+        path: The path to call.
+        pids: The nodes' processes, for their processor time and memory.
+        connections: Callers at a time, each on its own connection.
+        seconds: How long.
     """
-    return asyncio.run(_bench(direct, via, path, calls, per_s))
+    return asyncio.run(_rate(via, path, pids, connections, seconds))
 
 
-async def _bench(
+async def _hop(
     direct: str,
     via: str,
     path: str,
     calls: int,
     per_s: float,
+    depth: int,
 ) -> HopReport:
-    connections = [
-        _Connection(direct, path),
-        _Connection(via, path),
-        _Connection(direct, path),
-    ]
-    for conn in connections:
-        await conn.open()
+    addresses = (direct, via, direct)
+    connections = [await open_kept(address) for address in addresses]
+    chains = [f'x-chain: {depth - 1} {address}\r\n' for address in addresses]
+    for conn, chain in zip(connections, chains, strict=True):
         for _ in range(WARM_UP_CALLS):
-            await conn.call()
-    histograms = [
-        HdrHistogram(LOWEST_US, HIGHEST_US, DIGITS) for _ in connections
-    ]
+            await conn.call(path, chain)
+    histograms = [_histogram() for _ in addresses]
     began = time.perf_counter()
     for number in range(calls):
-        for conn, histogram in zip(connections, histograms, strict=True):
-            histogram.record_value(int(await conn.call() * US_PER_S))
+        for place, histogram in enumerate(histograms):
+            seconds = await connections[place].call(path, chains[place])
+            histogram.record_value(int(seconds * US_PER_S))
         pause_s = began + (number + 1) / per_s - time.perf_counter()
         await asyncio.sleep(max(pause_s, 0))
-    failures = sum(conn.failures for conn in connections)
-    return _report(histograms, calls, per_s, failures)
-
-
-def _report(
-    histograms: Sequence[HdrHistogram],
-    calls: int,
-    per_s: float,
-    failures: int,
-) -> HopReport:
     medians = [_ms(found, 50) for found in histograms]
     tails = [_ms(found, 99) for found in histograms]
     return HopReport(
         calls=calls,
         per_s=per_s,
+        depth=depth,
         direct_median_ms=medians[0],
         direct_tail_ms=tails[0],
         via_median_ms=medians[1],
@@ -132,9 +134,68 @@
         added_tail_ms=round(tails[1] - tails[0], 3),
         noise_median_ms=round(abs(medians[2] - medians[0]), 3),
         noise_tail_ms=round(abs(tails[2] - tails[0]), 3),
-        failures=failures,
+        failures=sum(conn.failures for conn in connections),
+    )
+
+
+async def _rate(
+    via: str,
+    path: str,
+    pids: Sequence[int],
+    connections: int,
+    seconds: float,
+) -> RateReport:
+    first = await open_kept(via)
+    for _ in range(WARM_UP_CALLS):
+        await first.call(path)
+    memory_kib = sum(_memory_kib(pid) for pid in pids)
+    kept = [await open_kept(via) for _ in range(connections)]
+    histogram = _histogram()
+    cpu_s = sum(_cpu_s(pid) for pid in pids)
+    began = time.perf_counter()
+    await asyncio.gather(
+        *(_call_until(conn, path, began + seconds, histogram) for conn in kept),
+    )
+    span_s = time.perf_counter() - began
+    cpu_s = sum(_cpu_s(pid) for pid in pids) - cpu_s
+    memory_kib = sum(_memory_kib(pid) for pid in pids) - memory_kib
+    calls = int(histogram.get_total_count())
+    return RateReport(
+        connections=connections,
+        calls=calls,
+        per_s=round(calls / span_s, 1),
+        median_ms=_ms(histogram, 50),
+        tail_ms=_ms(histogram, 99),
+        node_us_per_call=round(cpu_s / max(calls, 1) * US_PER_S, 1),
+        memory_kib_per_connection=round(memory_kib / connections, 1),
+        failures=sum(conn.failures for conn in kept),
     )
 
 
+async def _call_until(
+    conn: KeptConnection,
+    path: str,
+    deadline: float,
+    histogram: HdrHistogram,
+) -> None:
+    while time.perf_counter() < deadline:
+        seconds = await conn.call(path)
+        histogram.record_value(int(seconds * US_PER_S))
+
+
+def _histogram() -> HdrHistogram:
+    return HdrHistogram(LOWEST_US, HIGHEST_US, DIGITS)
+
+
+def _cpu_s(pid: int) -> float:
+    fields = Path(f'/proc/{pid}/stat').read_text('utf-8').split()
+    return (int(fields[13]) + int(fields[14])) / CLOCK_TICKS
+
+
+def _memory_kib(pid: int) -> int:
+    fields = Path(f'/proc/{pid}/statm').read_text('utf-8').split()
+    return int(fields[1]) * PAGE_KIB
+
+
 def _ms(histogram: HdrHistogram, percent: float) -> float:
-    return float(histogram.get_value_at_percentile(percent)) / 1000
+    return float(histogram.get_value_at_percentile(percent)) / US_PER_MS
--- a/standins/target_server.py
+++ b/standins/target_server.py
@@ -8,14 +8,19 @@
 import time
 from collections import Counter
 from dataclasses import dataclass, field
+from pathlib import Path
 
 import httpx
 import uvicorn
 
+from standins.kept import KeptConnection, open_kept
+
 RENEW_S = 2.0
 MS_PER_S = 1000
 CRASH_HEADER = b'x-crash-target'
 WORK_HEADER = b'x-work-ms'
+KEY_HEADER = b'idempotency-key'
+CHAIN_HEADER = b'x-chain'
 REQUEST_ID_HEADER = b'x-request-id'
 TIMEOUT_HEADER = b'x-filbertdrift-timeout-ms'
 
@@ -35,6 +40,8 @@
         cold_factor: How much slower it is then.
         lies_healthy: Its health endpoint always says it is well.
         lies_idle: Its load endpoint always says it is idle.
+        record: A file that gets a line for every execution, so that the
+            record outlives a killed target.
     """
 
     service: str
@@ -47,6 +54,7 @@
     cold_factor: float = 3
     lies_healthy: bool = False
     lies_idle: bool = False
+    record: str = ''
 
 
 @dataclass(slots=True)
@@ -72,6 +80,7 @@
         """Start idle."""
         self.options = options
         self.state = TargetState()
+        self._chains: dict[bytes, list[KeptConnection]] = {}
 
     async def __call__(self, scope, receive, send) -> None:
         """Serve one request."""
@@ -111,12 +120,14 @@
         state = self.state
         request_id = headers.get(REQUEST_ID_HEADER, b'').decode('latin-1')
         state.executions[request_id] += 1
+        self._record(request_id, headers)
         state.running += 1
         try:
             body = await _read_body(receive)
             if headers.get(CRASH_HEADER):
                 os.kill(os.getpid(), signal.SIGKILL)
             await self._work(headers)
+            await self._call_on(headers, scope['path'])
         except asyncio.CancelledError:
             state.cancelled += 1
             raise
@@ -132,6 +143,23 @@
         }
         await _reply(send, 200, json.dumps(answer).encode())
 
+    async def _call_on(self, headers, path: str) -> None:
+        """Make the next call of a chain: x-chain holds depth and address."""
+        depth, _, address = headers.get(CHAIN_HEADER, b'').partition(b' ')
+        if not depth or int(depth) <= 0:
+            return
+        pool = self._chains.setdefault(address, [])
+        conn = pool.pop() if pool else await open_kept(address.decode())
+        chain = f'x-chain: {int(depth) - 1} {address.decode()}\r\n'
+        await conn.call(path, chain)
+        pool.append(conn)
+
+    def _record(self, request_id: str, headers) -> None:
+        if self.options.record:
+            key = headers.get(KEY_HEADER, b'-').decode('latin-1')
+            with Path(self.options.record).open('a', encoding='utf-8') as file:
+                file.write(f'{request_id} {key}\n')
+
     async def _work(self, headers) -> None:
         work_ms = float(headers.get(WORK_HEADER, self.options.work_ms))
         age_ms = (time.monotonic() - self.state.started_at) * MS_PER_S
@@ -225,6 +253,7 @@
     connections: int = 120,
     work_ms: float = 2,
     cold_ms: float = 0,
+    record: str = '',
 ) -> None:
     """Run the stand-in until it is told to end.
 
@@ -236,6 +265,7 @@
         connections: Connections it accepts.
         work_ms: How long a request runs.
         cold_ms: How long after its start it is slow.
+        record: A file that gets a line for every execution.
     """
     options = TargetOptions(
         service=service,
@@ -245,5 +275,6 @@
         connections=connections,
         work_ms=work_ms,
         cold_ms=cold_ms,
+        record=record,
     )
     asyncio.run(_serve(options))
