Reuse the codec's protocol object; test ports below the ephemeral range

Packing/unpacking a request 6.6/7.7 us before, 4.6/5.6 us after (best of 9, same machine and minute). The whole call did not change visibly: 264-317 us with the machine at 1.4 load, noise above the gain. Test ports: a run failed with 'address already in use', because a port free for UDP was an ephemeral TCP port in use. Ports are now tried for both and lie below the ephemeral range.

--- a/filbertdrift/wire.py
+++ b/filbertdrift/wire.py
@@ -18,10 +18,10 @@
 Message = TypeVar('Message')
 
 _LENGTH = struct.Struct('>I')
-_PROTOCOLS = TCompactProtocolAcceleratedFactory(
+_PROTOCOL = TCompactProtocolAcceleratedFactory(
     string_length_limit=MAX_FRAME_BYTES,
     container_length_limit=MAX_FRAME_BYTES,
-)
+).getProtocol(TMemoryBuffer())
 _FRAME_FIELDS = tuple(
     name for name in ttypes.Frame.__slots__ if name != 'call_id'
 )
@@ -67,7 +67,8 @@
         Its compact encoding.
     """
     buffer = TMemoryBuffer()
-    message.write(_PROTOCOLS.getProtocol(buffer))  # type: ignore[attr-defined]
+    _PROTOCOL.trans = buffer
+    message.write(_PROTOCOL)  # type: ignore[attr-defined]
     return buffer.getvalue()
 
 
@@ -85,9 +86,9 @@
         MalformedMessage: The bytes are not such a message.
     """
     message = kind()
-    protocol = _PROTOCOLS.getProtocol(TMemoryBuffer(payload))
+    _PROTOCOL.trans = TMemoryBuffer(payload)
     try:
-        message.read(protocol)  # type: ignore[attr-defined]
+        message.read(_PROTOCOL)  # type: ignore[attr-defined]
     except Exception as exc:
         raise MalformedMessage(
             f'not a {kind.__name__}: {exc}',
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -1,6 +1,8 @@
 """Real nodes and scripted targets on loopback sockets."""
 
 import asyncio
+import itertools
+import os
 import random
 import socket
 from collections.abc import Awaitable, Callable
@@ -52,11 +54,25 @@
         return await self.send(raw)
 
 
+_PORTS = itertools.cycle(range(20_000 + os.getpid() % 8000, 30_000))
+
+
 def free_port() -> int:
-    """Return a port that is free for TCP and UDP."""
-    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as probe:
-        probe.bind(('127.0.0.1', 0))
-        return int(probe.getsockname()[1])
+    """Return a port below the ephemeral ones, free for TCP and UDP."""
+    for port in _PORTS:
+        kinds = (socket.SOCK_DGRAM, socket.SOCK_STREAM)
+        if all(_is_free(port, kind) for kind in kinds):
+            return port
+    raise AssertionError('ports never end')
+
+
+def _is_free(port: int, kind: socket.SocketKind) -> bool:
+    with socket.socket(socket.AF_INET, kind) as probe:
+        try:
+            probe.bind(('127.0.0.1', port))
+        except OSError:
+            return False
+    return True
 
 
 @asynccontextmanager
