--- a/standins/traffic.py
+++ b/standins/traffic.py
@@ -1,7 +1,6 @@
 """Traffic for a running deployment, and what became of it."""
 
 import asyncio
-import contextlib
 import json
 import sys
 import time
@@ -22,6 +21,12 @@
     'roadbook': ('/claims/7/submit', '/trips/7/approve'),
 }
 WRITE_EVERY = 5
+WRITE_ATTEMPTS = 4
+REPEAT_S = 1.5
+CUSTOMERS = 7
+ANSWERED = 'answered'
+NODE_GONE = 'node-gone'
+REPLAYED_HEADER = 'x-filbertdrift-replayed'
 TIMEOUT_S = 15.0
 
 
@@ -43,9 +48,9 @@
     sent: int = 0
     outcomes: Counter[str] = field(default_factory=Counter)
     statuses: Counter[int] = field(default_factory=Counter)
-    unreachable_nodes: int = 0
     wrong_answers: int = 0
-    writes: list[str] = field(default_factory=list)
+    writes: int = 0
+    writes_answered: int = 0
 
 
 def read_instances(folder: str) -> list[Instance]:
@@ -69,24 +74,14 @@
         per_s: Requests a second.
     """
     report = asyncio.run(_send(folder, deployment, seconds, per_s))
-    twice = asyncio.run(_executed_twice(folder))
+    runs = _runs_of_writes(folder)
+    twice = sum(count > 1 for count in runs.values())
     _say(f'requests sent: {report.sent}')
-    _say(f'by outcome: {_counts(report.outcomes)}')
+    _say(f'attempts by outcome: {_counts(report.outcomes)}')
     _say(f'by status: {_counts(report.statuses)}')
-    _say(f'node gone: {report.unreachable_nodes}')
     _say(f'answers of another request: {report.wrong_answers}')
-    _say(f'requests executed more than once: {twice}')
-    (Path(folder) / 'traffic.json').write_text(
-        json.dumps(
-            {
-                'sent': report.sent,
-                'outcomes': dict(report.outcomes),
-                'wrong_answers': report.wrong_answers,
-                'executed_twice': twice,
-            }
-        ),
-        'utf-8',
-    )
+    _say(f'writes: {report.writes}, answered {report.writes_answered}')
+    _say(f'writes that ran: {len(runs)}, more than once: {twice}')
 
 
 async def _send(
@@ -107,56 +102,77 @@
         tasks = []
         deadline = loop.time() + seconds
         while loop.time() < deadline:
-            instance = instances[report.sent % len(instances)]
-            work = _request(client, instance, deployment, report)
+            work = _request(client, instances, deployment, report)
             tasks.append(loop.create_task(work))
-            report.sent += 1
             await asyncio.sleep(1 / per_s)
+            report.writes += report.sent % WRITE_EVERY == 0
+            report.sent += 1
         await asyncio.gather(*tasks)
     return report
 
 
 async def _request(
     client: httpx.AsyncClient,
-    instance: Instance,
+    instances: list[Instance],
     deployment: str,
     report: TrafficReport,
 ) -> None:
     number = report.sent
-    request_id = uuid.uuid4().hex
-    headers = {'x-request-id': request_id, 'x-customer': f'member-{number % 7}'}
     is_write = number % WRITE_EVERY == 0
+    customer = f'member-{number % CUSTOMERS}'
+    key = uuid.uuid4().hex if is_write else ''
     paths = WRITES if is_write else READS
     path = paths[deployment][number % 2]
-    if is_write:
-        headers['idempotency-key'] = request_id
+    for attempt in range(WRITE_ATTEMPTS if is_write else 1):
+        instance = instances[(number + attempt) % len(instances)]
+        url = f'http://{instance.caller}{path}'
+        outcome = await _send_once(client, url, customer, key, report)
+        report.outcomes[outcome] += 1
+        if outcome == ANSWERED:
+            report.writes_answered += is_write
+            return
+        await asyncio.sleep(REPEAT_S)
+
+
+async def _send_once(
+    client: httpx.AsyncClient,
+    url: str,
+    customer: str,
+    key: str,
+    report: TrafficReport,
+) -> str:
+    request_id = uuid.uuid4().hex
+    headers = {'x-request-id': request_id, 'x-customer': customer}
+    if key:
+        headers['idempotency-key'] = key
     try:
         resp = await client.request(
-            'POST' if is_write else 'GET',
-            f'http://{instance.caller}{path}',
+            'POST' if key else 'GET',
+            url,
             headers=headers,
         )
     except httpx.HTTPError:
-        report.unreachable_nodes += 1
-        return
-    report.outcomes[resp.headers.get(OUTCOME_HEADER, 'none')] += 1
+        return NODE_GONE
     report.statuses[resp.status_code] += 1
+    outcome = resp.headers.get(OUTCOME_HEADER, 'none')
+    is_first = REPLAYED_HEADER not in resp.headers
     if resp.status_code == httpx.codes.OK:
         answer = resp.json()
-        wanted = (request_id, headers['x-customer'])
-        if (answer['request'], answer['customer']) != wanted:
+        is_own = not is_first or answer['request'] == request_id
+        if not is_own or answer['customer'] != customer:
             report.wrong_answers += 1
-
-
-async def _executed_twice(folder: str) -> int:
-    total: Counter[str] = Counter()
-    async with httpx.AsyncClient(trust_env=False) as client:
-        for instance in read_instances(folder):
-            host, _, port = instance.caller.rpartition(':')
-            url = f'http://{host}:{int(port) + 2}/_executions'
-            with contextlib.suppress(httpx.HTTPError):
-                total.update((await client.get(url)).json())
-    return sum(count > 1 for count in total.values())
+    return str(outcome)
+
+
+def _runs_of_writes(folder: str) -> Counter[str]:
+    """Return how often each idempotency key ran, over all targets."""
+    runs: Counter[str] = Counter()
+    record = Path(folder) / 'executions'
+    if record.exists():
+        for line in record.read_text('utf-8').splitlines():
+            runs[line.split()[1]] += 1
+    runs.pop('-', None)
+    return runs
 
 
 def record_trace(folder: str, seed: int = 1) -> None:
--- a/tests/test_caller.py
+++ b/tests/test_caller.py
@@ -217,3 +217,31 @@
 
         asyncio.run(main())
         self.assertThat(target.requests, HasLength(2))
+
+    def test_drain_finishes_an_upload(self) -> None:
+        target = ScriptedTarget()
+        part = b'x' * (UPLOAD_BYTES // 10)
+
+        async def main() -> None:
+            async with one_node(target) as sockets:
+                reader, writer = await asyncio.open_connection(
+                    '127.0.0.1',
+                    sockets.caller_port,
+                )
+                head = (
+                    f'POST /desk/up HTTP/1.1\r\ncontent-length: {UPLOAD_BYTES}'
+                )
+                writer.write(head.encode() + b'\r\n\r\n' + part)
+                while not sockets.node.server.in_progress:
+                    await asyncio.sleep(0)
+                draining = asyncio.create_task(sockets.node.drain())
+                for _ in range(9):
+                    await asyncio.sleep(0.3)
+                    writer.write(part)
+                answer = await reader.readuntil(b'hello')
+                self.assertThat(answer, Contains(b'200 OK'))
+                self.assertThat(answer, Contains(b'connection: close'))
+                await draining
+
+        asyncio.run(main())
+        self.assertThat(target.body_bytes, Equals(UPLOAD_BYTES))
