--- a/filbertdrift/admin.py
+++ b/filbertdrift/admin.py
@@ -8,7 +8,7 @@
 from litestar import Litestar, Response, get, post
 from litestar.datastructures import State
 from litestar.exceptions import HTTPException
-from litestar.params import FromPath, FromQuery
+from litestar.params import FromPath, FromQuery, JSONBody
 from pydantic import BaseModel, ConfigDict, Field
 
 from filbertdrift.errors import LogAnswerLost, LogUnavailable
@@ -92,7 +92,7 @@
 
 
 @post('/announce', status_code=_OK)
-async def announce(data: AnnounceBody, state: State) -> LeaseBody:
+async def announce(data: JSONBody[AnnounceBody], state: State) -> LeaseBody:
     """Take or renew the announcement of the target beside this node."""
     node: Node = state['node']
     node.announce(
@@ -110,7 +110,7 @@
 
 
 @post('/publish', status_code=_OK)
-async def publish(data: PublishBody, state: State) -> PublishedBody:
+async def publish(data: JSONBody[PublishBody], state: State) -> PublishedBody:
     """Publish a change and say what became of it."""
     node: Node = state['node']
     record = ttypes.ConfigRecord(
--- a/filbertdrift/node.py
+++ b/filbertdrift/node.py
@@ -38,6 +38,7 @@
 from filbertdrift.logreader import LogReader
 from filbertdrift.members import Member, MemberStatus
 from filbertdrift.membership import Membership
+from filbertdrift.metrics import Timings
 from filbertdrift.network import Connection, Network
 from filbertdrift.pause import PauseGuard
 from filbertdrift.profile import Profile
@@ -141,6 +142,10 @@
         self.log = log
         self.counters = NodeCounters()
         self.journal = RequestJournal()
+        self.request_timings = Timings(
+            'request',
+            'Time from the head of a request to the head of its answer.',
+        )
         self.snapshot: Snapshot | None = None
         self.boot_sources: Sequence[str] = ()
         self.is_leaving = False
@@ -333,6 +338,8 @@
     ) -> Answer:
         """Return the answer to a request that entered here."""
         counters = self.forwarder.counters
+        loop = asyncio.get_running_loop()
+        began = loop.time()
         outcome, reason = Outcome.ANSWERED, ''
         try:
             with self.tracer.span(
@@ -355,6 +362,7 @@
             outcome, reason = Outcome.UNKNOWN, 'the caller went away'
             raise
         finally:
+            self.request_timings.record(loop.time() - began)
             self._note(route, req, outcome, reason)
         counters.answered += 1
         return answer
--- a/scripts/chaos.sh
+++ b/scripts/chaos.sh
@@ -3,6 +3,7 @@
 # repeat; counts how often each write ran. Exits 1 if one ran twice.
 #
 # usage: chaos.sh [DEPLOYMENT [SECONDS]]
+# RECORD=FILE writes the run as a trace for replay
 set -eu
 cd "$(dirname "$0")/.."
 deployment=${1:-etiketa}
@@ -34,14 +35,17 @@
 sleep 2
 python3 -m standins traffic "$dir" "$deployment" --seconds="$seconds" --per-s=100 > "$dir/report" &
 traffic=$!
-sleep 3; note "kill target 1"; kill -9 "$(pid_of target1)"
-sleep 3; note "restart target 1"; restart_target 1
-sleep 1; note "pause node 2 for 5 s"; kill -STOP "$(pid_of node2)"
-sleep 5; kill -CONT "$(pid_of node2)"
-sleep 1; note "kill node 3"; kill -9 "$(pid_of node3)"
-sleep 2; note "restart node 3"; restart_node 3
-sleep 1; note "end node 4 gracefully"; kill -TERM "$(pid_of node4)"
-sleep 1; note "kill the log"; kill -9 "$(pid_of log)"
+sleep 1; note publish "$(head -n 1 "$dir/nodes" | cut -d ' ' -f 3)"
+filbertdrift publish examples/"$deployment"/20-policies.ini --admin "$admin" | grep '^verdict'
+sleep 2; note kill-target 1; kill -9 "$(pid_of target1)"
+sleep 3; note restart-target 1; restart_target 1
+sleep 1; note pause-node 2; kill -STOP "$(pid_of node2)"
+sleep 5; note resume-node 2; kill -CONT "$(pid_of node2)"
+sleep 1; note kill-node 3; kill -9 "$(pid_of node3)"
+sleep 2; note restart-node 3; restart_node 3
+sleep 1; note end-node 4; kill -TERM "$(pid_of node4)"
+sleep 1; note kill-log; kill -9 "$(pid_of log)"
 wait "$traffic"
 cat "$dir/report"
+[ -z "${RECORD:-}" ] || python3 -m standins record "$dir" > "$RECORD"
 grep -q 'more than once: 0$' "$dir/report"
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -46,7 +46,7 @@
 sleep 2
 victim=$(tail -n 1 "$dir/nodes" | cut -d ' ' -f 1)
 echo "killing node $victim"
-note kill "$victim"
+note kill-node "$victim"
 kill -9 "$(cat "$dir/node$victim.pid")"
 
 sleep 2
--- a/standins/log_server.py
+++ b/standins/log_server.py
@@ -9,7 +9,7 @@
 from litestar import Litestar, Request, get, post
 from litestar.datastructures import State
 from litestar.exceptions import HTTPException
-from litestar.params import FromPath, FromQuery
+from litestar.params import FromPath, FromQuery, JSONBody
 from pydantic import BaseModel
 
 from filbertdrift.log import LogRecord, MemoryStream, page_of
@@ -177,7 +177,7 @@
 
 
 @post('/faults', status_code=200)
-async def set_faults(data: Faults, state: State) -> Faults:
+async def set_faults(data: JSONBody[Faults], state: State) -> Faults:
     """Set the switches for faults."""
     state['store'].faults = data
     return data
--- a/standins/target_server.py
+++ b/standins/target_server.py
@@ -21,6 +21,7 @@
 WORK_HEADER = b'x-work-ms'
 KEY_HEADER = b'idempotency-key'
 CHAIN_HEADER = b'x-chain'
+NO_DEADLINE_MS = b'3600000'
 REQUEST_ID_HEADER = b'x-request-id'
 TIMEOUT_HEADER = b'x-filbertdrift-timeout-ms'
 
@@ -38,6 +39,7 @@
         work_ms: How long a request runs.
         cold_ms: How long after its start it is slow.
         cold_factor: How much slower it is then.
+        lag_ms: How old its health and load endpoints' figures may be.
         lies_healthy: Its health endpoint always says it is well.
         lies_idle: Its load endpoint always says it is idle.
         record: A file that gets a line for every execution, so that the
@@ -52,6 +54,7 @@
     work_ms: float = 2
     cold_ms: float = 0
     cold_factor: float = 3
+    lag_ms: float = 0
     lies_healthy: bool = False
     lies_idle: bool = False
     record: str = ''
@@ -80,29 +83,32 @@
         """Start idle."""
         self.options = options
         self.state = TargetState()
+        self._load_seen = (0.0, 0)
         self._chains: dict[bytes, list[KeptConnection]] = {}
 
     async def __call__(self, scope, receive, send) -> None:
         """Serve one request."""
         if scope['type'] != 'http':
             return
-        headers = dict(scope['headers'])
         path = scope['path']
         if path.startswith('/_'):
             await self._serve_own(path, send)
+        elif self.state.is_draining:
+            await _reply(send, 503, b'{"error": "draining"}')
         elif self.state.running >= self.options.slots:
             self.state.shed += 1
             await _reply(send, 503, b'{"error": "no slot"}')
         else:
-            await self._run(scope, headers, receive, send)
+            await self._run(scope, dict(scope['headers']), receive, send)
 
     async def _serve_own(self, path: str, send) -> None:
         state, options = self.state, self.options
-        is_busy = state.running >= options.slots and not options.lies_healthy
-        running = 0 if options.lies_idle else state.running
+        running = self._lagging_load()
+        is_well = options.lies_healthy or running < options.slots
+        shown = 0 if options.lies_idle else running
         bodies = {
-            '/_health': {'ok': not is_busy},
-            '/_load': {'running': running, 'slots': options.slots},
+            '/_health': {'ok': is_well},
+            '/_load': {'running': shown, 'slots': options.slots},
             '/_executions': dict(state.executions),
             '/_counts': {
                 'shed': state.shed,
@@ -112,10 +118,19 @@
         }
         body = bodies.get(path)
         status = 404 if body is None else 200
-        if path == '/_health' and is_busy:
+        if path == '/_health' and not is_well:
             status = 503
         await _reply(send, status, json.dumps(body).encode())
 
+    def _lagging_load(self) -> int:
+        """Return the load as it was lag_ms ago at the latest."""
+        now = time.monotonic()
+        seen_at, running = self._load_seen
+        if (now - seen_at) * MS_PER_S >= self.options.lag_ms:
+            running = self.state.running
+            self._load_seen = (now, running)
+        return running
+
     async def _run(self, scope, headers, receive, send) -> None:
         state = self.state
         request_id = headers.get(REQUEST_ID_HEADER, b'').decode('latin-1')
@@ -126,11 +141,12 @@
             body = await _read_body(receive)
             if headers.get(CRASH_HEADER):
                 os.kill(os.getpid(), signal.SIGKILL)
-            await self._work(headers)
-            await self._call_on(headers, scope['path'])
-        except asyncio.CancelledError:
+            work = asyncio.ensure_future(self._work(headers, scope['path']))
+            await self._until_cancelled(work, headers, receive)
+        except (asyncio.CancelledError, TimeoutError):
             state.cancelled += 1
-            raise
+            await _reply(send, 504, b'{"error": "cancelled"}')
+            return
         finally:
             state.running -= 1
         answer = {
@@ -143,6 +159,32 @@
         }
         await _reply(send, 200, json.dumps(answer).encode())
 
+    async def _until_cancelled(self, work, headers, receive) -> None:
+        """Wait for work, its deadline, or the caller going away."""
+        deadline_ms = float(headers.get(TIMEOUT_HEADER, NO_DEADLINE_MS))
+        gone = asyncio.ensure_future(receive())
+        try:
+            await asyncio.wait(
+                (work, gone),
+                timeout=deadline_ms / MS_PER_S,
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            if not work.done():
+                raise TimeoutError
+            await work
+        finally:
+            gone.cancel()
+            work.cancel()
+
+    async def _work(self, headers, path: str) -> None:
+        work_ms = float(headers.get(WORK_HEADER, self.options.work_ms))
+        age_ms = (time.monotonic() - self.state.started_at) * MS_PER_S
+        if age_ms < self.options.cold_ms:
+            work_ms *= self.options.cold_factor
+        if work_ms:
+            await asyncio.sleep(work_ms / MS_PER_S)
+        await self._call_on(headers, path)
+
     async def _call_on(self, headers, path: str) -> None:
         """Make the next call of a chain: x-chain holds depth and address."""
         depth, _, address = headers.get(CHAIN_HEADER, b'').partition(b' ')
@@ -160,14 +202,6 @@
             with Path(self.options.record).open('a', encoding='utf-8') as file:
                 file.write(f'{request_id} {key}\n')
 
-    async def _work(self, headers) -> None:
-        work_ms = float(headers.get(WORK_HEADER, self.options.work_ms))
-        age_ms = (time.monotonic() - self.state.started_at) * MS_PER_S
-        if age_ms < self.options.cold_ms:
-            work_ms *= self.options.cold_factor
-        if work_ms:
-            await asyncio.sleep(work_ms / MS_PER_S)
-
 
 async def _read_body(receive) -> int:
     size = 0
@@ -228,14 +262,16 @@
 
 async def _serve(options: TargetOptions) -> None:
     host, _, port = options.address.rpartition(':')
+    app = TargetApp(options)
     config = uvicorn.Config(
-        TargetApp(options),
+        app,
         host=host,
         port=int(port),
         log_level='warning',
         access_log=False,
         lifespan='off',
         timeout_keep_alive=30,
+        limit_concurrency=options.connections,
     )
     server = uvicorn.Server(config)
     announcing = asyncio.create_task(keep_announced(options))
@@ -253,6 +289,9 @@
     connections: int = 120,
     work_ms: float = 2,
     cold_ms: float = 0,
+    lag_ms: float = 0,
+    lies_healthy: bool = False,
+    lies_idle: bool = False,
     record: str = '',
 ) -> None:
     """Run the stand-in until it is told to end.
@@ -265,6 +304,9 @@
         connections: Connections it accepts.
         work_ms: How long a request runs.
         cold_ms: How long after its start it is slow.
+        lag_ms: How old its health and load figures may be.
+        lies_healthy: Its health endpoint always says it is well.
+        lies_idle: Its load endpoint always says it is idle.
         record: A file that gets a line for every execution.
     """
     options = TargetOptions(
@@ -275,6 +317,9 @@
         connections=connections,
         work_ms=work_ms,
         cold_ms=cold_ms,
+        lag_ms=lag_ms,
+        lies_healthy=lies_healthy,
+        lies_idle=lies_idle,
         record=record,
     )
     asyncio.run(_serve(options))
--- a/standins/traffic.py
+++ b/standins/traffic.py
@@ -6,6 +6,7 @@
 import time
 import uuid
 from collections import Counter
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -213,6 +214,18 @@
     )
 
 
+_RECORDED: Mapping[str, Mapping[str, object]] = {
+    'kill-node': {'do': 'kill'},
+    'restart-node': {'do': 'restart'},
+    'kill-target': {'do': 'target', 'is_up': False},
+    'restart-target': {'do': 'target', 'is_up': True},
+    'pause-node': {'do': 'freeze'},
+    'resume-node': {'do': 'thaw'},
+    'end-node': {'do': 'leave'},
+    'kill-log': {'do': 'log_down'},
+}
+
+
 def _event(
     words: list[str],
     start: float,
@@ -227,7 +240,12 @@
             'service': words[2],
             'policy': 'upload',
         }
-    return {'at': at, 'do': words[1], 'nodes': [names[words[2]]]}
+    event = {'at': at, **_RECORDED[words[1]]}
+    if event['do'] in {'kill', 'restart'}:
+        event['nodes'] = [names[words[2]]]
+    elif event['do'] != 'log_down':
+        event['node'] = names[words[2]]
+    return event
 
 
 def _say(line: str) -> None:
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -10,27 +10,28 @@
 from filbertdrift.errors import SettingsError
 from tests.sockets import free_port
 
+NAMES = ('peer_address', 'admin_address', 'caller_address')
+
 
 class DaemonTest(TestCase):
     """A node that cannot listen says which address and ends."""
 
     def test_taken_addresses(self) -> None:
-        names = ('peer_address', 'admin_address', 'caller_address')
-        for name in names:
-            lines = ['[node]', 'domain = a']
+        for name in NAMES:
             with socket.socket() as taken:
                 taken.bind(('127.0.0.1', 0))
                 taken.listen()
-                for other in names:
-                    port = free_port()
-                    if other == name:
-                        port = taken.getsockname()[1]
-                    lines.append(f'{other} = 127.0.0.1:{port}')
-                lines += ['[log]', f'url = http://127.0.0.1:{free_port()}']
-                with (
-                    tempfile.TemporaryDirectory() as folder,
-                    ExpectedException(SettingsError, f'.*{name}: cannot.*'),
-                ):
-                    path = Path(folder) / 'node.ini'
-                    path.write_text('\n'.join(lines))
-                    porcelain.node(str(path))
+                self.refused(name, taken.getsockname()[1])
+
+    def refused(self, name: str, port: int) -> None:
+        """Start a node whose one address is taken."""
+        lines = ['[node]', 'domain = a']
+        for other in NAMES:
+            chosen = port if other == name else free_port()
+            lines.append(f'{other} = 127.0.0.1:{chosen}')
+        lines += ['[log]', f'url = http://127.0.0.1:{free_port()}']
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / 'node.ini'
+            path.write_text('\n'.join(lines))
+            with ExpectedException(SettingsError, f'.*{name}: cannot.*'):
+                porcelain.node(str(path))
