--- a/filbertdrift/daemon.py
+++ b/filbertdrift/daemon.py
@@ -1,7 +1,6 @@
 """The process of one node: settings, logs, signals, the event loop."""
 
 import asyncio
-import gc
 import random
 import signal
 import sys
@@ -23,8 +22,6 @@
 from filbertdrift.tracing import Tracer
 
 MS_PER_S = 1000
-GC_ALLOCATIONS = 20_000
-GC_GENERATION = 20
 TEXT_FORMAT = '{time:YYYY-MM-DDTHH:mm:ss.SSS} {level} {extra[node]} {message}'
 
 
@@ -127,7 +124,6 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopping.set)
-    _quiet_collector()
     logger.info('started')
     await stopping.wait()
     await node.drain()
@@ -136,13 +132,6 @@
     logger.info('stopped')
 
 
-def _quiet_collector() -> None:
-    """Leave what the start allocated out of garbage collections."""
-    gc.collect()
-    gc.freeze()
-    gc.set_threshold(GC_ALLOCATIONS, GC_GENERATION, GC_GENERATION)
-
-
 async def _listen(node: Node, admin: AdminServer, settings: Settings) -> None:
     step = 'peer_address'
     try:
