Registration of the target in a module of its own; requests after a clock set back

Found while reading: the gate compared requests with the generation the node started with, but a node whose clock was set back takes a higher one when it refutes its old self; it would then have refused every request. The gate now asks for the current generation. Periodic work that fails is logged, counted and started again.

--- a/filbertdrift/admin.py
+++ b/filbertdrift/admin.py
@@ -27,7 +27,8 @@
 from filbertdrift.gen import ttypes
 from filbertdrift.metrics import NodeCollector, expose
 from filbertdrift.network import split_address
-from filbertdrift.node import ANNOUNCEMENT_S, Announcement, Node
+from filbertdrift.node import Node
+from filbertdrift.registration import ANNOUNCEMENT_S, Announcement
 from filbertdrift.settings import Address
 
 METRICS_TYPE = 'text/plain; version=0.0.4; charset=utf-8'
--- a/filbertdrift/daemon.py
+++ b/filbertdrift/daemon.py
@@ -97,6 +97,8 @@
         'claims': node.claims.counters,
         'crashes': node.crashes.counters,
         'health': node.health.counters,
+        'registration': node.registration.counters,
+        'supervisor': node.supervisor.counters,
         'log': node.log.counters,
     }
     for name, source in sources.items():
--- a/filbertdrift/health.py
+++ b/filbertdrift/health.py
@@ -30,22 +30,19 @@
 class TargetHealth:
     """Watches the target beside this node.
 
-    Args:
+    Attributes:
         probe: Probes the target; tells whether it is well.
         on_change: Called with the new health when it changes.
+        interval_s: Time between two probes.
     """
 
-    def __init__(
-        self,
-        probe: Callable[[], Awaitable[bool]],
-        on_change: Callable[[bool], None],
-    ) -> None:
+    def __init__(self) -> None:
         """Start healthy."""
+        self.probe: Callable[[], Awaitable[bool]] = _always_well
+        self.on_change: Callable[[bool], None] = _ignore_change
         self.counters = HealthCounters()
         self.is_healthy = True
         self.interval_s = DEFAULT_INTERVAL_S
-        self._probe = probe
-        self._on_change = on_change
         self._failures = 0
         self._observed_at = 0.0
 
@@ -84,7 +81,7 @@
     async def _probe_once(self) -> None:
         observed_at = self._observed_at
         self.counters.probes += 1
-        is_well = await self._probe()
+        is_well = await self.probe()
         if not is_well:
             self.counters.failed_probes += 1
         if self._observed_at != observed_at:
@@ -101,4 +98,12 @@
         else:
             self.counters.left += 1
         logger.info('target is {}', 'healthy' if is_healthy else 'unhealthy')
-        self._on_change(is_healthy)
+        self.on_change(is_healthy)
+
+
+async def _always_well() -> bool:
+    return True
+
+
+def _ignore_change(is_healthy: bool) -> None:
+    """Do nothing."""
--- a/filbertdrift/node.py
+++ b/filbertdrift/node.py
@@ -2,8 +2,8 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Sequence
-from dataclasses import dataclass, replace
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
 from functools import singledispatchmethod
 
 from loguru import logger
@@ -27,7 +27,6 @@
     Forwarder,
     Outcome,
 )
-from filbertdrift.gate import Gate
 from filbertdrift.gen import ttypes
 from filbertdrift.health import TargetHealth
 from filbertdrift.introduction import Introducer
@@ -36,21 +35,27 @@
 from filbertdrift.link import CallStream, LinkPool, serve_connection
 from filbertdrift.log import Log
 from filbertdrift.logreader import LogReader
-from filbertdrift.members import Member, MemberStatus
+from filbertdrift.members import Member
 from filbertdrift.membership import Membership
 from filbertdrift.metrics import Timings
 from filbertdrift.network import Connection, Network
 from filbertdrift.pause import PauseGuard
 from filbertdrift.profile import Profile
 from filbertdrift.publisher import Publisher
-from filbertdrift.serving import AnnouncedTarget, TargetServer
+from filbertdrift.registration import (
+    Announcement,
+    OpenTarget,
+    TargetRegistration,
+)
+from filbertdrift.serving import TargetServer
 from filbertdrift.snapshot import (
     Route,
     Snapshot,
+    TargetSet,
     build_snapshot,
     with_endpoints,
 )
-from filbertdrift.target import Target
+from filbertdrift.supervise import Supervisor
 from filbertdrift.tracing import Tracer
 
 BOOT_PEERS = 3
@@ -58,7 +63,7 @@
 MAX_BOOT_BACKOFF_S = 5.0
 LEAVE_NOTICE_S = 2.0
 DRAIN_POLL_S = 0.05
-ANNOUNCEMENT_S = 6.0
+FORGET_S = 1.0
 PAUSE_COME_BACK_MS = 500
 
 
@@ -79,31 +84,12 @@
     generation: int
 
 
-@dataclass(frozen=True, slots=True)
-class Announcement:
-    """What a target tells the node beside it.
-
-    Args:
-        service: The service the target belongs to.
-        address: Where it listens.
-        slots: Requests it runs at a time.
-        connections: Connections it accepts.
-    """
-
-    service: str
-    address: str
-    slots: int
-    connections: int
-
-
 @dataclass(slots=True)
 class NodeCounters:
     """What happened to this node."""
 
     swaps: int = 0
     dangling_routes: int = 0
-    announcements: int = 0
-    announcements_expired: int = 0
     refused_after_pause: int = 0
 
 
@@ -130,7 +116,7 @@
         log: Log,
         profile: Profile,
         seeds: Sequence[str],
-        open_target: Callable[[str, int], Target],
+        open_target: OpenTarget,
         checkpoint_interval_s: float,
         claim_ttl_s: float,
         rng: random.Random,
@@ -148,7 +134,6 @@
         )
         self.snapshot: Snapshot | None = None
         self.boot_sources: Sequence[str] = ()
-        self.is_leaving = False
         self.links = LinkPool(network)
         me = Member(
             identity.address,
@@ -190,18 +175,24 @@
         self.claims = Claims(log, self.membership, self.links, claim_ttl_s)
         self.keyed = KeyedForwarder(self.forwarder, self.claims)
         self.tracer = tracer or Tracer()
-        self.health = TargetHealth(self._probe_target, self._on_health)
+        self.health = TargetHealth()
         self.server = TargetServer(
-            identity.generation,
+            self._generation,
             self.tracer,
             self.crashes,
             self.health,
         )
+        self.registration = TargetRegistration(
+            self.membership,
+            self.server,
+            self.health,
+            self._target_sets,
+            open_target,
+            rng,
+        )
         self.callers = CallerServer(self)
-        self._open_target = open_target
+        self.supervisor = Supervisor()
         self._rng = rng
-        self._announced: Announcement | None = None
-        self._announced_until = 0.0
         self._tasks: list[asyncio.Task[None]] = []
         self.pause = PauseGuard()
         self.pause.on_pause = self.membership.suspicions.drop_all
@@ -224,8 +215,7 @@
 
     async def drain(self) -> None:
         """Leave gracefully: no new work, then wait for what is in progress."""
-        self.is_leaving = True
-        self._tell_leaving()
+        self.registration.leave()
         await asyncio.sleep(LEAVE_NOTICE_S)
         if self.server.announced:
             self.server.announced.gate.drain()
@@ -256,12 +246,14 @@
             self.keeper.state.offset,
             ', '.join(self.boot_sources),
         )
+        keep = self.supervisor.keep
         await asyncio.gather(
-            self.membership.run(),
-            self.reader.run(),
-            self.introducer.run(),
-            self._watch_announcement(),
-            self.health.run(),
+            keep('membership', self.membership.run),
+            keep('log reader', self.reader.run),
+            keep('introducer', self.introducer.run),
+            keep('registration', self.registration.run),
+            keep('health', self.health.run),
+            keep('housekeeping', self._forget_expired),
         )
 
     async def _try_boot(self) -> bool:
@@ -275,60 +267,20 @@
         self.boot_sources = await self.distributor.boot(chosen)
         return bool(self.boot_sources)
 
-    # Targets
+    # Targets and requests
 
-    def announce(self, announcement: Announcement) -> None:
-        """Take or renew the announcement of the target beside this node.
+    @property
+    def is_leaving(self) -> bool:
+        """Tell whether this node takes no new work."""
+        return self.registration.is_leaving
 
-        Args:
-            announcement: What the target says of itself.
-        """
-        loop = asyncio.get_running_loop()
-        self._announced_until = loop.time() + ANNOUNCEMENT_S
-        if self._announced == announcement or self.is_leaving:
-            return
-        self.counters.announcements += 1
-        logger.info('target of {} announced', announcement.service)
-        self.withdraw()
-        self._announced = announcement
-        slow_start_s = self._slow_start_s(announcement.service)
-        self.health.reset()
-        gate = Gate(
-            announcement.slots,
-            self._rng,
-            warm_at=loop.time() + slow_start_s,
-            slow_start_s=slow_start_s,
-        )
-        self.server.announced = AnnouncedTarget(
-            announcement.service,
-            self._open_target(announcement.address, announcement.connections),
-            gate,
-        )
-        self.membership.update_me(
-            replace(
-                self.membership.me,
-                service=announcement.service,
-                status=MemberStatus.SERVING,
-                slots=announcement.slots,
-            ),
-        )
+    def announce(self, announcement: Announcement) -> None:
+        """Take or renew the announcement of the target beside this node."""
+        self.registration.announce(announcement)
 
     def withdraw(self) -> None:
         """Take the announcement back: no new work for the target."""
-        announced = self.server.announced
-        if announced is None:
-            return
-        logger.info('target of {} withdrawn', announced.service)
-        self._announced = None
-        self.server.announced = None
-        announced.gate.drain()
-        announced.target.close()
-        status = MemberStatus.IDLE
-        if self.is_leaving:
-            status = MemberStatus.LEAVING
-        self.membership.update_me(
-            replace(self.membership.me, service='', status=status, slots=0),
-        )
+        self.registration.withdraw()
 
     async def forward(
         self,
@@ -384,53 +336,17 @@
             ),
         )
 
-    def _tell_leaving(self) -> None:
-        self.membership.update_me(
-            replace(self.membership.me, status=MemberStatus.LEAVING),
-        )
-
-    def _slow_start_s(self, service: str) -> float:
-        if self.snapshot is None:
-            return 0
-        return max(
-            (
-                found.slow_start_s
-                for found in self.snapshot.target_sets.values()
-                if found.service == service
-            ),
-            default=0,
-        )
+    def _generation(self) -> int:
+        return self.membership.me.generation
 
-    async def _probe_target(self) -> bool:
-        announced = self.server.announced
-        if announced is None:
-            return True
-        paths = (
-            ['']
-            if self.snapshot is None
-            else [
-                found.probe_path
-                for found in self.snapshot.target_sets.values()
-                if found.service == announced.service
-            ]
-        )
-        return await announced.target.is_well(max(paths, default=''))
-
-    def _on_health(self, is_healthy: bool) -> None:
-        if self.server.announced is None or self.is_leaving:
-            return
-        status = MemberStatus.SERVING if is_healthy else MemberStatus.IDLE
-        self.membership.update_me(replace(self.membership.me, status=status))
+    def _target_sets(self) -> Iterable[TargetSet]:
+        return self.snapshot.target_sets.values() if self.snapshot else ()
 
-    async def _watch_announcement(self) -> None:
-        loop = asyncio.get_running_loop()
+    async def _forget_expired(self) -> None:
         while True:
-            await asyncio.sleep(1)
+            await asyncio.sleep(FORGET_S)
             self.claims.forget_expired()
             self.crashes.forget_expired()
-            if self._announced and loop.time() >= self._announced_until:
-                self.counters.announcements_expired += 1
-                self.withdraw()
 
     # Swaps of the snapshot
 
--- a/filbertdrift/serving.py
+++ b/filbertdrift/serving.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import contextlib
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from filbertdrift import http1
@@ -63,7 +64,8 @@
     """Serves forwarded requests with the target beside this node.
 
     Args:
-        generation: This node's generation; requests for another are refused.
+        generation: Returns this node's generation; requests that are meant
+            for another one are refused.
         tracer: Opens a span for each request.
         crashes: Knows which requests crash targets.
         health: Is told what requests show of the target.
@@ -71,7 +73,7 @@
 
     def __init__(
         self,
-        generation: int,
+        generation: Callable[[], int],
         tracer: Tracer,
         crashes: CrashLedger,
         health: TargetHealth,
@@ -81,7 +83,7 @@
         self._crashes = crashes
         self._running: dict[CallStream, str] = {}
         self._tracer = tracer
-        self.generation = generation
+        self._generation = generation
         self.announced: AnnouncedTarget | None = None
         self.counters = ServingCounters()
         self.in_progress = 0
@@ -158,7 +160,7 @@
         announced = self.announced
         if announced is None or announced.service != req.service_name:
             reason = f'no target of {req.service_name} here'
-        elif req.generation != self.generation:
+        elif req.generation != self._generation():
             reason = 'meant for an earlier start of this node'
         else:
             return announced
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -15,9 +15,10 @@
 from filbertdrift.gen import ttypes
 from filbertdrift.log import MemoryLog, SharedLog
 from filbertdrift.network_memory import Fabric, MemoryNetwork
-from filbertdrift.node import Announcement, Identity, Node
+from filbertdrift.node import Identity, Node
 from filbertdrift.profile import PROFILES, Profile
 from filbertdrift.publisher import Published
+from filbertdrift.registration import Announcement
 from filbertdrift.target import Exchange, Target, TargetRequest
 
 RENEW_S = 2.0
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -11,8 +11,9 @@
 
 from filbertdrift.log import MemoryLog
 from filbertdrift.network import TcpNetwork
-from filbertdrift.node import Announcement, Identity, Node
+from filbertdrift.node import Identity, Node
 from filbertdrift.profile import PROFILES
+from filbertdrift.registration import Announcement
 from filbertdrift.target import HttpTarget
 from tests.builders import config_record, service_files
 
--- a/tests/variants.py
+++ b/tests/variants.py
@@ -167,7 +167,7 @@
 
 def keeps_working_while_leaving(node: Node) -> None:
     """Tell nobody about leaving."""
-    node._tell_leaving = lambda: None  # type: ignore[method-assign]
+    node.registration.leave = lambda: None  # type: ignore[method-assign]
 
     async def drain() -> None:
         """Do nothing."""
