--- /dev/null
+++ b/filbertdrift/attempt.py
@@ -0,0 +1,178 @@
+"""One try of one request at one target."""
+
+import asyncio
+from collections.abc import Callable
+
+from filbertdrift import http1
+from filbertdrift.errors import (
+    MalformedMessage,
+    PeerUnavailable,
+    RequestNotRun,
+    RequestUnknown,
+)
+from filbertdrift.gen import ttypes
+from filbertdrift.link import CallStream, PeerLink
+from filbertdrift.members import Member
+from filbertdrift.request import Answer, EntryRequest
+from filbertdrift.snapshot import Route
+
+COME_BACK_MS = 200
+
+
+class ForwardedAnswer(Answer):
+    """The answer to a forwarded request, whose body may still be coming.
+
+    Args:
+        opened: The message that opened the answer.
+        call: The call that brings the rest.
+        close: Ends the call, cancelling the rest if told to.
+    """
+
+    def __init__(
+        self,
+        opened: ttypes.AnswerOpen,
+        call: CallStream,
+        close: Callable[[bool], None],
+    ) -> None:
+        """Keep the parts."""
+        self.status = opened.status
+        self.headers = [
+            (header.name, header.content) for header in opened.headers or ()
+        ]
+        self.first_part = http1.BodyPart(opened.body or b'', bool(opened.end))
+        self._call = call
+        self._close = close
+        self._is_whole = self.first_part.end
+
+    async def part(self, stall_s: float) -> http1.BodyPart:
+        """Return the next part of the body."""
+        try:
+            async with asyncio.timeout(stall_s):
+                body = await self._call.receive()
+        except (TimeoutError, PeerUnavailable) as exc:
+            raise RequestUnknown(
+                repr(exc),
+                step='read answer',
+                peer=self._call.peer,
+            ) from exc
+        if not isinstance(body, ttypes.BodyChunk):
+            raise RequestUnknown(
+                'answer cut short',
+                step='read answer',
+                peer=self._call.peer,
+            )
+        chunk = body.body or b''
+        if not body.end:
+            await self._call.grant(len(chunk))
+        self._is_whole = bool(body.end)
+        return http1.BodyPart(chunk, self._is_whole)
+
+    def close(self) -> None:
+        """End the call; an unfinished answer is cancelled."""
+        self._close(not self._is_whole)
+
+
+class Attempt:
+    """One try of one request at one target."""
+
+    def __init__(
+        self,
+        link: PeerLink,
+        call: CallStream,
+        member: Member,
+        route: Route,
+        req: EntryRequest,
+    ) -> None:
+        """Keep the parts."""
+        self._link = link
+        self._call = call
+        self._member = member
+        self._route = route
+        self._req = req
+        self._upload: asyncio.Task[None] | None = None
+        self.refused_load_permille = 0
+
+    async def run(self, opening: ttypes.RequestOpen) -> ttypes.AnswerOpen:
+        """Send the request and return the opened answer.
+
+        Raises:
+            RequestNotRun: The other side refused it before work.
+            RequestUnknown: It may have run.
+        """
+        try:
+            await self._call.send(opening)
+            if not self._req.is_whole:
+                loop = asyncio.get_running_loop()
+                self._upload = loop.create_task(self._pump())
+            return await self._await_answer()
+        except (PeerUnavailable, MalformedMessage) as exc:
+            raise self._unknown(exc.reason) from exc
+        except TimeoutError as exc:
+            raise self._unknown('deadline passed') from exc
+        except BaseException:
+            self.stop_upload()
+            raise
+
+    def stop_upload(self) -> None:
+        """Stop passing on the body."""
+        if self._upload:
+            self._upload.cancel()
+
+    async def _await_answer(self) -> ttypes.AnswerOpen:
+        if self._upload is None:
+            async with asyncio.timeout_at(self._req.deadline):
+                body = await self._call.receive()
+        else:
+            body = await self._answer_to_upload()
+        if isinstance(body, ttypes.AnswerOpen):
+            return body
+        if isinstance(body, ttypes.Refusal):
+            raise self._refusal(body)
+        raise self._unknown(f'unexpected {type(body).__name__}')
+
+    async def _answer_to_upload(self) -> object:
+        receive = asyncio.ensure_future(self._call.receive())
+        upload = self._upload
+        try:
+            while True:
+                await asyncio.wait(
+                    (receive, upload),  # type: ignore[type-var]
+                    return_when=asyncio.FIRST_COMPLETED,
+                )
+                if receive.done():
+                    return receive.result()
+                await upload  # type: ignore[misc]
+                remaining_s = self._route.policy.timeout_s
+                async with asyncio.timeout(remaining_s):
+                    return await receive
+        finally:
+            receive.cancel()
+            self.stop_upload()
+
+    async def _pump(self) -> None:
+        end = False
+        while not end:
+            async with asyncio.timeout(self._route.policy.stall_s):
+                await self._call.wait_for_credit()
+                self._req.is_body_taken = True
+                part = await self._req.read_body()
+                end = part.end
+                await self._call.send_chunk(part.chunk, end=end)
+
+    def _refusal(self, body: ttypes.Refusal) -> Exception:
+        self.refused_load_permille = body.load_permille or 0
+        if body.kind == ttypes.RefusalKind.NOT_RUN:
+            return RequestNotRun(
+                body.reason or '',
+                come_back_ms=body.come_back_ms or COME_BACK_MS,
+                step='forward',
+                peer=self._member.node,
+            )
+        return self._unknown(body.reason or '')
+
+    def _unknown(self, reason: str) -> RequestUnknown:
+        return RequestUnknown(
+            reason,
+            step='forward',
+            peer=self._member.node,
+        )
--- a/filbertdrift/caller.py
+++ b/filbertdrift/caller.py
@@ -13,8 +13,8 @@
     RequestNotRun,
     RequestUnknown,
 )
-from filbertdrift.forward import Answer, EntryRequest, Outcome
 from filbertdrift.http1 import BodyPart, Headers, RequestHead
+from filbertdrift.request import Answer, EntryRequest, Outcome
 from filbertdrift.serving import REQUEST_ID_HEADER, TIMEOUT_HEADER
 from filbertdrift.snapshot import Route, Snapshot
 
--- a/filbertdrift/daemon.py
+++ b/filbertdrift/daemon.py
@@ -104,8 +104,8 @@
     for name, source in sources.items():
         collector.add_counters(name, source)
     counters = node.network.counters
-    collector.add_labelled('control_sent_bytes', counters.sent_bytes)
-    collector.add_labelled('control_sent_messages', counters.sent_messages)
+    collector.add_labelled('sent_bytes', counters.sent_bytes)
+    collector.add_labelled('sent_messages', counters.sent_messages)
     collector.add_labelled('received_messages', counters.received_messages)
     collector.add_timings(node.request_timings)
     collector.add_gauge('config_offset', lambda: node.keeper.state.offset)
--- a/filbertdrift/explain.py
+++ b/filbertdrift/explain.py
@@ -132,7 +132,7 @@
             'unknown': outcomes.unknown,
             'retries': outcomes.retries,
         },
-        control_bytes=dict(node.network.counters.sent_bytes),
+        control_bytes=node.network.counters.control_bytes(),
         log_reads=node.log.counters.reads,
         log_appends=node.log.counters.appends,
         dangling_routes=node.counters.dangling_routes,
--- a/filbertdrift/forward.py
+++ b/filbertdrift/forward.py
@@ -2,16 +2,12 @@
 
 import asyncio
 import random
-from abc import ABC, abstractmethod
-from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, field
-from enum import Enum
+from dataclasses import dataclass
 
-from filbertdrift import http1
+from filbertdrift.attempt import Attempt, ForwardedAnswer
 from filbertdrift.chooser import TargetChooser
 from filbertdrift.crashes import CrashLedger, fingerprint
 from filbertdrift.errors import (
-    MalformedMessage,
     PeerUnavailable,
     RequestNotRun,
     RequestUnknown,
@@ -19,6 +15,7 @@
 from filbertdrift.gen import ttypes
 from filbertdrift.link import CallStream, LinkPool, PeerLink
 from filbertdrift.members import Member
+from filbertdrift.request import EntryRequest
 from filbertdrift.snapshot import Route, Snapshot
 
 MS_PER_S = 1000
@@ -28,49 +25,6 @@
 RETRY_BUDGET_MAX = 20.0
 
 
-class Outcome(Enum):
-    """What a caller is told about its request."""
-
-    ANSWERED = 'answered'
-    NOT_RUN = 'not-run'
-    UNKNOWN = 'unknown'
-
-
-@dataclass(slots=True)
-class EntryRequest:
-    """A request as it entered at this node.
-
-    Args:
-        request_id: Names the request in logs, traces and the target.
-        method: Upper case.
-        path: The request target, query included.
-        headers: End-to-end headers.
-        first_chunk: The beginning of the body.
-        is_whole: True if the body ends with the first chunk.
-        read_body: Returns the next part of the body.
-        deadline: When the caller gives up, on the loop's clock.
-        customer: Whose request it is, empty if unknown.
-        is_inner: The caller is itself serving a request of this system.
-        fingerprint: Hash of the content, the same for a repeat.
-        tried: Nodes that it was sent to.
-        is_body_taken: More of the body was read than its first chunk.
-    """
-
-    request_id: str
-    method: str
-    path: str
-    headers: http1.Headers
-    first_chunk: bytes
-    is_whole: bool
-    read_body: Callable[[], Awaitable[http1.BodyPart]]
-    deadline: float
-    customer: str = ''
-    is_inner: bool = False
-    fingerprint: str = ''
-    tried: list[str] = field(default_factory=list)
-    is_body_taken: bool = False
-
-
 @dataclass(slots=True)
 class ForwardCounters:
     """What became of the requests that entered at this node."""
@@ -104,88 +58,6 @@
         return True
 
 
-class Answer(ABC):
-    """An answer whose body may still be coming.
-
-    Attributes:
-        status: The HTTP status.
-        headers: End-to-end headers.
-        first_part: The beginning of the body.
-    """
-
-    status: int
-    headers: http1.Headers
-    first_part: http1.BodyPart
-
-    @abstractmethod
-    async def part(self, stall_s: float) -> http1.BodyPart:
-        """Return the next part of the body.
-
-        Args:
-            stall_s: How long the body may stand still.
-
-        Raises:
-            RequestUnknown: The answer is cut short.
-        """
-
-    @abstractmethod
-    def close(self) -> None:
-        """End the answer; what has not come yet is given up."""
-
-
-class ForwardedAnswer(Answer):
-    """The answer to a forwarded request, whose body may still be coming.
-
-    Args:
-        opened: The message that opened the answer.
-        call: The call that brings the rest.
-        close: Ends the call, cancelling the rest if told to.
-    """
-
-    def __init__(
-        self,
-        opened: ttypes.AnswerOpen,
-        call: CallStream,
-        close: Callable[[bool], None],
-    ) -> None:
-        """Keep the parts."""
-        self.status = opened.status
-        self.headers = [
-            (header.name, header.content) for header in opened.headers or ()
-        ]
-        self.first_part = http1.BodyPart(opened.body or b'', bool(opened.end))
-        self._call = call
-        self._close = close
-        self._is_whole = self.first_part.end
-
-    async def part(self, stall_s: float) -> http1.BodyPart:
-        """Return the next part of the body."""
-        try:
-            async with asyncio.timeout(stall_s):
-                body = await self._call.receive()
-        except (TimeoutError, PeerUnavailable) as exc:
-            raise RequestUnknown(
-                repr(exc),
-                step='read answer',
-                peer=self._call.peer,
-            ) from exc
-        if not isinstance(body, ttypes.BodyChunk):
-            raise RequestUnknown(
-                'answer cut short',
-                step='read answer',
-                peer=self._call.peer,
-            )
-        chunk = body.body or b''
-        if not body.end:
-            await self._call.grant(len(chunk))
-        self._is_whole = bool(body.end)
-        return http1.BodyPart(chunk, self._is_whole)
-
-    def close(self) -> None:
-        """End the call; an unfinished answer is cancelled."""
-        self._close(not self._is_whole)
-
-
 class Forwarder:
     """Forwards requests to the nodes beside their targets.
 
@@ -305,7 +177,7 @@
             self._chooser.ended(member, loop.time())
             self._chooser.failed(member, loop.time(), unreachable=True)
             raise self._not_run(exc) from exc
-        attempt = _Attempt(link, call, member, route, req)
+        attempt = Attempt(link, call, member, route, req)
         try:
             answer = await attempt.run(self._opening(member, route, req))
         except BaseException as exc:
@@ -341,7 +213,7 @@
         member: Member,
         link: PeerLink,
         call: CallStream,
-        attempt: '_Attempt',
+        attempt: Attempt,
         *,
         cancel: bool,
     ) -> None:
@@ -378,7 +250,7 @@
     def _observe_failure(
         self,
         member: Member,
-        attempt: '_Attempt',
+        attempt: Attempt,
         exc: BaseException,
     ) -> None:
         now = asyncio.get_running_loop().time()
@@ -418,109 +290,3 @@
 
     def _come_back_ms(self) -> int:
         return COME_BACK_MS + int(COME_BACK_SPREAD_MS * self._rng.random())
-
-
-class _Attempt:
-    """One try of one request at one target."""
-
-    def __init__(
-        self,
-        link: PeerLink,
-        call: CallStream,
-        member: Member,
-        route: Route,
-        req: EntryRequest,
-    ) -> None:
-        """Keep the parts."""
-        self._link = link
-        self._call = call
-        self._member = member
-        self._route = route
-        self._req = req
-        self._upload: asyncio.Task[None] | None = None
-        self.refused_load_permille = 0
-
-    async def run(self, opening: ttypes.RequestOpen) -> ttypes.AnswerOpen:
-        """Send the request and return the opened answer.
-
-        Raises:
-            RequestNotRun: The other side refused it before work.
-            RequestUnknown: It may have run.
-        """
-        try:
-            await self._call.send(opening)
-            if not self._req.is_whole:
-                loop = asyncio.get_running_loop()
-                self._upload = loop.create_task(self._pump())
-            return await self._await_answer()
-        except (PeerUnavailable, MalformedMessage) as exc:
-            raise self._unknown(exc.reason) from exc
-        except TimeoutError as exc:
-            raise self._unknown('deadline passed') from exc
-        except BaseException:
-            self.stop_upload()
-            raise
-
-    def stop_upload(self) -> None:
-        """Stop passing on the body."""
-        if self._upload:
-            self._upload.cancel()
-
-    async def _await_answer(self) -> ttypes.AnswerOpen:
-        if self._upload is None:
-            async with asyncio.timeout_at(self._req.deadline):
-                body = await self._call.receive()
-        else:
-            body = await self._answer_to_upload()
-        if isinstance(body, ttypes.AnswerOpen):
-            return body
-        if isinstance(body, ttypes.Refusal):
-            raise self._refusal(body)
-        raise self._unknown(f'unexpected {type(body).__name__}')
-
-    async def _answer_to_upload(self) -> object:
-        receive = asyncio.ensure_future(self._call.receive())
-        upload = self._upload
-        try:
-            while True:
-                await asyncio.wait(
-                    (receive, upload),  # type: ignore[type-var]
-                    return_when=asyncio.FIRST_COMPLETED,
-                )
-                if receive.done():
-                    return receive.result()
-                await upload  # type: ignore[misc]
-                remaining_s = self._route.policy.timeout_s
-                async with asyncio.timeout(remaining_s):
-                    return await receive
-        finally:
-            receive.cancel()
-            self.stop_upload()
-
-    async def _pump(self) -> None:
-        end = False
-        while not end:
-            async with asyncio.timeout(self._route.policy.stall_s):
-                await self._call.wait_for_credit()
-                self._req.is_body_taken = True
-                part = await self._req.read_body()
-                end = part.end
-                await self._call.send_chunk(part.chunk, end=end)
-
-    def _refusal(self, body: ttypes.Refusal) -> Exception:
-        self.refused_load_permille = body.load_permille or 0
-        if body.kind == ttypes.RefusalKind.NOT_RUN:
-            return RequestNotRun(
-                body.reason or '',
-                come_back_ms=body.come_back_ms or COME_BACK_MS,
-                step='forward',
-                peer=self._member.node,
-            )
-        return self._unknown(body.reason or '')
-
-    def _unknown(self, reason: str) -> RequestUnknown:
-        return RequestUnknown(
-            reason,
-            step='forward',
-            peer=self._member.node,
-        )
--- a/filbertdrift/keyed.py
+++ b/filbertdrift/keyed.py
@@ -8,8 +8,9 @@
     claim_key,
 )
 from filbertdrift.errors import RequestNotRun
-from filbertdrift.forward import Answer, EntryRequest, Forwarder
+from filbertdrift.forward import Forwarder
 from filbertdrift.gen import ttypes
+from filbertdrift.request import Answer, EntryRequest
 from filbertdrift.snapshot import Route, Snapshot
 
 KEY_HEADER = b'idempotency-key'
--- a/filbertdrift/metrics.py
+++ b/filbertdrift/metrics.py
@@ -1,6 +1,6 @@
 """Counters and histograms of a node in the Prometheus text format."""
 
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
 from dataclasses import fields, is_dataclass
 
 from hdrh.histogram import HdrHistogram
@@ -18,8 +18,12 @@
 HIGHEST_US = 3_600_000_000
 DIGITS = 3
 US_PER_S = 1_000_000
-QUANTILES = (50.0, 90.0, 99.0, 99.9)
-PERCENT = 100.0
+QUANTILES: Mapping[str, float] = {
+    '0.5': 50.0,
+    '0.9': 90.0,
+    '0.99': 99.0,
+    '0.999': 99.9,
+}
 
 
 class Timings:
@@ -60,10 +64,10 @@
         """Return the histogram as a summary with quantiles."""
         name = f'{PREFIX}_{self.name}_seconds'
         family = SummaryMetricFamily(name, self.text)
-        for percent in QUANTILES:
+        for label, percent in QUANTILES.items():
             family.add_sample(
                 name,
-                {'quantile': str(percent / PERCENT)},
+                {'quantile': label},
                 self.quantile_s(percent),
             )
         family.add_sample(f'{name}_count', {}, self.count())
--- a/filbertdrift/network.py
+++ b/filbertdrift/network.py
@@ -24,6 +24,19 @@
 DRAIN_ABOVE_BYTES = 65_536
 READ_BUFFER_BYTES = 262_144
 
+REQUEST_KINDS = frozenset(
+    (
+        'RequestOpen',
+        'BodyChunk',
+        'Credit',
+        'AnswerOpen',
+        'Refusal',
+        'Cancel',
+        'ClaimAsk',
+        'ClaimVerdict',
+    )
+)
+
 OnConnection = Callable[['Connection'], Awaitable[None]]
 OnDatagram = Callable[[str, int, object], None]
 
@@ -44,6 +57,14 @@
         self.sent_bytes[kind] += size_bytes
         self.sent_messages[kind] += 1
 
+    def control_bytes(self) -> dict[str, int]:
+        """Return the bytes sent for control by kind, requests left out."""
+        return {
+            kind: size_bytes
+            for kind, size_bytes in self.sent_bytes.items()
+            if kind not in REQUEST_KINDS
+        }
+
     def received(self, body: object) -> None:
         """Count one received message."""
         self.received_messages[type(body).__name__] += 1
--- a/filbertdrift/node.py
+++ b/filbertdrift/node.py
@@ -21,12 +21,7 @@
 )
 from filbertdrift.explain import RequestJournal, RequestReport
 from filbertdrift.fold import ConfigState
-from filbertdrift.forward import (
-    Answer,
-    EntryRequest,
-    Forwarder,
-    Outcome,
-)
+from filbertdrift.forward import Forwarder
 from filbertdrift.gen import ttypes
 from filbertdrift.health import TargetHealth
 from filbertdrift.introduction import Introducer
@@ -47,6 +42,7 @@
     OpenTarget,
     TargetRegistration,
 )
+from filbertdrift.request import Answer, EntryRequest, Outcome
 from filbertdrift.serving import TargetServer
 from filbertdrift.snapshot import (
     Route,
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -11,7 +11,6 @@
 
 from filbertdrift import http1
 from filbertdrift.errors import PeerUnavailable
-from filbertdrift.forward import Answer, EntryRequest
 from filbertdrift.gen import ttypes
 from filbertdrift.log import MemoryLog, SharedLog
 from filbertdrift.network_memory import Fabric, MemoryNetwork
@@ -19,6 +18,7 @@
 from filbertdrift.profile import PROFILES, Profile
 from filbertdrift.publisher import Published
 from filbertdrift.registration import Announcement
+from filbertdrift.request import Answer, EntryRequest
 from filbertdrift.target import Exchange, Target, TargetRequest
 
 RENEW_S = 2.0
