--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -36,7 +36,7 @@
 traffic=$!
 
 sleep 3
-echo "publishing a change under load"
+echo "publishing a change under load, after 3 s of traffic"
 cp examples/"$deployment"/20-policies.ini "$dir/20-policies.ini"
 sed -i 's/^timeout_ms = 3000$/timeout_ms = 2500/' "$dir/20-policies.ini"
 note publish "$(tail -n 1 "$dir/nodes" | cut -d ' ' -f 3)"
@@ -50,7 +50,7 @@
 kill -9 "$(cat "$dir/node$victim.pid")"
 
 sleep 2
-echo "killing the log"
+echo "killing the log: from here on writes with a key are refused as not-run"
 kill -9 "$(cat "$dir/log.pid")"
 
 wait "$traffic"
--- a/standins/traffic.py
+++ b/standins/traffic.py
@@ -52,6 +52,8 @@
     wrong_answers: int = 0
     writes: int = 0
     writes_answered: int = 0
+    began_at: float = field(default_factory=time.monotonic)
+    first_failure_s: float | None = None
 
 
 def read_instances(folder: str) -> list[Instance]:
@@ -80,6 +82,9 @@
     _say(f'requests sent: {report.sent}')
     _say(f'attempts by outcome: {_counts(report.outcomes)}')
     _say(f'by status: {_counts(report.statuses)}')
+    failed_at = report.first_failure_s
+    first = 'none' if failed_at is None else f'after {failed_at:.1f} s'
+    _say(f'first attempt that was not answered: {first}')
     _say(f'answers of another request: {report.wrong_answers}')
     _say(f'writes: {report.writes}, answered {report.writes_answered}')
     _say(f'writes that ran: {len(runs)}, more than once: {twice}')
@@ -132,6 +137,8 @@
         if outcome == ANSWERED:
             report.writes_answered += is_write
             return
+        if report.first_failure_s is None:
+            report.first_failure_s = time.monotonic() - report.began_at
         await asyncio.sleep(REPEAT_S)
 
 
