--- a/filbertdrift/target.py
+++ b/filbertdrift/target.py
@@ -11,6 +11,7 @@
 
 CONNECT_TIMEOUT_S = 1.0
 PROBE_TIMEOUT_S = 1.0
+SILENT_S = 1.0
 STATUS_ERROR = 400
 IDLE_REUSE_S = 4.0
 LAST_CHUNK = b'0\r\n\r\n'
@@ -186,6 +187,7 @@
             b'content-length',
         )
         self._is_sent = False
+        self._sent_at = 0.0
         self._is_whole = False
         self._head: http1.ResponseHead | None = None
 
@@ -196,6 +198,7 @@
         if self._is_chunked:
             headers.append((b'transfer-encoding', b'chunked'))
         raw = http1.request_bytes(request.method, request.path, headers)
+        self._sent_at = asyncio.get_running_loop().time()
         await self._conn.write(raw + self._coded(request.first_chunk))
         if request.is_whole:
             self._is_sent = True
@@ -226,12 +229,24 @@
 
     def close(self) -> None:
         """Keep the connection after a whole exchange, else close it."""
+        if self._is_silent():
+            self._pool.close()
         keeps = self._head is not None and self._head.keep_alive
         if self._is_whole and self._is_sent and keeps:
             self._pool.keep(self._conn)
         else:
             self._conn.close()
 
+    def _is_silent(self) -> bool:
+        """Tell whether the connection gave no sign for long.
+
+        Its kept siblings may have lost their state between the ends as well.
+        """
+        if self._head is not None or not self._sent_at:
+            return False
+        now = asyncio.get_running_loop().time()
+        return now - self._sent_at >= SILENT_S
+
     def _noted(self, part: http1.BodyPart) -> http1.BodyPart:
         self._is_whole = part.end
         return part
--- a/tests/test_caller.py
+++ b/tests/test_caller.py
@@ -1,6 +1,7 @@
 """The callers' port over real sockets: whole answers and bad input."""
 
 import asyncio
+import contextlib
 import struct
 
 from testtools import TestCase
@@ -194,6 +195,37 @@
 
         self.run_case(case)
 
+    def test_silent_target_connections_are_replaced(self) -> None:
+        silent: set[asyncio.StreamWriter] = set()
+        served: set[asyncio.StreamWriter] = set()
+
+        async def on_target(
+            reader: asyncio.StreamReader,
+            writer: asyncio.StreamWriter,
+        ) -> None:
+            served.add(writer)
+            with contextlib.suppress(asyncio.IncompleteReadError):
+                while await read_request(reader):
+                    if writer not in silent:
+                        writer.write(ANSWER + b'hello')
+            writer.close()
+
+        async def main() -> None:
+            async with one_node(on_target) as sockets:
+                both = [sockets.get('/desk/1'), sockets.get('/desk/2')]
+                await asyncio.gather(*both)
+                silent.update(served)
+                lost = await sockets.get(
+                    '/desk/3',
+                    'x-filbertdrift-timeout-ms: 1500',
+                )
+                self.assertThat(lost, StartsWith(b'HTTP/1.1 504'))
+                for _ in range(3):
+                    found = await sockets.get('/desk/4')
+                    self.assertThat(found, StartsWith(b'HTTP/1.1 200'))
+
+        asyncio.run(main())
+
     def test_drain_answers_what_is_in_progress(self) -> None:
         target = ScriptedTarget()
 
--- a/tests/test_log.py
+++ b/tests/test_log.py
@@ -6,7 +6,8 @@
 import uvicorn
 from litestar import Litestar
 from litestar.datastructures import State
-from testtools import TestCase
+from litestar.exceptions import HTTPException
+from testtools import ExpectedException, TestCase
 from testtools.matchers import Equals
 
 from filbertdrift.errors import LogAnswerLost, LogUnavailable
@@ -110,6 +111,38 @@
 
         self.run_both(case)
 
+    def test_silent_connection_is_given_up(self) -> None:
+        async def swallow(
+            reader: asyncio.StreamReader,
+            writer: asyncio.StreamWriter,
+        ) -> None:
+            await reader.read()
+            writer.close()
+
+        async def case() -> None:
+            silent = await asyncio.start_server(swallow, '127.0.0.1', 0)
+            port = silent.sockets[0].getsockname()[1]
+            log = HttpLog(f'http://127.0.0.1:{port}')
+            error = await self._error(log)
+            self.assertThat(type(error), Equals(LogAnswerLost))
+            await log.close()
+            silent.close()
+
+        asyncio.run(case())
+
+    def test_stand_in_expires_and_limits(self) -> None:
+        async def case() -> None:
+            store = log_server.StreamStore(0, 3)
+            for _ in range(3):
+                await store.append('s', b'x')
+            with ExpectedException(HTTPException, '.*too many.*'):
+                await store.append('s', b'x')
+            page = await store.read('s', 0, 0)
+            self.assertThat(page.records, Equals([]))
+            self.assertThat(page.first_offset, Equals(3))
+
+        asyncio.run(case())
+
     async def _error(self, log: Log) -> BaseException | None:
         try:
             await log.append('s', b'x')
