Forget what was seen of members that are gone; drop what nobody used

Observations of targets and times of heartbeats were kept for members that had left, so a node's memory grew by a little with each replacement. They are now dropped each 5 s.

--- a/filbertdrift/caller.py
+++ b/filbertdrift/caller.py
@@ -4,6 +4,7 @@
 import contextlib
 import uuid
 from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
 from typing import Protocol
 
 from filbertdrift import http1
@@ -51,6 +52,14 @@
         """Return the answer to a request."""
 
 
+@dataclass(slots=True)
+class CallerCounters:
+    """What went wrong on callers' connections."""
+
+    bad_requests: int = 0
+    aborted_answers: int = 0
+
+
 class CallerServer:
     """Accepts callers' connections.
 
@@ -62,8 +71,7 @@
     def __init__(self, handler: RequestHandler) -> None:
         """Start without connections."""
         self.in_progress = 0
-        self.bad_requests = 0
-        self.aborted_answers = 0
+        self.counters = CallerCounters()
         self._handler = handler
         self._server: asyncio.Server | None = None
         self._connections: set[_CallerConnection] = set()
@@ -301,7 +309,7 @@
             try:
                 part = await answer.part(route.policy.stall_s)
             except RequestUnknown:
-                self._server.aborted_answers += 1
+                self._server.counters.aborted_answers += 1
                 self._writer.transport.abort()
                 raise
             self._writer.write(_coded(part, is_chunked=is_chunked))
@@ -373,7 +381,7 @@
         await self._writer.drain()
 
     async def _reject(self, status: int, exc: FilbertdriftError) -> None:
-        self._server.bad_requests += 1
+        self._server.counters.bad_requests += 1
         self._is_closing = True
         head = RequestHead('GET', '', [], keep_alive=False)
         with contextlib.suppress(OSError):
--- a/filbertdrift/daemon.py
+++ b/filbertdrift/daemon.py
@@ -94,6 +94,7 @@
         'log_reader': node.reader.counters,
         'distribution': node.distributor.counters,
         'node': node.counters,
+        'callers': node.callers.counters,
         'claims': node.claims.counters,
         'crashes': node.crashes.counters,
         'health': node.health.counters,
--- a/filbertdrift/forward.py
+++ b/filbertdrift/forward.py
@@ -243,7 +243,6 @@
             fingerprint=req.fingerprint,
             refusal_statuses=list(route.targets.refusal_statuses),
             generation=member.generation,
-            idempotent=req.method in policy.idempotent_methods,
             stall_ms=int(policy.stall_s * MS_PER_S),
         )
 
--- a/filbertdrift/gen/ttypes.py
+++ b/filbertdrift/gen/ttypes.py
@@ -86,7 +86,6 @@
      - version
      - status
      - slots
-     - standby
 
     """
 
@@ -99,11 +98,10 @@
         'version',
         'status',
         'slots',
-        'standby',
     )
 
 
-    def __init__(self, node=None, domain=None, region=None, service_name=None, generation=None, version=None, status=None, slots=None, standby=None,):
+    def __init__(self, node=None, domain=None, region=None, service_name=None, generation=None, version=None, status=None, slots=None,):
         self.node = node
         self.domain = domain
         self.region = region
@@ -112,7 +110,6 @@
         self.version = version
         self.status = status
         self.slots = slots
-        self.standby = standby
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -163,11 +160,6 @@
                     self.slots = iprot.readI32()
                 else:
                     iprot.skip(ftype)
-            elif fid == 9:
-                if ftype == TType.BOOL:
-                    self.standby = iprot.readBool()
-                else:
-                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -210,10 +202,6 @@
             oprot.writeFieldBegin('slots', TType.I32, 8)
             oprot.writeI32(self.slots)
             oprot.writeFieldEnd()
-        if self.standby is not None:
-            oprot.writeFieldBegin('standby', TType.BOOL, 9)
-            oprot.writeBool(self.standby)
-            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2405,7 +2393,6 @@
      - fingerprint
      - refusal_statuses
      - generation
-     - idempotent
      - stall_ms
 
     """
@@ -2424,12 +2411,11 @@
         'fingerprint',
         'refusal_statuses',
         'generation',
-        'idempotent',
         'stall_ms',
     )
 
 
-    def __init__(self, method=None, path=None, headers=None, remaining_ms=None, service_name=None, importance=None, customer=None, body=None, end=None, request_id=None, fingerprint=None, refusal_statuses=None, generation=None, idempotent=None, stall_ms=None,):
+    def __init__(self, method=None, path=None, headers=None, remaining_ms=None, service_name=None, importance=None, customer=None, body=None, end=None, request_id=None, fingerprint=None, refusal_statuses=None, generation=None, stall_ms=None,):
         self.method = method
         self.path = path
         self.headers = headers
@@ -2443,7 +2429,6 @@
         self.fingerprint = fingerprint
         self.refusal_statuses = refusal_statuses
         self.generation = generation
-        self.idempotent = idempotent
         self.stall_ms = stall_ms
 
     def read(self, iprot):
@@ -2531,11 +2516,6 @@
                     self.generation = iprot.readI64()
                 else:
                     iprot.skip(ftype)
-            elif fid == 14:
-                if ftype == TType.BOOL:
-                    self.idempotent = iprot.readBool()
-                else:
-                    iprot.skip(ftype)
             elif fid == 15:
                 if ftype == TType.I32:
                     self.stall_ms = iprot.readI32()
@@ -2609,10 +2589,6 @@
             oprot.writeFieldBegin('generation', TType.I64, 13)
             oprot.writeI64(self.generation)
             oprot.writeFieldEnd()
-        if self.idempotent is not None:
-            oprot.writeFieldBegin('idempotent', TType.BOOL, 14)
-            oprot.writeBool(self.idempotent)
-            oprot.writeFieldEnd()
         if self.stall_ms is not None:
             oprot.writeFieldBegin('stall_ms', TType.I32, 15)
             oprot.writeI32(self.stall_ms)
@@ -3821,7 +3797,6 @@
     (6, TType.I32, 'version', None, None, ),  # 6
     (7, TType.I32, 'status', None, None, ),  # 7
     (8, TType.I32, 'slots', None, None, ),  # 8
-    (9, TType.BOOL, 'standby', None, None, ),  # 9
 )
 all_structs.append(StateDigest)
 StateDigest.thrift_spec = (
@@ -3991,7 +3966,7 @@
     (11, TType.STRING, 'fingerprint', 'UTF8', None, ),  # 11
     (12, TType.LIST, 'refusal_statuses', (TType.I32, None, False), None, ),  # 12
     (13, TType.I64, 'generation', None, None, ),  # 13
-    (14, TType.BOOL, 'idempotent', None, None, ),  # 14
+    None,  # 14
     (15, TType.I32, 'stall_ms', None, None, ),  # 15
 )
 all_structs.append(BodyChunk)
--- a/filbertdrift/link.py
+++ b/filbertdrift/link.py
@@ -145,11 +145,6 @@
         self._ids = itertools.count(1)
         self._task = loop.create_task(self._read())
 
-    @property
-    def open_calls(self) -> int:
-        """Return the number of calls in progress."""
-        return len(self._calls)
-
     def begin(self) -> CallStream:
         """Start a call; end must be called for it.
 
--- a/filbertdrift/membership.py
+++ b/filbertdrift/membership.py
@@ -7,7 +7,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Coroutine, Sequence
+from collections.abc import Callable, Collection, Coroutine, Sequence
 from dataclasses import dataclass, replace
 from functools import singledispatchmethod
 
@@ -167,10 +167,8 @@
             if domain not in {self.me.domain, *self.unreachable_domains}
             for node in self._others(domain)
         ]
-        return self._draw(own, self._profile.fanout) + self._draw(
-            far,
-            self._profile.far_fanout,
-        )
+        drawn = _draw(self._rng, own, self._profile.fanout)
+        return drawn + _draw(self._rng, far, self._profile.far_fanout)
 
     def send_to_drawn(self, body: object) -> None:
         """Send a datagram to members drawn at random.
@@ -181,6 +179,16 @@
         for node in self.draw_peers():
             self._send(node, body)
 
+    def forget_unheard(self, known: Collection[str]) -> None:
+        """Forget when nodes were heard of that are no members any more.
+
+        Args:
+            known: The nodes to keep.
+        """
+        for node in list(self.heard):
+            if node not in known:
+                self.heard.pop(node)
+
     def serve_sync(
         self,
         question: ttypes.SyncMembers,
@@ -322,9 +330,6 @@
             and member.status != MemberStatus.SUSPECT
         ]
 
-    def _draw(self, nodes: list[str], count: int) -> list[str]:
-        return self._rng.sample(nodes, min(count, len(nodes)))
-
     def _on_entries(
         self,
         entries: Sequence[ttypes.MemberEntry],
@@ -387,6 +392,10 @@
         task.add_done_callback(self._tasks.discard)
 
 
+def _draw(rng: random.Random, nodes: list[str], count: int) -> list[str]:
+    return rng.sample(nodes, min(count, len(nodes)))
+
+
 def _no_config() -> tuple[int, bytes]:
     return -1, b''
 
--- a/filbertdrift/node.py
+++ b/filbertdrift/node.py
@@ -59,7 +59,7 @@
 MAX_BOOT_BACKOFF_S = 5.0
 LEAVE_NOTICE_S = 2.0
 DRAIN_POLL_S = 0.05
-FORGET_S = 1.0
+FORGET_S = 5.0
 PAUSE_COME_BACK_MS = 500
 
 
@@ -343,6 +343,9 @@
             await asyncio.sleep(FORGET_S)
             self.claims.forget_expired()
             self.crashes.forget_expired()
+            known = {found.node for found in self.membership.table.alive()}
+            self.chooser.forget_missing(known)
+            self.membership.forget_unheard(known)
 
     # Swaps of the snapshot
 
--- a/idl/filbertdrift.thrift
+++ b/idl/filbertdrift.thrift
@@ -19,7 +19,6 @@
   6: i32 version
   7: MemberStatus status
   8: i32 slots
-  9: bool standby
 }
 
 /** What a node holds, in a few bytes. */
@@ -180,7 +179,6 @@
   11: string fingerprint
   12: list<i32> refusal_statuses
   13: i64 generation
-  14: bool idempotent
   15: i32 stall_ms
 }
 
--- a/standins/load_bench.py
+++ b/standins/load_bench.py
@@ -27,7 +27,6 @@
 MEASURE_S = 10.0
 SETTLE_S = 8.0
 WRITE_SHARE = 0.2
-BASELINE_RETRIES = 2
 CONFIG = """
 [targets desk]
 service = desk
--- a/standins/log_server.py
+++ b/standins/log_server.py
@@ -14,7 +14,6 @@
 
 from filbertdrift.log import LogRecord, MemoryStream, page_of
 
-POLL_S = 0.02
 MS_PER_S = 1000
 MAX_WAIT_S = 30.0
 
