--- a/filbertdrift/admin.py
+++ b/filbertdrift/admin.py
@@ -13,11 +13,13 @@
 
 from filbertdrift.errors import LogAnswerLost, LogUnavailable
 from filbertdrift.explain import (
+    CrashReport,
     FleetReport,
     RequestReport,
     StatusReport,
     TargetReport,
     VerdictReport,
+    explain_crashes,
     explain_request,
     explain_targets,
     explain_verdicts,
@@ -181,6 +183,12 @@
     return explain_targets(state['node'], service)
 
 
+@get('/crashes')
+async def crashes(state: State) -> list[CrashReport]:
+    """Return the request contents that ran while targets crashed."""
+    return explain_crashes(state['node'])
+
+
 @get('/requests/{request_id:str}')
 async def request_report(
     state: State, request_id: FromPath[str]
@@ -222,6 +230,7 @@
                 fleet,
                 verdicts,
                 targets,
+                crashes,
                 request_report,
                 metrics,
             ],
--- a/filbertdrift/cli.py
+++ b/filbertdrift/cli.py
@@ -36,6 +36,10 @@
         """Why each target gets work from a node or does not."""
         self._print.show(porcelain.targets(admin, service))
 
+    def crashes(self, admin: str = DEFAULT_ADMIN) -> None:
+        """Which request contents crashed targets, and which are refused."""
+        self._print.show(porcelain.crashes(admin))
+
     def request(self, request_id: str, admin: str = DEFAULT_ADMIN) -> None:
         """What became of one request that entered at a node."""
         self._print.show(porcelain.request(str(request_id), admin))
--- a/filbertdrift/crashes.py
+++ b/filbertdrift/crashes.py
@@ -40,6 +40,23 @@
     crash_ids: set[str] = field(default_factory=set)
 
 
+@dataclass(frozen=True, slots=True)
+class MarkedFingerprint:
+    """A fingerprint that ran while targets crashed.
+
+    Args:
+        name: The fingerprint.
+        crashes: How many crashes it ran in.
+        is_refused: Requests with it are refused.
+        forgotten_in_s: When its marks are dropped, from now.
+    """
+
+    name: str
+    crashes: int
+    is_refused: bool
+    forgotten_in_s: float
+
+
 @dataclass(slots=True)
 class CrashCounters:
     """What the ledger did."""
@@ -162,12 +179,17 @@
             if now >= kept.expires_at:
                 self._forget_notice(crash_id)
 
-    def condemned(self) -> Sequence[str]:
-        """Return the fingerprints that are refused."""
+    def marked(self) -> Sequence[MarkedFingerprint]:
+        """Return the fingerprints that have marks."""
+        now = asyncio.get_running_loop().time()
         return [
-            name
+            MarkedFingerprint(
+                name=name,
+                crashes=len(marks.crash_ids),
+                is_refused=len(marks.crash_ids) >= CRASHES_TO_CONDEMN,
+                forgotten_in_s=max(marks.expires_at - now, 0),
+            )
             for name, marks in self._marks.items()
-            if len(marks.crash_ids) >= CRASHES_TO_CONDEMN
         ]
 
     def _tell(self, names: Sequence[str], *, cleared: bool) -> None:
--- a/filbertdrift/explain.py
+++ b/filbertdrift/explain.py
@@ -76,6 +76,15 @@
     latency_ms: float
 
 
+class CrashReport(BaseModel):
+    """A request content that ran while targets crashed."""
+
+    fingerprint: str
+    crashes: int
+    refused: bool
+    forgotten_in_s: float
+
+
 class RequestReport(BaseModel):
     """What became of one request."""
 
@@ -203,6 +212,19 @@
     ]
 
 
+def explain_crashes(node: 'Node') -> list[CrashReport]:
+    """Return the request contents that ran while targets crashed."""
+    return [
+        CrashReport(
+            fingerprint=found.name,
+            crashes=found.crashes,
+            refused=found.is_refused,
+            forgotten_in_s=round(found.forgotten_in_s, 1),
+        )
+        for found in node.crashes.marked()
+    ]
+
+
 def explain_request(node: 'Node', request_id: str) -> RequestReport:
     """Return what became of a request that entered at a node."""
     report = node.journal.find(request_id)
--- a/filbertdrift/porcelain.py
+++ b/filbertdrift/porcelain.py
@@ -19,6 +19,7 @@
     PeerUnavailable,
 )
 from filbertdrift.explain import (
+    CrashReport,
     FleetReport,
     RequestReport,
     StatusReport,
@@ -310,6 +311,12 @@
     return [TargetReport.model_validate(item) for item in found]
 
 
+def crashes(admin: str = DEFAULT_ADMIN) -> list[CrashReport]:
+    """Return the request contents that ran while targets crashed."""
+    found = _call(admin, 'GET', '/crashes')
+    return [CrashReport.model_validate(item) for item in found]
+
+
 def request(request_id: str, admin: str = DEFAULT_ADMIN) -> RequestReport:
     """Return what became of a request that entered at a node."""
     found = _call(admin, 'GET', f'/requests/{request_id}')
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -36,7 +36,9 @@
             fleet.fabric.loss = 0
             await asyncio.sleep(8)
             for node in fleet.nodes:
-                self.assertThat(node.crashes.condemned(), HasLength(1))
+                found = node.crashes.marked()
+                self.assertThat(found, HasLength(1))
+                self.assertTrue(found[0].is_refused)
             await asyncio.sleep(700)
             for node in fleet.nodes:
                 self.assertThat(node.crashes.digest(), Equals(0))
--- a/tests/test_gate.py
+++ b/tests/test_gate.py
@@ -142,3 +142,18 @@
             return found
 
         self.assertThat(len(run_virtual(case())), GreaterThan(20))
+
+    def test_cold_target_starts_with_fewer_slots(self) -> None:
+        async def case() -> None:
+            now = asyncio.get_running_loop().time()
+            gate = Gate(8, random.Random(1), now + 4, 4)
+            most = []
+            for _ in range(3):
+                self.most_running = 0
+                work = [self.request(gate, 'a', work_s=0.05) for _ in range(8)]
+                await asyncio.gather(*work)
+                most.append(self.most_running)
+                await asyncio.sleep(2)
+            self.assertThat(most, Equals([2, 5, 8]))
+
+        run_virtual(case())
--- a/tests/test_porcelain.py
+++ b/tests/test_porcelain.py
@@ -92,6 +92,7 @@
         self.assertThat(verdicts[-1].verdict, Equals('accepted'))
         targets = porcelain.targets(self.admin, 'desk')
         self.assertThat(targets[0].gets_work, Equals(True))
+        self.assertThat(porcelain.crashes(self.admin), Equals([]))
         report = porcelain.request('unknown', self.admin)
         self.assertThat(report.outcome, Equals('not found'))
         fleet = porcelain.fleet(self.admin)
