--- a/tests/test_introduction.py
+++ b/tests/test_introduction.py
@@ -5,7 +5,7 @@
 from testtools import TestCase
 from testtools.matchers import Equals, LessThan
 
-from tests.builders import Fleet, run_virtual
+from tests.builders import Fleet, run_virtual, service_files
 
 
 class IntroductionTest(TestCase):
@@ -39,6 +39,26 @@
 
         run_virtual(case())
 
+    def test_many_newcomers_on_the_same_seeds(self) -> None:
+        async def case() -> None:
+            fleet = Fleet(seed=73)
+            domains = ('a', 'b', 'c')
+            fleet.fixed_seeds = [fleet.address(name, 0) for name in domains]
+            for domain in domains:
+                await fleet.add(domain, 'desk')
+            await asyncio.sleep(5)
+            await fleet.publish(service_files('desk'))
+            await asyncio.sleep(3)
+            reads = fleet.log.counters.reads
+            for domain in domains:
+                await fleet.add(domain, 'desk', 30)
+            await fleet.until_in_force(0, 10)
+            self.assertThat(fleet.log.counters.reads - reads, LessThan(60))
+            await asyncio.sleep(10)
+            self.assert_one_fleet(fleet)
+
+        run_virtual(case())
+
     def assert_one_fleet(self, fleet: Fleet) -> None:
         """Want every node to know every other one."""
         for node in fleet.nodes:
