A batcher keeps an expired claim until no late claim can meet it

Found while reading: expired holders were dropped by the batcher's own clock, so a claim written before the expiry and folded after it won on that node, while the stream gives it to the first holder: a second run within the key's lifetime. Holders are now kept five minutes longer; the fold compares times of records alone.

--- a/filbertdrift/claims.py
+++ b/filbertdrift/claims.py
@@ -35,6 +35,7 @@
 READ_BACK_TRIES = 3
 READ_BACK_INTERVAL_S = 0.1
 IDLE_STREAM_S = 600.0
+FORGET_AFTER_MS = 300_000
 KEPT_BODY_BYTES = 4096
 MS_PER_S = 1000
 STREAM_DIGITS = 4
@@ -226,13 +227,16 @@
                 return batch_id in self._batches
 
     def forget_expired(self, now_ms: int) -> None:
-        """Drop holders whose time is over.
+        """Drop holders that expired so long ago that no claim can meet them.
+
+        Until then the fold compares times of records alone, so that every
+        node reaches the same holder.
 
         Args:
             now_ms: Milliseconds since the epoch.
         """
         for key, holder in list(self._holders.items()):
-            if holder.expires_ms <= now_ms:
+            if holder.expires_ms + FORGET_AFTER_MS <= now_ms:
                 self._holders.pop(key)
 
 
