--- a/filbertdrift/caller.py
+++ b/filbertdrift/caller.py
@@ -8,6 +8,7 @@
 from typing import Protocol
 
 from filbertdrift import http1
+from filbertdrift.callerprotocol import CallerProtocol
 from filbertdrift.errors import (
     FilbertdriftError,
     MalformedMessage,
@@ -33,7 +34,6 @@
 
 _OWN_HEADERS = frozenset((TIMEOUT_HEADER, DEPTH_HEADER, REQUEST_ID_HEADER))
 _CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
-_LAST_CHUNK = b'0\r\n\r\n'
 
 
 class RequestHandler(Protocol):
@@ -123,48 +123,7 @@
 
     def _protocol(self) -> asyncio.Protocol:
         reader = asyncio.StreamReader(limit=FIRST_CHUNK_BYTES)
-        return _CallerProtocol(reader, self.serve)
-
-
-class _CallerProtocol(asyncio.StreamReaderProtocol):
-    """Cancels the work for a caller that has gone."""
-
-    def __init__(
-        self,
-        reader: asyncio.StreamReader,
-        serve: Callable[
-            [asyncio.StreamReader, asyncio.StreamWriter],
-            Awaitable[None],
-        ],
-    ) -> None:
-        """Keep the server's coroutine function."""
-        super().__init__(reader, self._connected)
-        self._serve = serve
-        self._serving: asyncio.Task[None] | None = None
-
-    def eof_received(self) -> bool:
-        """Take a closed sending side as a caller that has gone."""
-        super().eof_received()
-        self._stop()
-        return False
-
-    def connection_lost(self, exc: Exception | None) -> None:
-        """End the connection's task."""
-        super().connection_lost(exc)
-        self._stop()
-
-    async def _connected(
-        self,
-        reader: asyncio.StreamReader,
-        writer: asyncio.StreamWriter,
-    ) -> None:
-        self._serving = asyncio.current_task()
-        with contextlib.suppress(asyncio.CancelledError):
-            await self._serve(reader, writer)
-
-    def _stop(self) -> None:
-        if self._serving and not self._serving.done():
-            self._serving.cancel()
+        return CallerProtocol(reader, self.serve)
 
 
 class _CallerConnection:
@@ -304,7 +263,7 @@
         is_chunked = self._frame(headers, part, is_bodiless=is_bodiless)
         self._end_headers(head, headers)
         raw = http1.response_bytes(answer.status, headers)
-        self._writer.write(raw + _coded(part, is_chunked=is_chunked))
+        self._writer.write(raw + http1.coded_part(part, is_chunked=is_chunked))
         while not part.end:
             try:
                 part = await answer.part(route.policy.stall_s)
@@ -312,7 +271,7 @@
                 self._server.counters.aborted_answers += 1
                 self._writer.transport.abort()
                 raise
-            self._writer.write(_coded(part, is_chunked=is_chunked))
+            self._writer.write(http1.coded_part(part, is_chunked=is_chunked))
             await self._drain(route.policy.stall_s)
         await self._drain(route.policy.stall_s)
 
@@ -432,13 +391,6 @@
     )
 
 
-def _coded(part: BodyPart, *, is_chunked: bool) -> bytes:
-    if not is_chunked:
-        return part.chunk
-    raw = http1.chunk_bytes(part.chunk) if part.chunk else b''
-    return raw + _LAST_CHUNK if part.end else raw
-
-
 def _header_safe(text: str) -> bytes:
     line = ' '.join(text.split())
     return line.encode('ascii', 'replace')
--- /dev/null
+++ b/filbertdrift/config_holder.py
@@ -0,0 +1,97 @@
+"""The newest configuration document that a node holds."""
+
+import hashlib
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from loguru import logger
+
+from filbertdrift.errors import MalformedMessage
+from filbertdrift.routing import NO_VERSION, PrefixTable, RoutingConfig
+
+DIGEST_BYTES = 8
+
+ParseDocument = Callable[[bytes], RoutingConfig]
+
+
+@dataclass(slots=True)
+class HolderCounters:
+    """What happened to this node's configuration."""
+
+    adopted: int = 0
+    older_ignored: int = 0
+    malformed: int = 0
+
+
+class ConfigHolder:
+    """Holds one whole configuration; versions only move forward.
+
+    Args:
+        parse: Decodes a document.
+
+    Attributes:
+        config: What is in force, None before the first document.
+        table: Its routes.
+        document: Its encoded form, as it is passed on.
+    """
+
+    def __init__(self, parse: ParseDocument) -> None:
+        """Start without a configuration."""
+        self.counters = HolderCounters()
+        self.config: RoutingConfig | None = None
+        self.table = PrefixTable(())
+        self.document = b''
+        self.on_adopt: Callable[[RoutingConfig], None] = _ignore_config
+        self._parse = parse
+        self._digest = b''
+
+    @property
+    def version(self) -> int:
+        """Return the version in force, NO_VERSION without one."""
+        return self.config.version if self.config else NO_VERSION
+
+    def digest(self) -> tuple[int, bytes]:
+        """Return the version and the digest of the document."""
+        return self.version, self._digest
+
+    def offer(self, document: bytes, source: str) -> bool:
+        """Take over a document if it is whole, valid and newer.
+
+        Args:
+            document: The encoded configuration.
+            source: Where it came from, for the log.
+
+        Returns:
+            True if it is in force now.
+        """
+        try:
+            config = self._parse(document)
+        except MalformedMessage as exc:
+            self.counters.malformed += 1
+            logger.error('configuration from {} refused: {}', source, exc)
+            return False
+        if config.version <= self.version:
+            self.counters.older_ignored += 1
+            return False
+        before = self.version
+        self.config = config
+        self.table = PrefixTable(config.routes)
+        self.document = document
+        self._digest = hashlib.blake2b(
+            document,
+            digest_size=DIGEST_BYTES,
+        ).digest()
+        self.counters.adopted += 1
+        logger.bind(
+            event='config_adopted',
+            version=config.version,
+            before=before,
+            routes=len(config.routes),
+            source=source,
+        ).info('configuration {} is in force', config.version)
+        self.on_adopt(config)
+        return True
+
+
+def _ignore_config(config: RoutingConfig) -> None:
+    """Do nothing."""
--- a/filbertdrift/daemon.py
+++ b/filbertdrift/daemon.py
@@ -15,7 +15,8 @@
 from filbertdrift.log import open_log
 from filbertdrift.metrics import NodeCollector
 from filbertdrift.network import TcpNetwork, split_address
-from filbertdrift.node import Identity, Node
+from filbertdrift.identity import Identity
+from filbertdrift.node import Node
 from filbertdrift.profile import PROFILES
 from filbertdrift.settings import LoggingSection, Settings
 from filbertdrift.target import HttpTarget
--- /dev/null
+++ b/filbertdrift/directory.py
@@ -0,0 +1,112 @@
+"""How nodes find each other: a directory on the platform's log, and seeds.
+
+Each node enters its address once when it starts, and reads who else is there.
+From then on membership spreads between the nodes themselves.
+"""
+
+import asyncio
+import random
+from collections.abc import Sequence
+
+from loguru import logger
+
+from filbertdrift.errors import LogUnavailable
+from filbertdrift.keyedlog import KeyedLog, KeyedRecord
+from filbertdrift.membership import Membership
+
+NEAR_PEERS = 3
+FAR_PEERS = 2
+FIRST_BACKOFF_S = 0.2
+MAX_BACKOFF_S = 2.0
+# A settled node looks again now and then, so that halves which formed apart
+# find each other.
+LOOK_AGAIN_S = 60.0
+
+
+class Directory:
+    """Enters this node and joins those that are entered.
+
+    Args:
+        log: The platform's log.
+        stream: The keyed stream of the directory.
+        membership: The other nodes.
+        seeds: Addresses from the settings, perhaps stale.
+        rng: Draws peers and spreads times.
+    """
+
+    def __init__(
+        self,
+        log: KeyedLog,
+        stream: str,
+        membership: Membership,
+        seeds: Sequence[str],
+        rng: random.Random,
+    ) -> None:
+        """Start without an entry."""
+        self.is_entered = False
+        self._log = log
+        self._stream = stream
+        self._membership = membership
+        self._seeds = list(seeds)
+        self._rng = rng
+
+    async def enter(self) -> None:
+        """Write this node's entry.
+
+        Raises:
+            LogUnavailable: The log did not take it, or its answer was lost.
+        """
+        me = self._membership.me
+        record = KeyedRecord(me.node, me.domain.encode())
+        await self._log.append(self._stream, record)
+        self.is_entered = True
+
+    async def join(self) -> int:
+        """Join some of the nodes that the directory and the seeds name.
+
+        Returns:
+            How many nodes answered.
+
+        Raises:
+            LogUnavailable: The log did not answer.
+        """
+        page = await self._log.newest(self._stream)
+        entries = {
+            record.key: record.payload.decode('utf-8', 'replace')
+            for record in page.records
+        }
+        return await self._membership.join(self._draw(entries))
+
+    async def run(self) -> None:
+        """Enter, join and look again until cancelled."""
+        backoff_s = FIRST_BACKOFF_S
+        while True:
+            try:
+                if not self.is_entered:
+                    await self.enter()
+                await self.join()
+            except LogUnavailable as exc:
+                logger.bind(event='directory_unavailable').info('{}', exc)
+                await asyncio.sleep(backoff_s * (0.5 + self._rng.random()))
+                backoff_s = min(backoff_s * 2, MAX_BACKOFF_S)
+                continue
+            backoff_s = FIRST_BACKOFF_S
+            await asyncio.sleep(self._pause_s())
+
+    def _pause_s(self) -> float:
+        spread = 0.75 + self._rng.random() / 2
+        if len(self._membership.table) == 1:
+            return MAX_BACKOFF_S * spread
+        return LOOK_AGAIN_S * spread
+
+    def _draw(self, entries: dict[str, str]) -> list[str]:
+        me = self._membership.me
+        known = {member.node for member in self._membership.table.alive()}
+        strangers = [node for node in entries if node not in known]
+        strangers.extend(seed for seed in self._seeds if seed not in known)
+        near = [node for node in strangers if entries.get(node) == me.domain]
+        far = [node for node in strangers if entries.get(node) != me.domain]
+        return self._sample(near, NEAR_PEERS) + self._sample(far, FAR_PEERS)
+
+    def _sample(self, nodes: list[str], count: int) -> list[str]:
+        return self._rng.sample(nodes, min(count, len(nodes)))
--- /dev/null
+++ b/filbertdrift/dispatch.py
@@ -0,0 +1,387 @@
+"""The entry side of a graded request: targets tried, repeats, the outcome."""
+
+import asyncio
+import random
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+
+from loguru import logger
+
+from filbertdrift.chooser import TargetChooser
+from filbertdrift.crashes import CrashLedger, fingerprint
+from filbertdrift.errors import (
+    FilbertdriftError,
+    MalformedMessage,
+    PeerUnavailable,
+    RequestNotRun,
+    RequestUnknown,
+)
+from filbertdrift.forwarded import ForwardedAnswer
+from filbertdrift.gen import ttypes
+from filbertdrift.link import CallStream, LinkPool, PeerLink
+from filbertdrift.members import Member
+from filbertdrift.request import EntryRequest
+from filbertdrift.retrybudget import SharedRetryBudget
+from filbertdrift.routing import GradedRoute
+
+MS_PER_S = 1000
+# Gates that may refuse one request before it goes back to its caller.
+MAX_REFUSALS = 3
+# A target ends its work at the deadline; its answer needs a moment to arrive.
+ANSWER_SLACK_S = 0.03
+# What is left of a deadline must be worth another try.
+MIN_TRY_S = 0.01
+COME_BACK_MS = 100
+COME_BACK_SPREAD_MS = 200
+
+
+@dataclass(slots=True)
+class GradedRequest:
+    """A request with the route and the service chosen for it.
+
+    Args:
+        req: The request as it entered.
+        route: Its route.
+        service: The service that it goes to, whatever is tried.
+        objective_at: An answer until then is worth most, on the loop's clock.
+        version: The configuration's version that it began with.
+    """
+
+    req: EntryRequest
+    route: GradedRoute
+    service: str
+    objective_at: float
+    version: int
+
+
+class GradedAnswer(ForwardedAnswer):
+    """An answer that may have come before its request's body was sent."""
+
+    upload: asyncio.Task[None] | None = None
+
+    async def finish_upload(self) -> None:
+        """Wait until the rest of the request's body is passed on."""
+        if self.upload is not None:
+            await asyncio.wait((self.upload,))
+
+
+@dataclass(slots=True)
+class DispatchCounters:
+    """What became of the requests that entered at this node."""
+
+    answered: int = 0
+    not_run: int = 0
+    unknown: int = 0
+    gate_refusals: int = 0
+    target_refusals: int = 0
+    repeats: int = 0
+
+
+class Dispatcher:
+    """Hands requests to the nodes beside their targets.
+
+    Args:
+        links: Connections to the other nodes.
+        chooser: Chooses the target.
+        endpoints: Returns the members with a target of a service.
+        crashes: Knows which requests crash targets.
+        budget: Allows repeats.
+        rng: Spreads the times to come back.
+    """
+
+    def __init__(
+        self,
+        links: LinkPool,
+        chooser: TargetChooser,
+        endpoints: Callable[[str], Sequence[Member]],
+        crashes: CrashLedger,
+        budget: SharedRetryBudget,
+        rng: random.Random,
+    ) -> None:
+        """Start without requests."""
+        self.counters = DispatchCounters()
+        self._links = links
+        self._chooser = chooser
+        self._endpoints = endpoints
+        self._crashes = crashes
+        self._budget = budget
+        self._rng = rng
+
+    async def dispatch(self, graded: GradedRequest) -> GradedAnswer:
+        """Return the answer of a target.
+
+        Args:
+            graded: The request.
+
+        Returns:
+            The opened answer; close must be called.
+
+        Raises:
+            RequestNotRun: It was certainly not run.
+            RequestUnknown: It may have run.
+        """
+        req = graded.req
+        req.fingerprint = fingerprint(req.method, req.path, req.first_chunk)
+        self._budget.note_request(graded.service)
+        try:
+            self._crashes.check(req.fingerprint)
+            answer = await self._try_targets(graded)
+        except RequestNotRun as exc:
+            self.counters.not_run += 1
+            self._log(graded, 'not_run', str(exc))
+            raise
+        except RequestUnknown as exc:
+            self.counters.unknown += 1
+            self._log(graded, 'unknown', str(exc))
+            raise
+        self.counters.answered += 1
+        return answer
+
+    async def _try_targets(self, graded: GradedRequest) -> GradedAnswer:
+        refusals = 0
+        handed_over = 0
+        while True:
+            attempt = self._next_attempt(graded)
+            try:
+                return await attempt.run()
+            except RequestNotRun as exc:
+                refusals += 1
+                handed_over += attempt.reached_target
+                if not self._may_go_on(graded, attempt, refusals, handed_over):
+                    raise
+            except RequestUnknown:
+                handed_over += 1
+                if not self._may_repeat(graded, handed_over):
+                    raise
+
+    def _next_attempt(self, graded: GradedRequest) -> 'TargetAttempt':
+        now = asyncio.get_running_loop().time()
+        if now + MIN_TRY_S >= graded.req.deadline:
+            raise RequestNotRun(
+                'the deadline passed before a target had it',
+                come_back_ms=0,
+                step='dispatch',
+            )
+        endpoints = self._endpoints(graded.service)
+        tried = graded.req.tried
+        member = self._chooser.choose(endpoints, tried, now)
+        if member is None:
+            raise RequestNotRun(
+                f'no target of {graded.service} is left to try',
+                come_back_ms=self._come_back_ms(),
+                step='choose target',
+            )
+        tried.append(member.node)
+        return TargetAttempt(self._links, self._chooser, member, graded)
+
+    def _may_go_on(
+        self,
+        graded: GradedRequest,
+        attempt: 'TargetAttempt',
+        refusals: int,
+        handed_over: int,
+    ) -> bool:
+        """Tell whether a refused request may go to another target."""
+        if attempt.is_body_sent or refusals >= MAX_REFUSALS:
+            return False
+        if not attempt.reached_target:
+            self.counters.gate_refusals += 1
+            return True
+        self.counters.target_refusals += 1
+        return self._may_hand_over_again(graded, handed_over)
+
+    def _may_repeat(self, graded: GradedRequest, handed_over: int) -> bool:
+        """Tell whether a request that may have run may run again."""
+        if not graded.route.is_idempotent or not graded.req.is_whole:
+            return False
+        return self._may_hand_over_again(graded, handed_over)
+
+    def _may_hand_over_again(
+        self,
+        graded: GradedRequest,
+        handed_over: int,
+    ) -> bool:
+        if handed_over >= graded.route.max_attempts:
+            return False
+        now = asyncio.get_running_loop().time()
+        if now + MIN_TRY_S >= graded.req.deadline:
+            return False
+        if not self._budget.spend(graded.service):
+            return False
+        self.counters.repeats += 1
+        return True
+
+    def _come_back_ms(self) -> int:
+        return COME_BACK_MS + int(COME_BACK_SPREAD_MS * self._rng.random())
+
+    def _log(self, graded: GradedRequest, outcome: str, reason: str) -> None:
+        logger.bind(
+            event='request',
+            request=graded.req.request_id,
+            route=graded.route.name,
+            service=graded.service,
+            version=graded.version,
+            tried=graded.req.tried,
+            outcome=outcome,
+            reason=reason,
+        ).info('request {}', outcome)
+
+
+class TargetAttempt:
+    """One try of one request at the node beside one target.
+
+    Args:
+        links: Connections to the other nodes.
+        chooser: Is told what becomes of it.
+        member: The node beside the target.
+        graded: The request.
+
+    Attributes:
+        reached_target: The target itself refused it.
+        is_body_sent: More of its body went out than can be sent again.
+    """
+
+    def __init__(
+        self,
+        links: LinkPool,
+        chooser: TargetChooser,
+        member: Member,
+        graded: GradedRequest,
+    ) -> None:
+        """Start before anything is sent."""
+        self.reached_target = False
+        self.is_body_sent = False
+        self._links = links
+        self._chooser = chooser
+        self._member = member
+        self._graded = graded
+        self._req = graded.req
+        self._upload: asyncio.Task[None] | None = None
+
+    async def run(self) -> GradedAnswer:
+        """Send the request and return the opened answer.
+
+        Raises:
+            RequestNotRun: It was refused before work.
+            RequestUnknown: It may have run.
+        """
+        loop = asyncio.get_running_loop()
+        started_at = loop.time()
+        self._chooser.began(self._member, started_at)
+        try:
+            link = await self._open_link()
+        except BaseException:
+            self._chooser.ended(self._member, loop.time())
+            raise
+        call = link.begin()
+        try:
+            answer = await self._exchange(call)
+        except BaseException:
+            self._end(link, call, cancel=True)
+            raise
+        now = loop.time()
+        load = answer.load_permille or 0
+        self._chooser.answered(self._member, load, now - started_at, now)
+        opened = GradedAnswer(
+            answer,
+            call,
+            lambda cancel: self._end(link, call, cancel=cancel),
+        )
+        opened.upload = self._upload
+        return opened
+
+    async def _open_link(self) -> PeerLink:
+        node = self._member.node
+        try:
+            return self._links.ready(node) or await self._links.link(node)
+        except PeerUnavailable as exc:
+            now = asyncio.get_running_loop().time()
+            self._chooser.failed(self._member, now, unreachable=True)
+            raise RequestNotRun(
+                exc.reason,
+                come_back_ms=COME_BACK_MS,
+                step=exc.step,
+                peer=exc.peer,
+            ) from exc
+
+    async def _exchange(self, call: CallStream) -> ttypes.AnswerOpen:
+        loop = asyncio.get_running_loop()
+        deadline = self._req.deadline + ANSWER_SLACK_S
+        try:
+            async with asyncio.timeout_at(deadline):
+                await call.send(self._opening())
+                if not self._req.is_whole:
+                    self._upload = loop.create_task(self._pump(call))
+                body = await call.receive()
+        except TimeoutError as exc:
+            raise self._unknown('the deadline passed') from exc
+        except (PeerUnavailable, MalformedMessage) as exc:
+            raise self._unknown(exc.reason) from exc
+        if isinstance(body, ttypes.AnswerOpen):
+            return body
+        if isinstance(body, ttypes.Refusal):
+            raise self._refused(body)
+        raise self._unknown(f'unexpected {type(body).__name__}')
+
+    async def _pump(self, call: CallStream) -> None:
+        """Pass the rest of the body on, also while the answer comes."""
+        end = False
+        try:
+            while not end:
+                await call.wait_for_credit()
+                self.is_body_sent = True
+                part = await self._req.read_body()
+                end = part.end
+                await call.send_chunk(part.chunk, end=end)
+        except FilbertdriftError as exc:
+            logger.bind(
+                event='upload_broken',
+                request=self._req.request_id,
+            ).info('{}', exc)
+            call.fail(exc)
+
+    def _opening(self) -> ttypes.RequestOpen:
+        now = asyncio.get_running_loop().time()
+        graded, req = self._graded, self._req
+        return ttypes.RequestOpen(
+            method=req.method,
+            path=req.path,
+            headers=[ttypes.Header(*header) for header in req.headers],
+            remaining_ms=max(int((req.deadline - now) * MS_PER_S), 1),
+            service_name=graded.service,
+            importance=graded.route.rank,
+            body=req.first_chunk,
+            end=req.is_whole,
+            request_id=req.request_id,
+            fingerprint=req.fingerprint,
+            generation=self._member.generation,
+            objective_ms=int((graded.objective_at - now) * MS_PER_S),
+            route_name=graded.route.name,
+        )
+
+    def _refused(self, body: ttypes.Refusal) -> Exception:
+        now = asyncio.get_running_loop().time()
+        self.reached_target = bool(body.reached_target)
+        if body.kind != ttypes.RefusalKind.NOT_RUN:
+            return self._unknown(body.reason or '')
+        load = body.load_permille or 0
+        self._chooser.refused(self._member, load, now)
+        return RequestNotRun(
+            body.reason or '',
+            come_back_ms=body.come_back_ms or COME_BACK_MS,
+            step='gate',
+            peer=self._member.node,
+        )
+
+    def _unknown(self, reason: str) -> RequestUnknown:
+        now = asyncio.get_running_loop().time()
+        self._chooser.failed(self._member, now, unreachable=False)
+        return RequestUnknown(reason, step='gate', peer=self._member.node)
+
+    def _end(self, link: PeerLink, call: CallStream, *, cancel: bool) -> None:
+        if self._upload:
+            self._upload.cancel()
+        link.end(call, cancel=cancel)
+        now = asyncio.get_running_loop().time()
+        self._chooser.ended(self._member, now)
+
--- /dev/null
+++ b/filbertdrift/entry.py
@@ -0,0 +1,424 @@
+"""The callers' port of a node with graded routes."""
+
+import asyncio
+import contextlib
+from dataclasses import dataclass
+from typing import Protocol
+
+from loguru import logger
+
+from filbertdrift import http1
+from filbertdrift.callerprotocol import CallerProtocol
+from filbertdrift.contract import HeaderContract, deadline_left_s
+from filbertdrift.dispatch import GradedAnswer, GradedRequest
+from filbertdrift.errors import (
+    FilbertdriftError,
+    MalformedMessage,
+    RequestNotRun,
+    RequestUnknown,
+)
+from filbertdrift.http1 import BodyPart, Headers, RequestHead
+from filbertdrift.request import EntryRequest
+from filbertdrift.routing import CallerLimits, GradedRoute, bare_host
+
+MS_PER_S = 1000
+FIRST_CHUNK_BYTES = 65_536
+# Used when a caller gives no deadline and its route has no limit.
+DEFAULT_DEADLINE_S = 30.0
+# A caller that takes no bytes of its answer for so long is given up.
+WRITE_STALL_S = 10.0
+NO_CONFIG_COME_BACK_MS = 300
+BACKLOG = 1024
+
+STATUS_BAD_REQUEST = 400
+STATUS_NOT_FOUND = 404
+STATUS_REQUEST_TIMEOUT = 408
+STATUS_TOO_LARGE = 413
+STATUS_HEAD_TOO_LARGE = 431
+STATUS_BAD_GATEWAY = 502
+STATUS_GATEWAY_TIMEOUT = 504
+
+_CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
+_BODILESS_STATUSES = frozenset((204, 304))
+
+
+class GradedHandler(Protocol):
+    """What the callers' port needs from the node."""
+
+    @property
+    def limits(self) -> CallerLimits:
+        """Return the limits in force."""
+
+    @property
+    def has_config(self) -> bool:
+        """Tell whether a configuration is in force."""
+
+    def match(self, host: str, path: str) -> GradedRoute | None:
+        """Return the route of a request."""
+
+    def grade(self, req: EntryRequest, route: GradedRoute) -> GradedRequest:
+        """Choose the service for a request."""
+
+    async def dispatch(self, graded: GradedRequest) -> GradedAnswer:
+        """Return the answer to a request."""
+
+
+class BodyTooLarge(FilbertdriftError):
+    """A request's body is over the limit."""
+
+
+@dataclass(slots=True)
+class EntryCounters:
+    """What happened on callers' connections."""
+
+    connections: int = 0
+    requests: int = 0
+    unmatched: int = 0
+    rejected: int = 0
+    aborted_answers: int = 0
+    left: int = 0
+
+
+class EntryServer:
+    """Accepts callers' connections.
+
+    Args:
+        handler: Answers the requests.
+        contract: Names of headers.
+        caller_service: The service beside this node.
+    """
+
+    def __init__(
+        self,
+        handler: GradedHandler,
+        contract: HeaderContract,
+        caller_service: str,
+    ) -> None:
+        """Start without connections."""
+        self.counters = EntryCounters()
+        self.in_progress = 0
+        self.is_closing = False
+        self.handler = handler
+        self.contract = contract
+        self.caller_service = caller_service.encode()
+        self._server: asyncio.Server | None = None
+        self._connections: set[_EntryConnection] = set()
+
+    async def start(self, host: str, port: int) -> None:
+        """Listen for callers.
+
+        Raises:
+            OSError: The address cannot be bound.
+        """
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            self._protocol,
+            host,
+            port,
+            backlog=BACKLOG,
+        )
+
+    def close_after_answers(self) -> None:
+        """End each connection with its next answer."""
+        self.is_closing = True
+
+    def close_idle(self) -> None:
+        """Stop listening and end the connections between requests."""
+        self.is_closing = True
+        if self._server:
+            self._server.close()
+        for conn in list(self._connections):
+            conn.close_if_idle()
+
+    def close(self) -> None:
+        """Abort all connections."""
+        if self._server:
+            self._server.close()
+        for conn in list(self._connections):
+            conn.abort()
+
+    async def serve(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        """Serve one connection until it ends."""
+        conn = _EntryConnection(self, reader, writer)
+        self.counters.connections += 1
+        self._connections.add(conn)
+        try:
+            await conn.run()
+        finally:
+            self._connections.discard(conn)
+
+    def _protocol(self) -> asyncio.Protocol:
+        reader = asyncio.StreamReader(limit=FIRST_CHUNK_BYTES)
+        return CallerProtocol(reader, self.serve)
+
+
+class _EntryConnection:
+    """One caller's connection."""
+
+    def __init__(
+        self,
+        server: EntryServer,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        """Start between requests."""
+        self._server = server
+        self._handler = server.handler
+        self._writer = writer
+        self._messages = http1.RequestReader(reader, 'caller')
+        self._ends = False
+        self._is_idle = False
+        self._has_read_body = True
+        self._body_bytes = 0
+        self._task = asyncio.current_task()
+
+    async def run(self) -> None:
+        """Serve requests until the caller or the node closes."""
+        try:
+            await self._serve_requests()
+        except http1.HeadTooLarge as exc:
+            await self._reject(STATUS_HEAD_TOO_LARGE, exc)
+        except MalformedMessage as exc:
+            await self._reject(STATUS_BAD_REQUEST, exc)
+        except (FilbertdriftError, OSError, TimeoutError):
+            self._writer.transport.abort()
+        except asyncio.CancelledError:
+            self._server.counters.left += not self._is_idle
+            raise
+        finally:
+            self._writer.close()
+
+    def close_if_idle(self) -> None:
+        """End the connection now unless a request is in progress."""
+        if self._is_idle and self._task:
+            self._task.cancel()
+
+    def abort(self) -> None:
+        """End the connection at once."""
+        self._writer.transport.abort()
+
+    async def _serve_requests(self) -> None:
+        while not self._ends:
+            head = await self._next_head()
+            if head is None:
+                return
+            self._server.in_progress += 1
+            try:
+                await self._serve(head)
+            finally:
+                self._server.in_progress -= 1
+
+    async def _next_head(self) -> RequestHead | None:
+        limits = self._handler.limits
+        self._is_idle = True
+        try:
+            async with asyncio.timeout(limits.idle_timeout_s):
+                if not await self._messages.has_begun():
+                    return None
+        except TimeoutError:
+            return None
+        finally:
+            self._is_idle = False
+        try:
+            async with asyncio.timeout(limits.header_timeout_s):
+                return await self._messages.head()
+        except TimeoutError as exc:
+            late = MalformedMessage('the head took too long', step='read head')
+            await self._reject(STATUS_REQUEST_TIMEOUT, late)
+            raise late from exc
+
+    async def _serve(self, head: RequestHead) -> None:
+        self._server.counters.requests += 1
+        self._has_read_body = False
+        self._body_bytes = 0
+        handler = self._handler
+        if not handler.has_config:
+            await self._refuse(head, _no_config())
+            return
+        if _head_bytes(head) > handler.limits.header_bytes:
+            await self._plain(head, STATUS_HEAD_TOO_LARGE, 'head too large')
+            return
+        host = http1.find_header(head.headers, b'host')
+        route = handler.match(host, head.path)
+        if route is None:
+            self._server.counters.unmatched += 1
+            reason = f'no route for {bare_host(host)} {head.path}'
+            await self._plain(head, STATUS_NOT_FOUND, reason)
+            return
+        try:
+            await self._answer(head, route)
+        except BodyTooLarge as exc:
+            await self._plain(head, STATUS_TOO_LARGE, str(exc))
+
+    async def _answer(self, head: RequestHead, route: GradedRoute) -> None:
+        began = asyncio.get_running_loop().time()
+        length = http1.find_header(head.headers, b'content-length')
+        if length.isdigit():
+            self._check_body(int(length))
+        if http1.find_header(head.headers, b'expect'):
+            self._writer.write(_CONTINUE)
+        first = await self._first_part()
+        req = self._entry_request(head, first, route, began)
+        graded = self._handler.grade(req, route)
+        try:
+            answer = await self._handler.dispatch(graded)
+        except (RequestNotRun, RequestUnknown) as exc:
+            await self._refuse(head, exc)
+            return
+        try:
+            await self._pass_on(head, answer)
+            await answer.finish_upload()
+        finally:
+            answer.close()
+        self._ends = self._ends or not self._has_read_body
+
+    def _entry_request(
+        self,
+        head: RequestHead,
+        first: BodyPart,
+        route: GradedRoute,
+        began: float,
+    ) -> EntryRequest:
+        contract = self._server.contract
+        left_s = deadline_left_s(head.headers, contract.deadline_ms)
+        limits = [limit for limit in (left_s, route.timeout_s) if limit]
+        own = contract.own_headers()
+        headers = [
+            header
+            for header in http1.end_to_end(head.headers)
+            if header[0] not in own
+        ]
+        headers.append((contract.caller_service, self._server.caller_service))
+        return EntryRequest(
+            request_id=http1.find_header(head.headers, contract.request_id),
+            method=head.method,
+            path=head.path,
+            headers=headers,
+            first_chunk=first.chunk,
+            is_whole=first.end,
+            read_body=self._read_body,
+            deadline=began + min(limits, default=DEFAULT_DEADLINE_S),
+        )
+
+    async def _read_body(self) -> BodyPart:
+        part = await self._messages.part()
+        self._body_bytes += len(part.chunk)
+        self._check_body(self._body_bytes)
+        self._has_read_body = part.end
+        return part
+
+    def _check_body(self, size_bytes: int) -> None:
+        limit_bytes = self._handler.limits.body_bytes
+        if size_bytes > limit_bytes:
+            raise BodyTooLarge(
+                f'body over {limit_bytes} bytes',
+                step='read body',
+            )
+
+    async def _first_part(self) -> BodyPart:
+        part = await self._read_body()
+        chunks = [part.chunk]
+        while not part.end and self._body_bytes < FIRST_CHUNK_BYTES:
+            part = await self._read_body()
+            chunks.append(part.chunk)
+        return BodyPart(b''.join(chunks), part.end)
+
+    async def _pass_on(self, head: RequestHead, answer: GradedAnswer) -> None:
+        part = answer.first_part
+        headers = list(answer.headers)
+        is_bodiless = head.method == 'HEAD'
+        is_bodiless = is_bodiless or answer.status in _BODILESS_STATUSES
+        is_chunked = False
+        if not is_bodiless and not http1.find_header(
+            headers,
+            b'content-length',
+        ):
+            is_chunked = not part.end
+            headers.append(
+                (b'transfer-encoding', b'chunked')
+                if is_chunked
+                else (b'content-length', b'%d' % len(part.chunk)),
+            )
+        self._end_headers(head, headers)
+        raw = http1.response_bytes(answer.status, headers)
+        self._writer.write(raw + http1.coded_part(part, is_chunked=is_chunked))
+        while not part.end:
+            try:
+                part = await answer.part(WRITE_STALL_S)
+            except RequestUnknown:
+                self._server.counters.aborted_answers += 1
+                self._writer.transport.abort()
+                raise
+            self._writer.write(http1.coded_part(part, is_chunked=is_chunked))
+            await self._drain()
+        await self._drain()
+
+    async def _drain(self) -> None:
+        async with asyncio.timeout(WRITE_STALL_S):
+            await self._writer.drain()
+
+    def _end_headers(self, head: RequestHead, headers: Headers) -> None:
+        if self._server.is_closing or not head.keep_alive or self._ends:
+            self._ends = True
+            headers.append((b'connection', b'close'))
+
+    async def _refuse(
+        self,
+        head: RequestHead,
+        exc: RequestNotRun | RequestUnknown,
+    ) -> None:
+        if isinstance(exc, RequestNotRun):
+            come_back = b'%.3f' % (exc.come_back_ms / MS_PER_S)
+            extra = [(b'retry-after', come_back)]
+            await self._plain(head, exc.status, str(exc), extra)
+            return
+        is_late = 'deadline' in exc.reason
+        status = STATUS_GATEWAY_TIMEOUT if is_late else STATUS_BAD_GATEWAY
+        await self._plain(head, status, str(exc))
+
+    async def _plain(
+        self,
+        head: RequestHead,
+        status: int,
+        reason: str,
+        extra: Headers | None = None,
+    ) -> None:
+        text = f'{reason}\n'.encode()
+        headers: Headers = [
+            (b'content-type', b'text/plain; charset=utf-8'),
+            (b'content-length', b'%d' % len(text)),
+            *(extra or ()),
+        ]
+        if not self._has_read_body and not self._messages.parsed().end:
+            self._ends = True
+        self._end_headers(head, headers)
+        body = b'' if head.method == 'HEAD' else text
+        self._writer.write(http1.response_bytes(status, headers) + body)
+        await self._drain()
+
+    async def _reject(self, status: int, exc: FilbertdriftError) -> None:
+        self._server.counters.rejected += 1
+        logger.bind(event='rejected', status=status).info('{}', exc)
+        self._ends = True
+        head = RequestHead('GET', '', [], keep_alive=False)
+        with contextlib.suppress(OSError, TimeoutError):
+            await self._plain(head, status, str(exc))
+
+
+def _no_config() -> RequestNotRun:
+    return RequestNotRun(
+        'this node has no configuration yet',
+        come_back_ms=NO_CONFIG_COME_BACK_MS,
+        step='route',
+    )
+
+
+def _head_bytes(head: RequestHead) -> int:
+    size_bytes = len(head.path)
+    for name, text in head.headers:
+        size_bytes += len(name) + len(text)
+    return size_bytes
--- a/filbertdrift/forward.py
+++ b/filbertdrift/forward.py
@@ -4,7 +4,7 @@
 import random
 from dataclasses import dataclass
 
-from filbertdrift.attempt import Attempt, ForwardedAnswer
+from filbertdrift.attempt import Attempt
 from filbertdrift.chooser import TargetChooser
 from filbertdrift.crashes import CrashLedger, fingerprint
 from filbertdrift.errors import (
@@ -12,6 +12,7 @@
     RequestNotRun,
     RequestUnknown,
 )
+from filbertdrift.forwarded import ForwardedAnswer
 from filbertdrift.gen import ttypes
 from filbertdrift.link import CallStream, LinkPool, PeerLink
 from filbertdrift.members import Member
--- /dev/null
+++ b/filbertdrift/forwarded.py
@@ -0,0 +1,63 @@
+"""The answer to a request that was forwarded to another node."""
+
+import asyncio
+from collections.abc import Callable
+
+from filbertdrift import http1
+from filbertdrift.errors import PeerUnavailable, RequestUnknown
+from filbertdrift.gen import ttypes
+from filbertdrift.link import CallStream
+from filbertdrift.request import Answer
+
+
+class ForwardedAnswer(Answer):
+    """The answer to a forwarded request, whose body may still be coming.
+
+    Args:
+        opened: The message that opened the answer.
+        call: The call that brings the rest.
+        close: Ends the call, cancelling the rest if told to.
+    """
+
+    def __init__(
+        self,
+        opened: ttypes.AnswerOpen,
+        call: CallStream,
+        close: Callable[[bool], None],
+    ) -> None:
+        """Keep the parts."""
+        self.status = opened.status
+        self.headers = [
+            (header.name, header.content) for header in opened.headers or ()
+        ]
+        self.first_part = http1.BodyPart(opened.body or b'', bool(opened.end))
+        self._call = call
+        self._close = close
+        self._is_whole = self.first_part.end
+
+    async def part(self, stall_s: float) -> http1.BodyPart:
+        """Return the next part of the body."""
+        try:
+            async with asyncio.timeout(stall_s):
+                body = await self._call.receive()
+        except (TimeoutError, PeerUnavailable) as exc:
+            raise RequestUnknown(
+                repr(exc),
+                step='read answer',
+                peer=self._call.peer,
+            ) from exc
+        if not isinstance(body, ttypes.BodyChunk):
+            raise RequestUnknown(
+                'answer cut short',
+                step='read answer',
+                peer=self._call.peer,
+            )
+        chunk = body.body or b''
+        if not body.end:
+            await self._call.grant(len(chunk))
+        self._is_whole = bool(body.end)
+        return http1.BodyPart(chunk, self._is_whole)
+
+    def close(self) -> None:
+        """End the call; an unfinished answer is cancelled."""
+        self._close(not self._is_whole)
--- a/filbertdrift/gen/ttypes.py
+++ b/filbertdrift/gen/ttypes.py
@@ -2394,6 +2394,8 @@
      - refusal_statuses
      - generation
      - stall_ms
+     - objective_ms: What is left until the answer counts as slow.
+     - route_name: Route, for the estimate of how long it runs.
 
     """
 
@@ -2412,10 +2414,12 @@
         'refusal_statuses',
         'generation',
         'stall_ms',
+        'objective_ms',
+        'route_name',
     )
 
 
-    def __init__(self, method=None, path=None, headers=None, remaining_ms=None, service_name=None, importance=None, customer=None, body=None, end=None, request_id=None, fingerprint=None, refusal_statuses=None, generation=None, stall_ms=None,):
+    def __init__(self, method=None, path=None, headers=None, remaining_ms=None, service_name=None, importance=None, customer=None, body=None, end=None, request_id=None, fingerprint=None, refusal_statuses=None, generation=None, stall_ms=None, objective_ms=None, route_name=None,):
         self.method = method
         self.path = path
         self.headers = headers
@@ -2430,6 +2434,8 @@
         self.refusal_statuses = refusal_statuses
         self.generation = generation
         self.stall_ms = stall_ms
+        self.objective_ms = objective_ms
+        self.route_name = route_name
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2521,6 +2527,16 @@
                     self.stall_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 16:
+                if ftype == TType.I32:
+                    self.objective_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 17:
+                if ftype == TType.STRING:
+                    self.route_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2593,6 +2609,14 @@
             oprot.writeFieldBegin('stall_ms', TType.I32, 15)
             oprot.writeI32(self.stall_ms)
             oprot.writeFieldEnd()
+        if self.objective_ms is not None:
+            oprot.writeFieldBegin('objective_ms', TType.I32, 16)
+            oprot.writeI32(self.objective_ms)
+            oprot.writeFieldEnd()
+        if self.route_name is not None:
+            oprot.writeFieldBegin('route_name', TType.STRING, 17)
+            oprot.writeString(self.route_name.encode('utf-8') if sys.version_info[0] == 2 else self.route_name)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2898,6 +2922,7 @@
      - reason
      - come_back_ms
      - load_permille
+     - reached_target: The target itself refused, so the retry budget counts the arrival.
 
     """
 
@@ -2906,14 +2931,16 @@
         'reason',
         'come_back_ms',
         'load_permille',
+        'reached_target',
     )
 
 
-    def __init__(self, kind=None, reason=None, come_back_ms=None, load_permille=None,):
+    def __init__(self, kind=None, reason=None, come_back_ms=None, load_permille=None, reached_target=None,):
         self.kind = kind
         self.reason = reason
         self.come_back_ms = come_back_ms
         self.load_permille = load_permille
+        self.reached_target = reached_target
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2944,6 +2971,11 @@
                     self.load_permille = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.BOOL:
+                    self.reached_target = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2970,6 +3002,10 @@
             oprot.writeFieldBegin('load_permille', TType.I32, 4)
             oprot.writeI32(self.load_permille)
             oprot.writeFieldEnd()
+        if self.reached_target is not None:
+            oprot.writeFieldBegin('reached_target', TType.BOOL, 5)
+            oprot.writeBool(self.reached_target)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3968,6 +4004,8 @@
     (13, TType.I64, 'generation', None, None, ),  # 13
     None,  # 14
     (15, TType.I32, 'stall_ms', None, None, ),  # 15
+    (16, TType.I32, 'objective_ms', None, None, ),  # 16
+    (17, TType.STRING, 'route_name', 'UTF8', None, ),  # 17
 )
 all_structs.append(BodyChunk)
 BodyChunk.thrift_spec = (
@@ -3996,6 +4034,7 @@
     (2, TType.STRING, 'reason', 'UTF8', None, ),  # 2
     (3, TType.I32, 'come_back_ms', None, None, ),  # 3
     (4, TType.I32, 'load_permille', None, None, ),  # 4
+    (5, TType.BOOL, 'reached_target', None, None, ),  # 5
 )
 all_structs.append(Cancel)
 Cancel.thrift_spec = (
--- /dev/null
+++ b/filbertdrift/handover.py
@@ -0,0 +1,415 @@
+"""The target side of a graded request: the gate and the exchange.
+
+A refusal of kind NOT_RUN is sent only before the first byte went to the
+target, or when the target itself says that it did not run the request.
+"""
+
+import asyncio
+import contextlib
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from loguru import logger
+
+from filbertdrift import http1
+from filbertdrift.contract import HeaderContract
+from filbertdrift.crashes import CrashLedger
+from filbertdrift.errors import (
+    FilbertdriftError,
+    MalformedMessage,
+    PeerUnavailable,
+    RequestNotRun,
+    RequestUnknown,
+)
+from filbertdrift.gen import ttypes
+from filbertdrift.health import TargetHealth
+from filbertdrift.lifecycle import Incarnation, TargetLifecycle
+from filbertdrift.link import WINDOW_BYTES, CallStream
+from filbertdrift.objective_gate import Demand
+from filbertdrift.target import Exchange, TargetRequest
+
+MS_PER_S = 1000
+COME_BACK_MS = 100
+STATUS_SUCCESS = range(200, 300)
+STATUS_MISDIRECTED = 421
+STATUS_SERVER_ERROR = 500
+# A target ends its work at the deadline; its answer needs a moment to arrive.
+ANSWER_SLACK_S = 0.02
+# Answers up to this size are checked whole before any of it is passed on.
+WHOLE_ANSWER_BYTES = 1_048_576
+# Answers to requests that are not this one, skipped on one connection.
+MAX_STRAY_ANSWERS = 3
+
+
+@dataclass(slots=True)
+class HandoverCounters:
+    """What became of the requests that reached this node's target."""
+
+    answered: int = 0
+    not_run: int = 0
+    target_refused: int = 0
+    unknown: int = 0
+    cancelled: int = 0
+    stray_answers: int = 0
+    crashes: int = 0
+
+
+class Handover:
+    """Serves forwarded requests with the target beside this node.
+
+    Args:
+        lifecycle: Knows the target.
+        contract: Names of headers.
+        generation: Returns this node's generation; requests that are meant
+            for another one are refused.
+        crashes: Knows which requests crash targets.
+        health: Is told what requests show of the target.
+    """
+
+    def __init__(
+        self,
+        lifecycle: TargetLifecycle,
+        contract: HeaderContract,
+        generation: Callable[[], int],
+        crashes: CrashLedger,
+        health: TargetHealth,
+    ) -> None:
+        """Start without requests."""
+        self.counters = HandoverCounters()
+        self.in_progress = 0
+        self._lifecycle = lifecycle
+        self._contract = contract
+        self._generation = generation
+        self._crashes = crashes
+        self._health = health
+        self._running: dict[CallStream, str] = {}
+        self._is_crashed = False
+
+    async def serve(self, call: CallStream, req: ttypes.RequestOpen) -> None:
+        """Serve one request to its end.
+
+        Args:
+            call: Where the answer goes and further body comes from.
+            req: The opening message.
+        """
+        self.in_progress += 1
+        reached = _Reached()
+        try:
+            await self._serve(call, req, reached)
+        except RequestNotRun as exc:
+            self.counters.not_run += 1
+            self.counters.target_refused += reached.target
+            refusal = self._refusal(ttypes.RefusalKind.NOT_RUN, exc)
+            refusal.come_back_ms = exc.come_back_ms
+            refusal.reached_target = reached.target
+            self._log(req, 'not_run', exc)
+            await call.send(refusal)
+        except RequestUnknown as exc:
+            self.counters.unknown += 1
+            self._log(req, 'unknown', exc)
+            await self._note_crash(exc)
+            await call.send(self._refusal(ttypes.RefusalKind.UNKNOWN, exc))
+        except asyncio.CancelledError:
+            self.counters.cancelled += 1
+            raise
+        finally:
+            self.in_progress -= 1
+            self._running.pop(call, None)
+
+    async def _serve(
+        self,
+        call: CallStream,
+        req: ttypes.RequestOpen,
+        reached: '_Reached',
+    ) -> None:
+        loop = asyncio.get_running_loop()
+        current = self._matching_target(req)
+        self._crashes.check(req.fingerprint or '')
+        now = loop.time()
+        deadline = now + req.remaining_ms / MS_PER_S
+        kind = req.route_name or ''
+        gate = current.gate
+        await gate.admit(
+            Demand(
+                rank=req.importance,
+                kind=kind,
+                objective_at=now + (req.objective_ms or 0) / MS_PER_S,
+                deadline=deadline,
+            ),
+        )
+        self._running[call] = req.fingerprint or ''
+        started_at = loop.time()
+        is_answered = False
+        try:
+            exchange = await self._connect(current, req, deadline)
+            with contextlib.closing(exchange):
+                run = _TargetRun(call, req, exchange, self._contract, reached)
+                status = await run.run(deadline, gate.load_permille)
+            self.counters.stray_answers += run.stray_answers
+            is_answered = True
+        finally:
+            spent_s = loop.time() - started_at if is_answered else 0
+            gate.release(kind, spent_s)
+        self._note_answer(status, req)
+
+    def _note_answer(self, status: int, req: ttypes.RequestOpen) -> None:
+        self.counters.answered += 1
+        self._is_crashed = False
+        if status < STATUS_SERVER_ERROR:
+            self._health.succeeded()
+            self._crashes.ran_well(req.fingerprint or '')
+
+    def _matching_target(self, req: ttypes.RequestOpen) -> Incarnation:
+        current = self._lifecycle.current
+        if current is None or current.heartbeat.service != req.service_name:
+            reason = f'no target of {req.service_name} here'
+        elif req.generation != self._generation():
+            reason = 'meant for an earlier start of this node'
+        else:
+            return current
+        raise RequestNotRun(
+            reason,
+            come_back_ms=COME_BACK_MS,
+            step='find target',
+        )
+
+    async def _connect(
+        self,
+        current: Incarnation,
+        req: ttypes.RequestOpen,
+        deadline: float,
+    ) -> Exchange:
+        loop = asyncio.get_running_loop()
+        request = self._target_request(current, req, deadline - loop.time())
+        try:
+            exchange = await current.target.exchange(request)
+        except PeerUnavailable as exc:
+            self._health.failed()
+            raise RequestNotRun(
+                exc.reason,
+                come_back_ms=COME_BACK_MS,
+                step=exc.step,
+                peer=exc.peer,
+            ) from exc
+        if loop.time() >= min(deadline, current.gate.closes_at + 1):
+            exchange.close()
+            raise RequestNotRun(
+                'too late when the connection stood',
+                come_back_ms=COME_BACK_MS,
+                step='send to target',
+            )
+        return exchange
+
+    def _target_request(
+        self,
+        current: Incarnation,
+        req: ttypes.RequestOpen,
+        left_s: float,
+    ) -> TargetRequest:
+        headers = [(head.name, head.content) for head in req.headers or ()]
+        left_ms = max(int(left_s * MS_PER_S), 1)
+        instance = current.heartbeat.instance.encode()
+        headers.append((self._contract.deadline_ms, b'%d' % left_ms))
+        headers.append((self._contract.expected_instance, instance))
+        return TargetRequest(
+            method=req.method,
+            path=req.path,
+            headers=headers,
+            first_chunk=req.body or b'',
+            is_whole=bool(req.end),
+        )
+
+    async def _note_crash(self, exc: RequestUnknown) -> None:
+        """Mark what ran if the target broke off and cannot be reached."""
+        current = self._lifecycle.current
+        if current is None or not isinstance(exc.__cause__, PeerUnavailable):
+            return
+        self._health.failed()
+        if self._is_crashed:
+            return
+        self._is_crashed = True
+        running = list(self._running.values())
+        self._is_crashed = not await current.target.is_up()
+        if self._is_crashed:
+            self.counters.crashes += 1
+            self._crashes.mark(running)
+
+    def _refusal(self, kind: int, exc: FilbertdriftError) -> ttypes.Refusal:
+        current = self._lifecycle.current
+        load = current.gate.load_permille if current else 0
+        return ttypes.Refusal(kind, str(exc), 0, load, reached_target=False)
+
+    def _log(
+        self,
+        req: ttypes.RequestOpen,
+        outcome: str,
+        exc: FilbertdriftError,
+    ) -> None:
+        current = self._lifecycle.current
+        logger.bind(
+            event='handover',
+            request=req.request_id,
+            instance=current.heartbeat.instance if current else '',
+            running=current.gate.running if current else 0,
+            waiting=current.gate.waiting if current else 0,
+            outcome=outcome,
+            reason=str(exc),
+        ).info('handover {}', outcome)
+
+
+@dataclass(slots=True)
+class _Reached:
+    """Whether the target itself has refused the request."""
+
+    target: bool = False
+
+
+class _TargetRun:
+    """One admitted request and its exchange with the target."""
+
+    def __init__(
+        self,
+        call: CallStream,
+        req: ttypes.RequestOpen,
+        exchange: Exchange,
+        contract: HeaderContract,
+        reached: _Reached,
+    ) -> None:
+        """Keep the parts."""
+        self.stray_answers = 0
+        self._call = call
+        self._req = req
+        self._exchange = exchange
+        self._contract = contract
+        self._reached = reached
+        self._upload: asyncio.Task[None] | None = None
+
+    async def run(self, deadline: float, load_permille: int) -> int:
+        """Send the request and pass the answer on.
+
+        Args:
+            deadline: When the caller gives up, on the loop's clock.
+            load_permille: The gate's load, told with the answer.
+
+        Returns:
+            The target's status.
+
+        Raises:
+            RequestNotRun: The target says that it did not run it.
+            RequestUnknown: The target may have run it.
+        """
+        try:
+            async with asyncio.timeout_at(deadline + ANSWER_SLACK_S):
+                return await self._run(load_permille)
+        except TimeoutError as exc:
+            raise RequestUnknown(
+                'the deadline passed',
+                step='await target',
+            ) from exc
+        except (PeerUnavailable, MalformedMessage) as exc:
+            raise RequestUnknown(
+                exc.reason,
+                step=exc.step,
+                peer=exc.peer,
+            ) from exc
+        finally:
+            if self._upload:
+                self._upload.cancel()
+
+    async def _run(self, load_permille: int) -> int:
+        await self._exchange.send_head()
+        if not self._req.end:
+            loop = asyncio.get_running_loop()
+            self._upload = loop.create_task(self._pump_upload())
+        head = await self._own_head()
+        self._check_refused(head)
+        self._check_genuine(head)
+        first = await self._gather(WHOLE_ANSWER_BYTES)
+        await self._pass_answer(head, first, load_permille)
+        if self._upload:
+            # The rest of the body is due even if the answer came early.
+            await self._upload
+        return head.status
+
+    async def _own_head(self) -> http1.ResponseHead:
+        """Return the head of this request's answer; strays are skipped."""
+        wanted = self._req.request_id or ''
+        for _ in range(MAX_STRAY_ANSWERS):
+            head = await self._exchange.head()
+            found = http1.find_header(head.headers, self._contract.request_id)
+            if found == wanted or not found:
+                return head
+            self.stray_answers += 1
+            self._exchange.spoil()
+            await self._gather(WHOLE_ANSWER_BYTES)
+        raise MalformedMessage('answers of other requests', step='read head')
+
+    def _check_refused(self, head: http1.ResponseHead) -> None:
+        is_marked = http1.find_header(head.headers, self._contract.not_run)
+        if not is_marked and head.status != STATUS_MISDIRECTED:
+            return
+        self._reached.target = True
+        raise RequestNotRun(
+            f'the target refused with status {head.status}',
+            come_back_ms=COME_BACK_MS,
+            step='await target',
+        )
+
+    def _check_genuine(self, head: http1.ResponseHead) -> None:
+        """Raise if a success is not the application's whole answer."""
+        if head.status not in STATUS_SUCCESS:
+            return
+        names = {name for name, _ in head.headers}
+        has_id = self._contract.request_id in names
+        has_seal = self._contract.seal in names
+        if has_id and has_seal and b'content-encoding' not in names:
+            return
+        raise MalformedMessage('not a genuine success', step='read head')
+
+    async def _gather(self, limit_bytes: int) -> http1.BodyPart:
+        part = self._exchange.parsed()
+        chunks = [part.chunk]
+        size_bytes = len(part.chunk)
+        while not part.end and size_bytes < limit_bytes:
+            part = await self._exchange.part()
+            chunks.append(part.chunk)
+            size_bytes += len(part.chunk)
+        return http1.BodyPart(b''.join(chunks), part.end)
+
+    async def _pass_answer(
+        self,
+        head: http1.ResponseHead,
+        part: http1.BodyPart,
+        load_permille: int,
+    ) -> None:
+        headers = [
+            ttypes.Header(name, content)
+            for name, content in http1.end_to_end(head.headers)
+        ]
+        await self._call.send(
+            ttypes.AnswerOpen(
+                status=head.status,
+                headers=headers,
+                body=part.chunk,
+                end=part.end,
+                load_permille=load_permille,
+            ),
+        )
+        while not part.end:
+            part = await self._exchange.part()
+            await self._call.send_chunk(part.chunk, end=part.end)
+
+    async def _pump_upload(self) -> None:
+        await self._call.grant(WINDOW_BYTES)
+        end = False
+        while not end:
+            body = await self._call.receive()
+            if not isinstance(body, ttypes.BodyChunk):
+                raise MalformedMessage(
+                    f'unexpected {type(body).__name__}',
+                    step='read upload',
+                    peer=self._call.peer,
+                )
+            end = bool(body.end)
+            await self._exchange.send_body(body.body or b'', end=end)
+            await self._call.grant(len(body.body or b''))
--- a/filbertdrift/http1.py
+++ b/filbertdrift/http1.py
@@ -12,6 +12,7 @@
 
 READ_BYTES = 65_536
 MAX_HEAD_BYTES = 65_536
+LAST_CHUNK = b'0\r\n\r\n'
 
 Headers = list[tuple[bytes, bytes]]
 
@@ -37,8 +38,14 @@
     204: b'No Content',
     400: b'Bad Request',
     404: b'Not Found',
+    405: b'Method Not Allowed',
+    408: b'Request Timeout',
     409: b'Conflict',
+    413: b'Content Too Large',
+    421: b'Misdirected Request',
+    429: b'Too Many Requests',
     431: b'Request Header Fields Too Large',
+    500: b'Internal Server Error',
     502: b'Bad Gateway',
     503: b'Service Unavailable',
     504: b'Gateway Timeout',
@@ -115,9 +122,12 @@
         self._head_bytes = 0
         self._field_bytes = 0
         self._in_head = True
+        self._in_message = False
+        self._failure: MalformedMessage | None = None
 
     def on_message_begin(self) -> None:
         """Start a new head."""
+        self._in_message = True
         self._headers = []
         self._url = b''
         self._field_bytes = 0
@@ -139,8 +149,13 @@
 
     def on_message_complete(self) -> None:
         """Queue the end of the message."""
+        self._in_message = False
         self._parts.append(_END)
 
+    def is_between(self) -> bool:
+        """Tell whether nothing is left behind the last message."""
+        return not (self._parts or self._in_message or self._failure)
+
     def parsed(self) -> BodyPart:
         """Return what is already parsed of the body, perhaps nothing."""
         chunks: list[bytes] = []
@@ -167,6 +182,8 @@
 
     async def _next(self) -> _Part:
         while not self._parts:
+            if self._failure:
+                raise self._failure
             raw = await self._read()
             if not raw:
                 return self._at_eof()
@@ -198,11 +215,13 @@
                 peer=self.peer,
             ) from exc
         except httptools.HttpParserError as exc:
-            raise MalformedMessage(
+            self._failure = MalformedMessage(
                 str(exc),
                 step='parse',
                 peer=self.peer,
-            ) from exc
+            )
+            if not self._has_whole_message():
+                raise self._failure from exc
         pending_bytes = self._head_bytes if self._in_head else 0
         if max(pending_bytes, self._field_bytes) > MAX_HEAD_BYTES:
             raise HeadTooLarge(
@@ -211,6 +230,10 @@
                 peer=self.peer,
             )
 
+    def _has_whole_message(self) -> bool:
+        """Tell whether a message ended before the bytes that do not parse."""
+        return any(isinstance(part, _MessageEnd) for part in self._parts)
+
     def _end_of_head(self) -> None:
         self._in_head = False
         self._head_bytes = 0
@@ -236,6 +259,15 @@
             ),
         )
 
+    async def has_begun(self) -> bool:
+        """Wait for the first bytes of a request; False if there are none."""
+        if self._parts or self._head_bytes or self._failure:
+            return True
+        raw = await self._read()
+        if raw:
+            self._feed(raw)
+        return bool(raw)
+
     async def head(self) -> RequestHead | None:
         """Return the next request's head, None if the caller closed.
 
@@ -244,6 +276,8 @@
             MessageTruncated: The connection ended within a head.
         """
         while not self._parts:
+            if self._failure:
+                raise self._failure
             raw = await self._read()
             if not raw:
                 if self._head_bytes:
@@ -344,6 +378,19 @@
     return b'%x\r\n%s\r\n' % (len(chunk), chunk)
 
 
+def coded_part(part: BodyPart, *, is_chunked: bool) -> bytes:
+    """Return a part of a body as it stands on the wire.
+
+    Args:
+        part: The bytes and whether the body ends with them.
+        is_chunked: The body has chunked transfer coding.
+    """
+    if not is_chunked:
+        return part.chunk
+    raw = chunk_bytes(part.chunk) if part.chunk else b''
+    return raw + LAST_CHUNK if part.end else raw
+
+
 def _header_lines(headers: Headers) -> bytes:
     lines = [b'%s: %s\r\n' % header for header in headers]
     lines.append(b'\r\n')
--- /dev/null
+++ b/filbertdrift/mesh.py
@@ -0,0 +1,414 @@
+"""A node with graded routes: the one process beside a target instance.
+
+What must last lies on the platform's log. The node itself keeps nothing
+beyond the life of its process.
+"""
+
+import asyncio
+import random
+from collections.abc import Sequence
+from dataclasses import dataclass
+from functools import singledispatchmethod
+
+from loguru import logger
+
+from filbertdrift.chooser import TargetChooser
+from filbertdrift.config_exchange import ConfigExchange
+from filbertdrift.config_holder import ConfigHolder, ParseDocument
+from filbertdrift.configwatch import ConfigWatch
+from filbertdrift.contract import HeaderContract
+from filbertdrift.crash_sync import CrashSync
+from filbertdrift.crashes import CrashLedger
+from filbertdrift.directory import Directory
+from filbertdrift.dispatch import Dispatcher, GradedAnswer, GradedRequest
+from filbertdrift.entry import EntryServer
+from filbertdrift.errors import LogUnavailable, MalformedMessage
+from filbertdrift.gen import ttypes
+from filbertdrift.handover import Handover
+from filbertdrift.health import TargetHealth
+from filbertdrift.identity import Identity
+from filbertdrift.keyedlog import KeyedLog
+from filbertdrift.lifecycle import OpenTarget, TargetLifecycle
+from filbertdrift.link import CallStream, LinkPool, serve_connection
+from filbertdrift.members import Member
+from filbertdrift.membership import Membership
+from filbertdrift.network import Connection, Network
+from filbertdrift.identity import Identity
+from filbertdrift.pause import PauseGuard
+from filbertdrift.profile import Profile
+from filbertdrift.request import EntryRequest
+from filbertdrift.retrybudget import RetryLimits, SharedRetryBudget
+from filbertdrift.routing import CallerLimits, GradedRoute
+from filbertdrift.supervise import Supervisor
+
+BOOT_PEERS = 3
+BOOT_BACKOFF_S = 0.2
+MAX_BOOT_BACKOFF_S = 1.0
+FORGET_S = 5.0
+PAUSE_COME_BACK_MS = 300
+DRAIN_POLL_S = 0.05
+# Callers and peers need this time to notice that a node is leaving.
+LEAVING_NOTICE_S = 2.2
+# What is kept of the time to end for closing down itself.
+END_RESERVE_S = 0.6
+
+
+@dataclass(frozen=True, slots=True)
+class MeshSettings:
+    """What a node of the mesh is told when it starts.
+
+    Args:
+        caller_address: Where callers and the own target send requests.
+        caller_service: The service of the target beside this node.
+        seeds: Nodes to ask first, perhaps stale.
+        config_stream: The stream with the operator's records.
+        config_key: The key of the configuration in it.
+        directory_stream: The stream with the addresses of nodes.
+        retry_limits: The retry budget of all nodes together.
+        end_grace_s: Time from the order to end to the kill.
+    """
+
+    caller_address: tuple[str, int]
+    caller_service: str
+    seeds: Sequence[str]
+    config_stream: str
+    config_key: str
+    directory_stream: str
+    retry_limits: RetryLimits
+    end_grace_s: float
+
+
+@dataclass(slots=True)
+class MeshCounters:
+    """What happened to this node."""
+
+    refused_after_pause: int = 0
+
+
+class MeshNode:
+    """One node, from its start to its end.
+
+    Args:
+        identity: Where it is.
+        settings: What it is told.
+        network: How it reaches the other nodes.
+        log: The platform's log.
+        profile: What it spends for control.
+        contract: Names of headers.
+        parse: Decodes a configuration document.
+        open_target: Makes the connections to the target.
+        rng: All its random choices.
+    """
+
+    def __init__(
+        self,
+        identity: Identity,
+        settings: MeshSettings,
+        network: Network,
+        log: KeyedLog,
+        profile: Profile,
+        contract: HeaderContract,
+        parse: ParseDocument,
+        open_target: OpenTarget,
+        rng: random.Random,
+    ) -> None:
+        """Assemble the parts; start sets them to work."""
+        self.identity = identity
+        self.settings = settings
+        self.counters = MeshCounters()
+        self.network = network
+        self.log = log
+        self.is_leaving = False
+        self.links = LinkPool(network)
+        self._rng = rng
+        me = Member(
+            identity.address,
+            identity.domain,
+            identity.region,
+            generation=identity.generation,
+        )
+        self.membership = Membership(me, network, self.links, profile, rng)
+        self.membership.on_change = self._on_members
+        self.holder = ConfigHolder(parse)
+        self.exchange = ConfigExchange(
+            self.holder,
+            self.membership,
+            self.links,
+        )
+        self.watch = ConfigWatch(
+            log,
+            settings.config_stream,
+            settings.config_key,
+            self.holder,
+            self.exchange,
+            self.membership,
+            rng,
+        )
+        self.directory = Directory(
+            log,
+            settings.directory_stream,
+            self.membership,
+            settings.seeds,
+            rng,
+        )
+        self.crashes = CrashLedger(identity.address, rng)
+        self.crashes.on_notice = self.membership.send_to_drawn
+        self.crash_sync = CrashSync(self.crashes, self.links)
+        self.membership.crashes_digest = self.crashes.digest
+        self.membership.on_crashes_digest = self.crash_sync.compare
+        self.chooser = TargetChooser(identity.domain, identity.region, rng)
+        self.budget = SharedRetryBudget(
+            settings.retry_limits,
+            lambda: len(self.membership.table),
+        )
+        self.dispatcher = Dispatcher(
+            self.links,
+            self.chooser,
+            self.membership.table.of_service,
+            self.crashes,
+            self.budget,
+            rng,
+        )
+        self.health = TargetHealth()
+        self.health.probes_healthy = False
+        self.lifecycle = TargetLifecycle(self.membership, open_target, rng)
+        self.health.probe = self._probe_target
+        self.health.on_change = self._on_health
+        self.handover = Handover(
+            self.lifecycle,
+            contract,
+            lambda: self.membership.me.generation,
+            self.crashes,
+            self.health,
+        )
+        self.entry = EntryServer(self, contract, settings.caller_service)
+        self.supervisor = Supervisor()
+        self.pause = PauseGuard()
+        self.pause.on_pause = self.membership.suspicions.drop_all
+        self._is_booted = False
+        self._tasks: list[asyncio.Task[None]] = []
+
+    # Start and end
+
+    async def start(self) -> None:
+        """Listen, join the others and fetch the configuration.
+
+        Raises:
+            OSError: An address cannot be bound.
+        """
+        await self.network.start(self._on_connection, self._on_datagram)
+        await self.entry.start(*self.settings.caller_address)
+        loop = asyncio.get_running_loop()
+        keep = self.supervisor.keep
+        for name, work in (
+            ('links', self.links.run),
+            ('pause guard', self.pause.run),
+            ('membership', self.membership.run),
+            ('directory', self.directory.run),
+            ('boot', self._boot),
+            ('health', self.health.run),
+            ('housekeeping', self._forget_expired),
+        ):
+            self._tasks.append(loop.create_task(keep(name, work)))
+
+    @property
+    def is_ready(self) -> bool:
+        """Tell whether callers may bring new work."""
+        return self.has_config and not self.is_leaving
+
+    async def drain(self) -> None:
+        """Leave gracefully: no new work, then wait for what is in progress."""
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        deadline = began + self.settings.end_grace_s - END_RESERVE_S
+        self.is_leaving = True
+        self.lifecycle.is_node_leaving = True
+        self.lifecycle.tell()
+        self.lifecycle.close_gate()
+        self.entry.close_after_answers()
+        await asyncio.sleep(LEAVING_NOTICE_S)
+        self.entry.close_idle()
+        while loop.time() < deadline and self._has_work():
+            await asyncio.sleep(DRAIN_POLL_S)
+        logger.bind(
+            event='drained',
+            unfinished=self.entry.in_progress + self.handover.in_progress,
+        ).info('drained')
+
+    async def stop(self) -> None:
+        """Stop at once."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        self.entry.close()
+        self.links.close()
+        if self.lifecycle.current is not None:
+            self.lifecycle.current.target.close()
+        await self.network.close()
+        await self.log.close()
+
+    def _has_work(self) -> bool:
+        return bool(self.entry.in_progress or self.handover.in_progress)
+
+    async def _boot(self) -> None:
+        """Fetch the configuration from whoever has it first, then follow."""
+        backoff_s = BOOT_BACKOFF_S
+        while not self.has_config and not await self._try_boot():
+            await asyncio.sleep(backoff_s * (0.5 + self._rng.random()))
+            backoff_s = min(backoff_s * 2, MAX_BOOT_BACKOFF_S)
+        await self.watch.run()
+
+    async def _try_boot(self) -> bool:
+        peers = [
+            member.node
+            for member in self.membership.table.alive()
+            if member.node != self.identity.address
+        ]
+        chosen = self._rng.sample(peers, min(BOOT_PEERS, len(peers)))
+        if await self.exchange.fetch(chosen):
+            return True
+        try:
+            return await self.watch.read_newest()
+        except LogUnavailable as exc:
+            logger.bind(event='boot_waits').info('{}', exc)
+            return False
+
+    # What the callers' port asks
+
+    @property
+    def limits(self) -> CallerLimits:
+        """Return the limits for callers in force."""
+        config = self.holder.config
+        return config.limits if config else CallerLimits()
+
+    @property
+    def has_config(self) -> bool:
+        """Tell whether a configuration is in force."""
+        return self.holder.config is not None
+
+    def match(self, host: str, path: str) -> GradedRoute | None:
+        """Return the route of a request."""
+        return self.holder.table.match(host, path)
+
+    def grade(self, req: EntryRequest, route: GradedRoute) -> GradedRequest:
+        """Choose the service for a request, by the weights of its route."""
+        now = asyncio.get_running_loop().time()
+        return GradedRequest(
+            req=req,
+            route=route,
+            service=route.pick_service(self._rng),
+            objective_at=now + route.objective_s,
+            version=self.holder.version,
+        )
+
+    async def dispatch(self, graded: GradedRequest) -> GradedAnswer:
+        """Return the answer to a request that entered here."""
+        return await self.dispatcher.dispatch(graded)
+
+    # The target beside this node
+
+    async def _probe_target(self) -> bool:
+        current = self.lifecycle.current
+        if current is None:
+            return True
+        config = self.holder.config
+        contract = None
+        if config is not None:
+            contract = config.services.get(current.heartbeat.service)
+        path = contract.probe_path if contract else ''
+        return await current.target.is_well(path)
+
+    def _on_health(self, is_healthy: bool) -> None:
+        self.lifecycle.set_health(is_healthy=is_healthy)
+
+    # Housekeeping
+
+    def _on_members(self, changed: Sequence[Member]) -> None:
+        self.chooser.unreachable_domains = self.membership.unreachable_domains
+        for member in changed:
+            logger.bind(
+                event='member',
+                node=member.node,
+                generation=member.generation,
+                version=member.version,
+                service=member.service,
+                status=member.status.name,
+            ).info('member {} is {}', member.node, member.status.name)
+
+    async def _forget_expired(self) -> None:
+        while True:
+            await asyncio.sleep(FORGET_S)
+            self.crashes.forget_expired()
+            known = {found.node for found in self.membership.table.alive()}
+            self.chooser.forget_missing(known)
+            self.membership.forget_unheard(known)
+
+    # Messages from other nodes
+
+    async def _on_connection(self, conn: Connection) -> None:
+        await serve_connection(conn, self._on_call)
+
+    def _on_datagram(self, sender: str, generation: int, body: object) -> None:
+        if self.membership.on_datagram(sender, generation, body):
+            return
+        if isinstance(body, ttypes.ConfigNotice):
+            digest = body.config_digest or b''
+            self.exchange.compare(sender, body.config_offset, digest)
+        elif isinstance(body, ttypes.CrashNotice):
+            self.crashes.on_peer_notice(body)
+
+    async def _on_call(self, call: CallStream, body: object) -> None:
+        await self._answer(body, call)
+
+    @singledispatchmethod
+    async def _answer(self, body: object, call: CallStream) -> None:
+        raise MalformedMessage(
+            f'unexpected {type(body).__name__}',
+            step='serve call',
+            peer=call.peer,
+        )
+
+    @_answer.register
+    async def _answer_request(
+        self,
+        body: ttypes.RequestOpen,
+        call: CallStream,
+    ) -> None:
+        if self.pause.check():
+            self.counters.refused_after_pause += 1
+            reason = 'this node was paused; the request may be old'
+            await call.send(
+                ttypes.Refusal(
+                    ttypes.RefusalKind.NOT_RUN,
+                    reason,
+                    PAUSE_COME_BACK_MS,
+                    0,
+                    reached_target=False,
+                ),
+            )
+            return
+        await self.handover.serve(call, body)
+
+    @_answer.register
+    async def _answer_pull(
+        self,
+        body: ttypes.PullConfig,
+        call: CallStream,
+    ) -> None:
+        await call.send(self.exchange.serve(body))
+
+    @_answer.register
+    async def _answer_sync(
+        self,
+        body: ttypes.SyncMembers,
+        call: CallStream,
+    ) -> None:
+        await call.send(self.membership.serve_sync(body))
+
+    @_answer.register
+    async def _answer_crashes(
+        self,
+        body: ttypes.SyncCrashes,
+        call: CallStream,
+    ) -> None:
+        await call.send(self.crash_sync.serve(body))
--- a/filbertdrift/network.py
+++ b/filbertdrift/network.py
@@ -222,7 +222,10 @@
         self._writer.transport.abort()
 
     def _write(self, frame: bytes) -> None:
-        self._writer.write(frame)
+        # uvloop raises on writes to a closed transport; the task that reads
+        # the connection finds out why it ended.
+        if not self._writer.transport.is_closing():
+            self._writer.write(frame)
 
     async def _drain(self) -> None:
         transport = self._writer.transport
--- a/filbertdrift/node.py
+++ b/filbertdrift/node.py
@@ -24,6 +24,7 @@
 from filbertdrift.forward import Forwarder
 from filbertdrift.gen import ttypes
 from filbertdrift.health import TargetHealth
+from filbertdrift.identity import Identity
 from filbertdrift.introduction import Introducer
 from filbertdrift.keeper import ConfigKeeper
 from filbertdrift.keyed import KeyedForwarder
@@ -63,23 +64,6 @@
 PAUSE_COME_BACK_MS = 500
 
 
-@dataclass(frozen=True, slots=True)
-class Identity:
-    """Where a node is.
-
-    Args:
-        address: Its address for other nodes.
-        domain: Its failure domain.
-        region: Its region.
-        generation: Grows with each start.
-    """
-
-    address: str
-    domain: str
-    region: str
-    generation: int
-
-
 @dataclass(slots=True)
 class NodeCounters:
     """What happened to this node."""
--- /dev/null
+++ b/filbertdrift/objective_gate.py
@@ -0,0 +1,234 @@
+"""Admission to one target by what can still be answered in time.
+
+The gate keeps to the target's slots. A request waits only if its turn is
+expected before it is too late for its latency objective; otherwise it is
+refused at once with the time in which the queue drains. The more urgent rank
+goes first and may take the place of a less urgent request that waits.
+"""
+
+import asyncio
+import bisect
+import itertools
+import random
+from collections import defaultdict
+from dataclasses import dataclass, field
+
+from filbertdrift.errors import RequestNotRun
+
+PERMILLE = 1000
+MS_PER_S = 1000
+# Estimate for requests of a route before the first one has ended.
+FIRST_SERVICE_TIME_S = 0.05
+SERVICE_TIME_WEIGHT = 0.1
+MIN_COME_BACK_MS = 40
+MAX_COME_BACK_MS = 3000
+# A target with more waiting than this for each slot is certainly too slow.
+QUEUE_PER_SLOT = 4
+
+
+@dataclass(slots=True)
+class Demand:
+    """What a request asks of the gate.
+
+    Args:
+        rank: Zero is the most urgent.
+        kind: Requests of one kind take about the same time.
+        objective_at: An answer until then is worth most, on the loop's clock.
+        deadline: When the caller gives up, on the loop's clock.
+    """
+
+    rank: int
+    kind: str
+    objective_at: float
+    deadline: float
+
+
+@dataclass(order=True, slots=True)
+class _Waiter:
+    """A request in the queue, ordered by who goes first."""
+
+    rank: int
+    latest_start: float
+    number: int
+    demand: Demand = field(compare=False)
+    admitted: asyncio.Future[None] = field(compare=False)
+
+
+@dataclass(slots=True)
+class ObjectiveGateCounters:
+    """What the gate did."""
+
+    admitted: int = 0
+    queued: int = 0
+    refused: int = 0
+    displaced: int = 0
+    expired: int = 0
+
+
+class ObjectiveGate:
+    """Slots and queue of one target.
+
+    Args:
+        slots: Requests that the target runs at a time.
+        rng: Spreads the times to come back.
+    """
+
+    def __init__(self, slots: int, rng: random.Random) -> None:
+        """Start empty and open."""
+        self.slots = max(slots, 1)
+        self.counters = ObjectiveGateCounters()
+        self.running = 0
+        self.closes_at = float('inf')
+        self._rng = rng
+        self._queue: list[_Waiter] = []
+        self._numbers = itertools.count()
+        self._mean_s = FIRST_SERVICE_TIME_S
+        self._kind_s: dict[str, float] = defaultdict(lambda: self._mean_s)
+
+    @property
+    def waiting(self) -> int:
+        """Return how many requests wait."""
+        return len(self._queue)
+
+    @property
+    def load_permille(self) -> int:
+        """Return running and waiting requests over slots, in thousandths."""
+        return (self.running + self.waiting) * PERMILLE // self.slots
+
+    async def admit(self, demand: Demand) -> None:
+        """Wait for a slot; release must be called after the request.
+
+        Args:
+            demand: What the request asks.
+
+        Raises:
+            RequestNotRun: It cannot be served in time; it may come back.
+        """
+        now = asyncio.get_running_loop().time()
+        if now >= self.closes_at:
+            raise self._refusal('the target is leaving')
+        if now >= demand.deadline:
+            raise self._refusal('the deadline has passed')
+        if not self._queue and self.running < self.slots:
+            self._take_slot()
+            return
+        waiter = self._enqueue(demand, now)
+        try:
+            async with asyncio.timeout_at(demand.deadline):
+                await waiter.admitted
+        except TimeoutError as exc:
+            self._leave(waiter)
+            self.counters.expired += 1
+            raise self._refusal('the deadline passed in the queue') from exc
+        except asyncio.CancelledError:
+            self._leave(waiter)
+            raise
+
+    def release(self, kind: str, service_time_s: float) -> None:
+        """Free the slot of a request that has ended.
+
+        Args:
+            kind: As given to admit.
+            service_time_s: How long the target had it; zero if that tells
+                nothing of the kind.
+        """
+        self.running -= 1
+        if service_time_s > 0:
+            known = self._kind_s[kind]
+            step = SERVICE_TIME_WEIGHT
+            self._kind_s[kind] = known + step * (service_time_s - known)
+            self._mean_s += step * (service_time_s - self._mean_s)
+        self._wake()
+
+    def expected_wait_s(self, rank: int) -> float:
+        """Return how long a new request of a rank would wait."""
+        if not self._queue and self.running < self.slots:
+            return 0
+        ahead = sum(waiter.rank <= rank for waiter in self._queue)
+        return (ahead + 1) * self._mean_s / self.slots
+
+    def _latest_start(self, demand: Demand, now: float) -> float:
+        """Return when the request must start to be worth most.
+
+        Once its objective is out of reach, its deadline counts.
+        """
+        service_time_s = self._kind_s[demand.kind]
+        latest = demand.objective_at - service_time_s
+        return latest if latest > now else demand.deadline - service_time_s
+
+    def _enqueue(self, demand: Demand, now: float) -> _Waiter:
+        latest = self._latest_start(demand, now)
+        if now + self.expected_wait_s(demand.rank) > latest:
+            raise self._refusal('it would wait too long')
+        if len(self._queue) >= self.slots * QUEUE_PER_SLOT:
+            self._displace(demand.rank)
+        loop = asyncio.get_running_loop()
+        waiter = _Waiter(
+            demand.rank,
+            latest,
+            next(self._numbers),
+            demand,
+            loop.create_future(),
+        )
+        bisect.insort(self._queue, waiter)
+        self.counters.queued += 1
+        self._wake()
+        return waiter
+
+    def _displace(self, rank: int) -> None:
+        """Make room for a request by refusing a less urgent one."""
+        last = self._queue[-1]
+        if last.rank <= rank:
+            raise self._refusal('the queue is full')
+        self._queue.pop()
+        self.counters.displaced += 1
+        if not last.admitted.done():
+            last.admitted.set_exception(self._refusal('displaced'))
+
+    def _take_slot(self) -> None:
+        self.running += 1
+        self.counters.admitted += 1
+
+    def _leave(self, waiter: _Waiter) -> None:
+        if waiter in self._queue:
+            self._queue.remove(waiter)
+            return
+        was_admitted = (
+            waiter.admitted.done()
+            and not waiter.admitted.cancelled()
+            and waiter.admitted.exception() is None
+        )
+        if was_admitted:
+            self.running -= 1
+            self._wake()
+
+    def _wake(self) -> None:
+        now = asyncio.get_running_loop().time()
+        while self._queue and self.running < self.slots:
+            waiter = self._queue.pop(0)
+            if waiter.admitted.done():
+                continue
+            if self._is_too_late(waiter, now):
+                self.counters.expired += 1
+                reason = 'its turn came too late'
+                waiter.admitted.set_exception(self._refusal(reason))
+                continue
+            self._take_slot()
+            waiter.admitted.set_result(None)
+
+    def _is_too_late(self, waiter: _Waiter, now: float) -> bool:
+        if now >= self.closes_at:
+            return True
+        service_time_s = self._kind_s[waiter.demand.kind]
+        return now + service_time_s > waiter.demand.deadline
+
+    def _refusal(self, reason: str) -> RequestNotRun:
+        self.counters.refused += 1
+        drain_ms = self.waiting * self._mean_s / self.slots * MS_PER_S
+        base_ms = MIN_COME_BACK_MS + drain_ms
+        come_back_ms = base_ms * (0.5 + self._rng.random())
+        return RequestNotRun(
+            reason,
+            come_back_ms=min(int(come_back_ms), MAX_COME_BACK_MS),
+            step='admit',
+        )
--- /dev/null
+++ b/filbertdrift/platform/daemon.py
@@ -0,0 +1,122 @@
+"""The process of one node on the platform."""
+
+import asyncio
+import os
+import random
+import signal
+import time
+
+import uvloop
+from loguru import logger
+
+from filbertdrift.errors import SettingsError
+from filbertdrift.eventlog import configure_event_log
+from filbertdrift.identity import Identity
+from filbertdrift.listener import HttpListener
+from filbertdrift.mesh import MeshNode, MeshSettings
+from filbertdrift.network import TcpNetwork, split_address
+from filbertdrift.platform.documents import (
+    CONFIG_KEY,
+    OPERATOR_STREAM,
+    parse_config,
+)
+from filbertdrift.platform.headers import HEADERS
+from filbertdrift.platform.registry import ReadyCheck, TargetCalls
+from filbertdrift.platform.settings import (
+    SETTINGS_VARIABLE,
+    PlatformSettings,
+    load_platform_settings,
+)
+from filbertdrift.platform.store import StoreLog
+from filbertdrift.profile import PROFILES
+from filbertdrift.target import HttpTarget
+
+DIRECTORY_STREAM = 'keyed.nodes'
+KEPT_TARGET_CONNECTIONS = 64
+MS_PER_S = 1000
+
+
+def main() -> None:
+    """Run one node with the settings that the environment names."""
+    path = os.environ.get(SETTINGS_VARIABLE, '')
+    settings = load_platform_settings(path)
+    event_log = configure_event_log(settings.name)
+    try:
+        uvloop.run(_run(settings))
+    finally:
+        event_log.close()
+
+
+def build_node(settings: PlatformSettings) -> MeshNode:
+    """Return a node over sockets.
+
+    Args:
+        settings: What the platform tells the process.
+    """
+    identity = Identity(
+        address=settings.peer_address,
+        domain=settings.domain,
+        region=settings.region,
+        generation=int(time.time() * MS_PER_S),
+    )
+    return MeshNode(
+        identity=identity,
+        settings=MeshSettings(
+            caller_address=split_address(settings.caller_address),
+            caller_service=settings.service,
+            seeds=settings.seeds,
+            config_stream=OPERATOR_STREAM,
+            config_key=CONFIG_KEY,
+            directory_stream=DIRECTORY_STREAM,
+            retry_limits=settings.retry_limits,
+            end_grace_s=settings.end_grace_s,
+        ),
+        network=TcpNetwork(identity.address),
+        log=StoreLog(settings.store_address),
+        profile=PROFILES['convergence'],
+        contract=HEADERS,
+        parse=parse_config,
+        open_target=_open_target,
+        rng=random.Random(),  # noqa: S311
+    )
+
+
+def _open_target(service: str, address: str) -> HttpTarget:
+    return HttpTarget(address, KEPT_TARGET_CONNECTIONS)
+
+
+async def _run(settings: PlatformSettings) -> None:
+    node = build_node(settings)
+    target_calls = TargetCalls(node.lifecycle)
+    ready_check = ReadyCheck(lambda: node.is_ready)
+    listeners = [
+        HttpListener(settings.target_calls_address, target_calls.serve),
+        HttpListener(settings.ready_address, ready_check.serve),
+    ]
+    stopping = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopping.set)
+    loop.add_signal_handler(signal.SIGHUP, _note_reload)
+    try:
+        for listener in listeners:
+            await listener.start()
+        await node.start()
+    except OSError as exc:
+        raise SettingsError(f'cannot listen: {exc}', step='start') from exc
+    logger.bind(event='started').info('started')
+    await stopping.wait()
+    logger.bind(event='stopping').info('stopping')
+    await node.drain()
+    for listener in listeners:
+        listener.close()
+    await node.stop()
+    logger.bind(event='stopped').info('stopped')
+
+
+def _note_reload() -> None:
+    logger.bind(event='reloaded').info('settings changed; none is reloadable')
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/filbertdrift/platform/documents.py
@@ -0,0 +1,180 @@
+"""The operator's configuration, and what targets say of themselves."""
+
+from collections.abc import Mapping
+
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+
+from filbertdrift.errors import MalformedMessage
+from filbertdrift.lifecycle import Heartbeat
+from filbertdrift.routing import (
+    CallerLimits,
+    GradedRoute,
+    RoutingConfig,
+    ServiceContract,
+    Share,
+)
+
+OPERATOR_STREAM = 'keyed.op'
+CONFIG_KEY = 'config'
+
+VERSION_PREFIX = 'r'
+STATE_READY = 'ready'
+STATE_DRAINING = 'draining'
+KIND_IDEMPOTENT = 'idempotent'
+# Without a stated number, a target is not handed more than this.
+DEFAULT_CONNECTIONS = 100
+# Without a stated objective, an answer within the time-out is in time.
+DEFAULT_OBJECTIVE_S = 1.0
+LAST_RANK = 9
+
+
+class _Message(BaseModel):
+    model_config = ConfigDict(extra='ignore', frozen=True)
+
+
+class _Share(_Message):
+    service: str
+    weight: float = Field(gt=0)
+
+
+class _Route(_Message):
+    host: str
+    path_prefix: str = Field(pattern='^/(.*/)?$')
+    kind: str = ''
+    timeout_s: float | None = Field(default=None, gt=0)
+    target_latency_s: float | None = Field(default=None, gt=0)
+    priority: int = LAST_RANK
+    service: str = ''
+    traffic_split: tuple[_Share, ...] = ()
+    max_attempts: int = Field(default=1, ge=1)
+
+
+class _Service(_Message):
+    health_check_path: str = ''
+    max_connections: int = DEFAULT_CONNECTIONS
+
+
+class _Limits(_Message):
+    max_header_bytes: int = CallerLimits().header_bytes
+    max_body_bytes: int = CallerLimits().body_bytes
+    header_timeout_s: float = CallerLimits().header_timeout_s
+    idle_timeout_s: float = CallerLimits().idle_timeout_s
+
+
+class _Config(_Message):
+    version: str = Field(pattern=r'^r\d+$')
+    routes: Mapping[str, _Route]
+    services: Mapping[str, _Service]
+    limits: _Limits = _Limits()
+
+
+class _Heartbeat(_Message):
+    model_config = ConfigDict(extra='ignore', frozen=True, strict=True)
+
+    service: str
+    address: str
+    state: str = Field(pattern=f'^({STATE_READY}|{STATE_DRAINING})$')
+    slots: int = Field(ge=1)
+    cold_remaining_s: float = 0
+    # Counts the calls of one start of the target.
+    seq: int = 0
+    # Unix time of its start in milliseconds; not all targets say it.
+    born: int = 0
+
+
+class _Leaving(_Message):
+    model_config = ConfigDict(extra='ignore', frozen=True, strict=True)
+
+    born: int | None = None
+
+
+def parse_config(document: bytes) -> RoutingConfig:
+    """Return a configuration as the operator wrote it.
+
+    Raises:
+        MalformedMessage: It is incomplete or a field has another type.
+    """
+    try:
+        model = _Config.model_validate_json(document)
+    except ValidationError as exc:
+        raise MalformedMessage(str(exc), step='parse configuration') from exc
+    limits = model.limits
+    return RoutingConfig(
+        version=int(model.version.removeprefix(VERSION_PREFIX)),
+        routes=tuple(
+            _route(name, route) for name, route in model.routes.items()
+        ),
+        services={
+            name: ServiceContract(
+                name,
+                service.health_check_path,
+                service.max_connections,
+            )
+            for name, service in model.services.items()
+        },
+        limits=CallerLimits(
+            limits.max_header_bytes,
+            limits.max_body_bytes,
+            limits.header_timeout_s,
+            limits.idle_timeout_s,
+        ),
+    )
+
+
+def parse_heartbeat(instance: str, body: bytes) -> Heartbeat:
+    """Return what a target says of itself.
+
+    Args:
+        instance: Its id, from the path of the call.
+        body: The call's body.
+
+    Raises:
+        MalformedMessage: A field is missing or has another type.
+    """
+    try:
+        model = _Heartbeat.model_validate_json(body)
+    except ValidationError as exc:
+        raise MalformedMessage(str(exc), step='parse heartbeat') from exc
+    return Heartbeat(
+        instance=instance,
+        born_ms=model.born,
+        sequence=model.seq,
+        service=model.service,
+        address=model.address,
+        slots=model.slots,
+        is_draining=model.state == STATE_DRAINING,
+        cold_s=model.cold_remaining_s,
+    )
+
+
+def parse_leaving(body: bytes) -> int | None:
+    """Return the birth of the target that leaves, None if it did not say.
+
+    Raises:
+        MalformedMessage: The body is not such a message.
+    """
+    if not body:
+        return None
+    try:
+        return _Leaving.model_validate_json(body).born
+    except ValidationError as exc:
+        raise MalformedMessage(str(exc), step='parse leaving') from exc
+
+
+def _route(name: str, model: _Route) -> GradedRoute:
+    shares = tuple(
+        Share(share.service, share.weight) for share in model.traffic_split
+    )
+    return GradedRoute(
+        name=name,
+        host=model.host.lower(),
+        prefix=model.path_prefix,
+        shares=shares or (Share(model.service, 1),),
+        is_idempotent=model.kind == KIND_IDEMPOTENT,
+        timeout_s=model.timeout_s,
+        objective_s=(
+            model.target_latency_s or model.timeout_s or DEFAULT_OBJECTIVE_S
+        ),
+        rank=model.priority,
+        max_attempts=model.max_attempts,
+    )
--- /dev/null
+++ b/filbertdrift/platform/store.py
@@ -0,0 +1,276 @@
+"""The platform's metadata store: its log calls over HTTP/1.1."""
+
+import asyncio
+import base64
+import binascii
+import json
+import struct
+from collections import deque
+from dataclasses import dataclass
+from typing import Any
+from urllib.parse import urlencode
+
+from filbertdrift import http1
+from filbertdrift.errors import (
+    LogAnswerLost,
+    LogGap,
+    LogUnavailable,
+    MalformedMessage,
+    PeerUnavailable,
+)
+from filbertdrift.keyedlog import KeyedLog, KeyedPage, KeyedRecord
+from filbertdrift.network import split_address
+
+CONNECT_TIMEOUT_S = 1.0
+# The store answers in milliseconds; a slow one takes some tenths of a second.
+CALL_TIMEOUT_S = 2.0
+KEPT_CONNECTIONS = 2
+# A kept connection that was idle for longer may have gone silent.
+REUSE_S = 5.0
+
+STATUS_OK = 200
+STATUS_GONE = 410
+STATUS_MAY_BE_DONE = frozenset((500, 502, 504))
+
+_PARTITION = '0'
+_BOUNDS = struct.Struct('>QQ')
+_LENGTH = struct.Struct('>I')
+
+
+@dataclass(frozen=True, slots=True)
+class _StoreReply:
+    status: int
+    body: bytes
+
+
+class _StoreConnection:
+    """One connection to the store."""
+
+    def __init__(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        peer: str,
+    ) -> None:
+        """Wrap a stream."""
+        self.reuse_until = 0.0
+        self._writer = writer
+        self._reader = reader
+        self._messages = http1.ResponseReader(reader, peer)
+
+    def is_usable(self, now: float) -> bool:
+        """Tell whether another call may be made."""
+        is_open = not self._reader.at_eof() and not self._writer.is_closing()
+        return is_open and now < self.reuse_until
+
+    async def call(self, raw: bytes) -> tuple[_StoreReply, bool]:
+        """Make one call.
+
+        Returns:
+            The reply, and whether the connection may be kept.
+        """
+        self._writer.write(raw)
+        await self._writer.drain()
+        head = await self._messages.head()
+        chunks = []
+        end = False
+        while not end:
+            part = await self._messages.part()
+            chunks.append(part.chunk)
+            end = part.end
+        return _StoreReply(head.status, b''.join(chunks)), head.keep_alive
+
+    def close(self) -> None:
+        """Close the connection at once."""
+        self._writer.transport.abort()
+
+
+class StoreLog(KeyedLog):
+    """Keyed streams on the store.
+
+    Args:
+        address: The store's address.
+    """
+
+    def __init__(self, address: str) -> None:
+        """Start without connections."""
+        super().__init__()
+        self._address = address
+        self._idle: deque[_StoreConnection] = deque()
+
+    async def newest(self, stream: str) -> KeyedPage:
+        """Return the newest record of each key."""
+        records: list[KeyedRecord] = []
+        query = {'topic': stream, 'part': _PARTITION}
+        has_more = True
+        end = 0
+        while has_more:
+            reply = await self._call('GET', '/log-newest', query)
+            page = self._json(reply, 'log-newest')
+            found = [_record_of_item(item) for item in page['items']]
+            records.extend(found)
+            end = int(page['end'])
+            has_more = bool(page['has_more']) and bool(found)
+            if found:
+                query['after'] = found[-1].key
+        return KeyedPage(records, end)
+
+    async def read(
+        self,
+        stream: str,
+        offset: int,
+        wait_s: float,
+    ) -> KeyedPage:
+        """Return the records from an offset on."""
+        query = {
+            'topic': stream,
+            'part': _PARTITION,
+            'from': str(offset),
+            'wait_ms': str(int(wait_s * 1000)),
+        }
+        reply = await self._call('GET', '/log-read', query, wait_s=wait_s)
+        if reply.status == STATUS_GONE:
+            raise LogGap('records have expired', step=f'read {stream}')
+        self._check(reply, 'log-read')
+        return self._page(reply.body, offset)
+
+    async def append(self, stream: str, record: KeyedRecord) -> None:
+        """Append one record."""
+        key = record.key.encode()
+        content = bytes((len(key),)) + key + record.payload
+        raw = _LENGTH.pack(len(content)) + content
+        query = {'topic': stream, 'part': _PARTITION}
+        self.counters.bytes_written += len(raw)
+        reply = await self._call('POST', '/log-append', query, raw)
+        self._check(reply, 'log-append')
+
+    async def close(self) -> None:
+        """Close the kept connections."""
+        while self._idle:
+            self._idle.pop().close()
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        query: dict[str, str],
+        body: bytes = b'',
+        wait_s: float = 0,
+    ) -> _StoreReply:
+        self.counters.calls += 1
+        target = f'{path}?{urlencode(query)}'
+        headers = [
+            (b'host', self._address.encode()),
+            (b'content-length', b'%d' % len(body)),
+        ]
+        raw = http1.request_bytes(method, target, headers) + body
+        step = path.strip('/')
+        conn = await self._connection(step)
+        try:
+            async with asyncio.timeout(CALL_TIMEOUT_S + wait_s):
+                reply, keeps = await conn.call(raw)
+        except (PeerUnavailable, MalformedMessage, OSError, TimeoutError) as exc:
+            conn.close()
+            self.counters.failures += 1
+            raise LogAnswerLost(
+                repr(exc),
+                step=step,
+                peer=self._address,
+            ) from exc
+        except BaseException:
+            conn.close()
+            raise
+        self.counters.bytes_read += len(reply.body)
+        self._keep(conn, keeps=keeps)
+        return reply
+
+    async def _connection(self, step: str) -> _StoreConnection:
+        now = asyncio.get_running_loop().time()
+        while self._idle:
+            conn = self._idle.pop()
+            if conn.is_usable(now):
+                return conn
+            conn.close()
+        host, port = split_address(self._address)
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                streams = await asyncio.open_connection(host, port)
+        except (OSError, TimeoutError) as exc:
+            self.counters.failures += 1
+            raise LogUnavailable(
+                repr(exc),
+                step=step,
+                peer=self._address,
+            ) from exc
+        return _StoreConnection(*streams, self._address)
+
+    def _keep(self, conn: _StoreConnection, *, keeps: bool) -> None:
+        if not keeps or len(self._idle) >= KEPT_CONNECTIONS:
+            conn.close()
+            return
+        conn.reuse_until = asyncio.get_running_loop().time() + REUSE_S
+        self._idle.append(conn)
+
+    def _check(self, reply: _StoreReply, step: str) -> None:
+        if reply.status == STATUS_OK:
+            return
+        self.counters.failures += 1
+        reason = f'status {reply.status}'
+        lost = reply.status in STATUS_MAY_BE_DONE
+        kind = LogAnswerLost if lost else LogUnavailable
+        raise kind(reason, step=step, peer=self._address)
+
+    def _json(self, reply: _StoreReply, step: str) -> Any:
+        self._check(reply, step)
+        try:
+            return json.loads(reply.body)
+        except ValueError as exc:
+            raise LogUnavailable(
+                f'not JSON: {exc}',
+                step=step,
+                peer=self._address,
+            ) from exc
+
+    def _page(self, raw: bytes, offset: int) -> KeyedPage:
+        """Decode the bounds of a partition and the records behind them."""
+        try:
+            end, _ = _BOUNDS.unpack_from(raw)
+            records = _records(memoryview(raw)[_BOUNDS.size :])
+        except (struct.error, ValueError, IndexError) as exc:
+            raise LogUnavailable(
+                f'not records: {exc}',
+                step='log-read',
+                peer=self._address,
+            ) from exc
+        # A read may bring fewer records than there are.
+        next_offset = min(offset + len(records), end) if records else end
+        return KeyedPage(records, next_offset)
+
+
+def _records(raw: memoryview) -> list[KeyedRecord]:
+    found = []
+    position = 0
+    while position < len(raw):
+        size = _LENGTH.unpack_from(raw, position)[0]
+        position += _LENGTH.size
+        content = bytes(raw[position : position + size])
+        if len(content) != size:
+            raise ValueError('a record is cut short')
+        found.append(_keyed(content))
+        position += size
+    return found
+
+
+def _keyed(content: bytes) -> KeyedRecord:
+    """Decode a record of a keyed stream: length of the key, key, payload."""
+    key_end = 1 + content[0]
+    key = content[1:key_end].decode('utf-8', 'replace')
+    return KeyedRecord(key, content[key_end:])
+
+
+def _record_of_item(item: dict[str, Any]) -> KeyedRecord:
+    try:
+        payload = base64.b64decode(item['value'])
+        return KeyedRecord(str(item['key']), payload)
+    except (KeyError, TypeError, binascii.Error) as exc:
+        raise LogUnavailable(f'not a record: {exc}', step='newest') from exc
--- a/filbertdrift/target.py
+++ b/filbertdrift/target.py
@@ -14,7 +14,9 @@
 SILENT_S = 1.0
 STATUS_ERROR = 400
 IDLE_REUSE_S = 4.0
-LAST_CHUNK = b'0\r\n\r\n'
+# Part of the idle time that a target states after which a connection is not
+# used again: the target may close it while a request is on its way.
+IDLE_REUSE_SHARE = 0.5
 
 
 @dataclass(slots=True)
@@ -81,6 +83,10 @@
             MalformedMessage: The target did not send HTTP.
         """
 
+    @abstractmethod
+    def spoil(self) -> None:
+        """Mark the connection as not to be used again."""
+
     @abstractmethod
     def close(self) -> None:
         """End the exchange; before its end this cancels it."""
@@ -189,6 +195,7 @@
         self._is_sent = False
         self._sent_at = 0.0
         self._is_whole = False
+        self._is_spoiled = False
         self._head: http1.ResponseHead | None = None
 
     async def send_head(self) -> None:
@@ -207,7 +214,7 @@
         """Send a further part of the body."""
         raw = self._coded(chunk)
         if end and self._is_chunked:
-            raw += LAST_CHUNK
+            raw += http1.LAST_CHUNK
         if raw:
             await self._conn.write(raw)
         self._is_sent = end
@@ -227,16 +234,25 @@
         """Return the next part of the response's body."""
         return self._noted(await self._conn.messages.part())
 
+    def spoil(self) -> None:
+        """Mark the connection as not to be used again."""
+        self._is_spoiled = True
+
     def close(self) -> None:
         """Keep the connection after a whole exchange, else close it."""
         if self._is_silent():
             self._pool.close()
-        keeps = self._head is not None and self._head.keep_alive
-        if self._is_whole and self._is_sent and keeps:
-            self._pool.keep(self._conn)
+        if self._is_whole and self._is_sent and self._is_reusable():
+            self._pool.keep(self._conn, _idle_limit_s(self._head))
         else:
             self._conn.close()
 
+    def _is_reusable(self) -> bool:
+        """Tell whether nothing but the next answer can come."""
+        if self._is_spoiled or self._head is None:
+            return False
+        return self._head.keep_alive and self._conn.messages.is_between()
+
     def _is_silent(self) -> bool:
         """Tell whether the connection gave no sign for long.
 
@@ -314,10 +330,19 @@
             exchange.close()
         return head.status < STATUS_ERROR
 
-    def keep(self, conn: TargetConnection) -> None:
-        """Keep a connection for the next exchange."""
+    def keep(
+        self,
+        conn: TargetConnection,
+        idle_s: float = IDLE_REUSE_S,
+    ) -> None:
+        """Keep a connection for the next exchange.
+
+        Args:
+            conn: A connection between two exchanges.
+            idle_s: How long it may stay idle before it is used again.
+        """
         now = asyncio.get_running_loop().time()
-        conn.reuse_until = now + IDLE_REUSE_S
+        conn.reuse_until = now + idle_s
         self._idle.append(conn)
         if len(self._idle) > self._limit:
             self._idle.popleft().close()
@@ -339,3 +364,13 @@
                 peer=self.address,
             ) from exc
         return TargetConnection(reader, writer, self.address)
+
+
+def _idle_limit_s(head: http1.ResponseHead | None) -> float:
+    """Return how long a connection may stay idle, by the last response."""
+    stated = http1.find_header(head.headers, b'keep-alive') if head else ''
+    for word in stated.split(','):
+        name, _, number = word.strip().partition('=')
+        if name.lower() == 'timeout' and number.isdigit():
+            return min(int(number) * IDLE_REUSE_SHARE, IDLE_REUSE_S)
+    return IDLE_REUSE_S
--- a/idl/filbertdrift.thrift
+++ b/idl/filbertdrift.thrift
@@ -180,6 +180,10 @@
   12: list<i32> refusal_statuses
   13: i64 generation
   15: i32 stall_ms
+  /** What is left until the answer counts as slow. */
+  16: i32 objective_ms
+  /** Route, for the estimate of how long it runs. */
+  17: string route_name
 }
 
 struct BodyChunk {
@@ -209,6 +213,8 @@
   2: string reason
   3: i32 come_back_ms
   4: i32 load_permille
+  /** The target itself refused, so the retry budget counts the arrival. */
+  5: bool reached_target
 }
 
 struct Cancel {
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -14,7 +14,8 @@
 from filbertdrift.gen import ttypes
 from filbertdrift.log import MemoryLog, SharedLog
 from filbertdrift.network_memory import Fabric, MemoryNetwork
-from filbertdrift.node import Identity, Node
+from filbertdrift.identity import Identity
+from filbertdrift.node import Node
 from filbertdrift.profile import PROFILES, Profile
 from filbertdrift.publisher import Published
 from filbertdrift.registration import Announcement
@@ -171,6 +172,9 @@
             keep_alive=True,
         )
 
+    def spoil(self) -> None:
+        """Do nothing: there is no connection."""
+
     def parsed(self) -> http1.BodyPart:
         """Return nothing yet."""
         return http1.BodyPart(b'', end=False)
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -11,7 +11,8 @@
 
 from filbertdrift.log import MemoryLog
 from filbertdrift.network import TcpNetwork
-from filbertdrift.node import Identity, Node
+from filbertdrift.identity import Identity
+from filbertdrift.node import Node
 from filbertdrift.profile import PROFILES
 from filbertdrift.registration import Announcement
 from filbertdrift.target import HttpTarget
