Traces of nodes with graded routes on memory stand-ins

A stand-in fleet runs the real nodes on a network, a keyed log and scripted targets in memory. A log whose history was dropped while a long poll waited answers without records and with a later end: the watch now reads the newest records then. The trace test_history_dropped failed before.

--- a/filbertdrift/configwatch.py
+++ b/filbertdrift/configwatch.py
@@ -130,8 +130,9 @@
             except LogGap:
                 self._offset = UNKNOWN_OFFSET
                 return await self._read()
-        if page.next_offset < self._offset:
-            # The stream is shorter than it was: it was restored.
+        is_known = self._offset != UNKNOWN_OFFSET
+        if is_known and not page.records and page.next_offset != self._offset:
+            # The stream is shorter than it was, or its history was dropped.
             self._offset = UNKNOWN_OFFSET
             return await self._read()
         self._offset = page.next_offset
--- a/filbertdrift/mesh.py
+++ b/filbertdrift/mesh.py
@@ -58,7 +58,8 @@
     """What a node of the mesh is told when it starts.
 
     Args:
-        caller_address: Where callers and the own target send requests.
+        caller_address: Where callers and the own target send requests, None
+            to listen for none.
         caller_service: The service of the target beside this node.
         seeds: Nodes to ask first, perhaps stale.
         config_stream: The stream with the operator's records.
@@ -68,7 +69,7 @@
         end_grace_s: Time from the order to end to the kill.
     """
 
-    caller_address: tuple[str, int]
+    caller_address: tuple[str, int] | None
     caller_service: str
     seeds: Sequence[str]
     config_stream: str
@@ -197,7 +198,8 @@
             OSError: An address cannot be bound.
         """
         await self.network.start(self._on_connection, self._on_datagram)
-        await self.entry.start(*self.settings.caller_address)
+        if self.settings.caller_address is not None:
+            await self.entry.start(*self.settings.caller_address)
         loop = asyncio.get_running_loop()
         keep = self.supervisor.keep
         for name, work in (
--- /dev/null
+++ b/standins/mesh_fleet.py
@@ -0,0 +1,495 @@
+"""Nodes with graded routes on a network, a log and targets in memory."""
+
+import asyncio
+import json
+import random
+from collections import Counter
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass, field
+from typing import Any
+
+from filbertdrift import http1
+from filbertdrift.dispatch import GradedAnswer
+from filbertdrift.errors import LogUnavailable, PeerUnavailable
+from filbertdrift.identity import Identity
+from filbertdrift.keyedlog import (
+    KeyedLog,
+    KeyedPage,
+    KeyedRecord,
+    MemoryKeyedLog,
+)
+from filbertdrift.lifecycle import Heartbeat
+from filbertdrift.mesh import MeshNode, MeshSettings
+from filbertdrift.network_memory import Fabric, MemoryNetwork
+from filbertdrift.platform.documents import (
+    CONFIG_KEY,
+    OPERATOR_STREAM,
+    parse_config,
+)
+from filbertdrift.platform.headers import HEADERS
+from filbertdrift.profile import PROFILES
+from filbertdrift.request import EntryRequest
+from filbertdrift.retrybudget import RetryLimits
+from filbertdrift.target import Exchange, Target, TargetRequest
+
+DIRECTORY_STREAM = 'keyed.nodes'
+HOST = 'desk.example'
+HEARTBEAT_S = 1.5
+HANDSHAKE_S = 0.001
+
+
+@dataclass
+class TargetScript:
+    """How a memory target behaves, and what it did.
+
+    Args:
+        work_s: Time it works on a request.
+        slots: Requests it runs at a time without slowing down.
+        is_up: It accepts connections.
+        fails_share: Share of requests that it answers with status 500.
+        refuses: It says that it did not run what it is sent.
+        strays: Answers of other requests that come before its own.
+        has_seal: Its answers are marked as its own.
+        encoding: A content encoding that it claims.
+        truncates: It breaks off within the body.
+        crashes_on: A part of the path of requests that crash it.
+    """
+
+    work_s: float = 0.02
+    slots: int = 8
+    is_up: bool = True
+    fails_share: float = 0.0
+    refuses: bool = False
+    strays: int = 0
+    has_seal: bool = True
+    encoding: str = ''
+    truncates: bool = False
+    crashes_on: str = ''
+    running: int = 0
+    most_running: int = 0
+    cancelled: int = 0
+    arrivals: int = 0
+    runs: Counter[str] = field(default_factory=Counter)
+    deadlines_ms: list[int] = field(default_factory=list)
+    run_at: list[float] = field(default_factory=list)
+
+
+class ScriptedTarget(Target):
+    """A target in memory that follows a script.
+
+    Args:
+        address: Its address.
+        script: How it behaves.
+        rng: Draws which requests fail.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        script: TargetScript,
+        rng: random.Random,
+    ) -> None:
+        self.address = address
+        self.script = script
+        self.rng = rng
+
+    async def exchange(self, request: TargetRequest) -> Exchange:
+        """Return an exchange unless the target is down."""
+        await asyncio.sleep(HANDSHAKE_S)
+        if not self.script.is_up:
+            raise PeerUnavailable('refused', step='connect to target')
+        return ScriptedExchange(self, request)
+
+    async def is_up(self) -> bool:
+        """Tell whether the target is up."""
+        return self.script.is_up
+
+    async def is_well(self, probe_path: str) -> bool:
+        """Tell whether the target is up."""
+        return self.script.is_up
+
+    def close(self) -> None:
+        """Do nothing: there are no connections."""
+
+
+class ScriptedExchange(Exchange):
+    """One request to a scripted target."""
+
+    def __init__(self, target: ScriptedTarget, request: TargetRequest) -> None:
+        self._script = target.script
+        self._rng = target.rng
+        self._request = request
+        self._sent = asyncio.Event()
+        self._is_refused = False
+        self._strays_left = self._script.strays
+
+    async def send_head(self) -> None:
+        """Note the arrival."""
+        script = self._script
+        script.arrivals += 1
+        self._is_refused = script.refuses
+        deadline = http1.find_header(self._request.headers, HEADERS.deadline_ms)
+        script.deadlines_ms.append(int(deadline))
+        if not script.refuses:
+            script.runs[self._request_id()] += 1
+            script.run_at.append(asyncio.get_running_loop().time())
+        if self._request.is_whole:
+            self._sent.set()
+
+    async def send_body(self, chunk: bytes, *, end: bool) -> None:
+        """Note the end of the body."""
+        if end:
+            self._sent.set()
+
+    async def head(self) -> http1.ResponseHead:
+        """Work, then answer, refuse, fail or crash."""
+        if self._strays_left:
+            self._strays_left -= 1
+            return _response(200, 'another-request', self._script)
+        if self._is_refused:
+            head = _response(503, self._request_id(), self._script)
+            head.headers.append((HEADERS.not_run, b'1'))
+            return head
+        await self._sent.wait()
+        await self._work()
+        status = 200
+        if self._rng.random() < self._script.fails_share:
+            status = 500
+        return _response(status, self._request_id(), self._script)
+
+    def spoil(self) -> None:
+        """Do nothing: there is no connection."""
+
+    def parsed(self) -> http1.BodyPart:
+        """Return the body, unless it breaks off."""
+        if self._script.truncates:
+            return http1.BodyPart(b'', end=False)
+        return http1.BodyPart(b'whole', end=True)
+
+    async def part(self) -> http1.BodyPart:
+        """Break off."""
+        raise http1.MessageTruncated('cut short', step='read body')
+
+    def close(self) -> None:
+        """Do nothing: there is no connection."""
+
+    def _request_id(self) -> str:
+        return http1.find_header(self._request.headers, HEADERS.request_id)
+
+    async def _work(self) -> None:
+        script = self._script
+        script.running += 1
+        script.most_running = max(script.most_running, script.running)
+        try:
+            if script.crashes_on and script.crashes_on in self._request.path:
+                script.is_up = False
+                raise PeerUnavailable('reset', step='await target')
+            await asyncio.sleep(script.work_s)
+            if not script.is_up:
+                raise PeerUnavailable('reset', step='await target')
+        except asyncio.CancelledError:
+            script.cancelled += 1
+            raise
+        finally:
+            script.running -= 1
+
+
+class CuttableLog(KeyedLog):
+    """One node's view of a shared log, with a cut of its own.
+
+    Args:
+        shared: The log that all nodes share.
+    """
+
+    def __init__(self, shared: MemoryKeyedLog) -> None:
+        super().__init__()
+        self.is_cut = False
+        self._shared = shared
+
+    async def newest(self, stream: str) -> KeyedPage:
+        """Return the newest record of each key."""
+        await self._enter()
+        return await self._shared.newest(stream)
+
+    async def read(self, stream: str, offset: int, wait_s: float) -> KeyedPage:
+        """Return the records from an offset on."""
+        await self._enter()
+        page = await self._shared.read(stream, offset, wait_s)
+        await self._enter()
+        return page
+
+    async def append(self, stream: str, record: KeyedRecord) -> None:
+        """Append one record."""
+        await self._enter()
+        await self._shared.append(stream, record)
+
+    async def _enter(self) -> None:
+        self.counters.calls += 1
+        if self.is_cut:
+            await asyncio.sleep(0.01)
+            self.counters.failures += 1
+            raise LogUnavailable('cut off', step='call log', peer='memory')
+
+
+@dataclass
+class MeshPlace:
+    """One instance: its node, view of the log, and target."""
+
+    identity: Identity
+    service: str
+    log: CuttableLog
+    node: MeshNode
+    script: TargetScript
+    beats: asyncio.Task[None] | None = None
+    instance: str = ''
+    born_ms: int = 0
+    sequence: int = 0
+
+
+class MeshFleet:
+    """Real nodes with graded routes, with everything around them in memory.
+
+    Args:
+        seed: Decides everything that is random.
+        limits: The retry budget of all nodes together.
+    """
+
+    def __init__(self, seed: int = 1, limits: RetryLimits | None = None) -> None:
+        self.rng = random.Random(seed)
+        self.fabric = Fabric(random.Random(seed + 1))
+        self.log = MemoryKeyedLog()
+        self.places: dict[str, MeshPlace] = {}
+        self.limits = limits or RetryLimits(ratio=0.2, extra=60)
+        self._generation = 1_000
+        self._calls = 0
+
+    async def add(
+        self,
+        domain: str,
+        service: str,
+        script: TargetScript | None = None,
+    ) -> MeshPlace:
+        """Start a node with its target in a domain."""
+        number = sum(
+            place.identity.domain == domain for place in self.places.values()
+        )
+        self._generation += 10
+        identity = Identity(
+            f'{domain}-{number}:7000',
+            domain,
+            'one',
+            self._generation,
+        )
+        return await self._start(identity, service, script or TargetScript())
+
+    async def kill(self, address: str) -> MeshPlace:
+        """End a node without a word; its target lives on."""
+        place = self.places.pop(address)
+        if place.beats:
+            place.beats.cancel()
+        await place.node.stop()
+        return place
+
+    async def restart(self, place: MeshPlace) -> MeshPlace:
+        """Start a killed node again beside the same target."""
+        self._generation += 10
+        old = place.identity
+        identity = Identity(
+            old.address,
+            old.domain,
+            old.region,
+            self._generation,
+        )
+        found = await self._start(identity, place.service, place.script)
+        found.instance, found.born_ms = place.instance, place.born_ms
+        found.sequence = place.sequence
+        return found
+
+    async def publish(self, document: Mapping[str, Any]) -> None:
+        """Write a configuration as the operator does."""
+        raw = json.dumps(document).encode()
+        await self.log.append(OPERATOR_STREAM, KeyedRecord(CONFIG_KEY, raw))
+
+    async def until_in_force(self, version: int, limit_s: float) -> float:
+        """Wait until every node has a version; return how long it took."""
+        loop = asyncio.get_running_loop()
+        started_at = loop.time()
+        while min(self.versions().values()) < version:
+            if loop.time() - started_at > limit_s:
+                raise AssertionError(f'lagging: {self.versions()}')
+            await asyncio.sleep(0.01)
+        return loop.time() - started_at
+
+    def versions(self) -> dict[str, int]:
+        """Return the version in force on each node."""
+        return {
+            address: place.node.holder.version
+            for address, place in self.places.items()
+        }
+
+    async def call(
+        self,
+        address: str,
+        path: str = '/read/1',
+        timeout_s: float = 2.0,
+        body: bytes = b'',
+    ) -> GradedAnswer:
+        """Send a request through a node, as its callers' port would."""
+        node = self.places[address].node
+        route = node.match(HOST, path)
+        assert route is not None
+        self._calls += 1
+        now = asyncio.get_running_loop().time()
+        request_id = f'request-{self._calls}'
+        req = EntryRequest(
+            request_id=request_id,
+            method='POST' if body else 'GET',
+            path=path,
+            headers=[(HEADERS.request_id, request_id.encode())],
+            first_chunk=body,
+            is_whole=True,
+            read_body=_no_body,
+            deadline=now + min(timeout_s, route.timeout_s or timeout_s),
+        )
+        return await node.dispatch(node.grade(req, route))
+
+    def runs(self) -> Counter[str]:
+        """Return how often each request ran, over all targets."""
+        total: Counter[str] = Counter()
+        for place in self.places.values():
+            total.update(place.script.runs)
+        return total
+
+    def beat(self, place: MeshPlace, *, is_draining: bool = False) -> None:
+        """Send one heartbeat of a target."""
+        place.sequence += 1
+        place.node.lifecycle.beat(heartbeat(place, is_draining=is_draining))
+
+    async def _start(
+        self,
+        identity: Identity,
+        service: str,
+        script: TargetScript,
+    ) -> MeshPlace:
+        log = CuttableLog(self.log)
+        rng = random.Random(self.rng.getrandbits(64))
+        node = MeshNode(
+            identity=identity,
+            settings=MeshSettings(
+                caller_address=None,
+                caller_service=service,
+                seeds=(),
+                config_stream=OPERATOR_STREAM,
+                config_key=CONFIG_KEY,
+                directory_stream=DIRECTORY_STREAM,
+                retry_limits=self.limits,
+                end_grace_s=6,
+            ),
+            network=MemoryNetwork(self.fabric, identity.address),
+            log=log,
+            profile=PROFILES['convergence'],
+            contract=HEADERS,
+            parse=parse_config,
+            open_target=lambda _, address: ScriptedTarget(address, script, rng),
+            rng=rng,
+        )
+        place = MeshPlace(identity, service, log, node, script)
+        place.instance = f'i-{identity.address}'
+        place.born_ms = identity.generation
+        self.places[identity.address] = place
+        await node.start()
+        loop = asyncio.get_running_loop()
+        place.beats = loop.create_task(self._send_beats(place))
+        return place
+
+    async def _send_beats(self, place: MeshPlace) -> None:
+        while True:
+            if place.script.is_up:
+                self.beat(place)
+            await asyncio.sleep(HEARTBEAT_S)
+
+
+def heartbeat(place: MeshPlace, *, is_draining: bool = False) -> Heartbeat:
+    """Return what the target of a place says of itself now."""
+    return Heartbeat(
+        instance=place.instance,
+        born_ms=place.born_ms,
+        sequence=place.sequence,
+        service=place.service,
+        address=f'{place.identity.address}-target',
+        slots=place.script.slots,
+        is_draining=is_draining,
+        cold_s=0,
+    )
+
+
+def config_document(
+    version: int = 1,
+    service: str = 'desk',
+    **routes: Mapping[str, Any],
+) -> dict[str, Any]:
+    """Return a configuration with a read and a write route.
+
+    Args:
+        version: Its version.
+        service: The service of both routes.
+        routes: Further routes by name, or changes of 'read' and 'write'.
+    """
+    base = {
+        'host': HOST,
+        'timeout_s': 1.0,
+        'target_latency_s': 0.3,
+        'max_attempts': 2,
+        'service': service,
+    }
+    found: dict[str, dict[str, Any]] = {
+        'read': {
+            **base,
+            'path_prefix': '/read/',
+            'kind': 'idempotent',
+            'priority': 2,
+        },
+        'write': {
+            **base,
+            'path_prefix': '/write/',
+            'kind': 'non_idempotent',
+            'priority': 1,
+        },
+    }
+    for name, changes in routes.items():
+        found[name] = {**found.get(name, base), **changes}
+    return {
+        'version': f'r{version}',
+        'routes': found,
+        'services': {service: {'max_connections': 100}},
+        'limits': {},
+    }
+
+
+def targets_of(fleet: MeshFleet, service: str) -> Sequence[TargetScript]:
+    """Return the scripts of a service's targets."""
+    return [
+        place.script
+        for place in fleet.places.values()
+        if place.service == service
+    ]
+
+
+def _response(
+    status: int,
+    request_id: str,
+    script: TargetScript,
+) -> http1.ResponseHead:
+    headers = [
+        (b'content-length', b'5'),
+        (HEADERS.request_id, request_id.encode()),
+    ]
+    if script.has_seal:
+        headers.append((HEADERS.seal, b'seal'))
+    if script.encoding:
+        headers.append((b'content-encoding', script.encoding.encode()))
+    return http1.ResponseHead(status, headers, keep_alive=True)
+
+
+async def _no_body() -> http1.BodyPart:
+    return http1.BodyPart(b'', end=True)
--- /dev/null
+++ b/tests/test_mesh.py
@@ -0,0 +1,257 @@
+"""Nodes with graded routes: requests, leaving, configuration, recovery."""
+
+import asyncio
+
+from testtools import TestCase
+from testtools.matchers import Equals, GreaterThan, LessThan
+
+from filbertdrift.errors import RequestNotRun, RequestUnknown
+from standins.mesh_fleet import (
+    MeshFleet,
+    TargetScript,
+    config_document,
+    targets_of,
+)
+from tests.builders import run_virtual
+
+
+async def settled_fleet(
+    seed: int = 1,
+    domains: str = 'aabbcc',
+    **routes: dict[str, object],
+) -> MeshFleet:
+    """Return a fleet with a desk target in each domain named, configured."""
+    fleet = MeshFleet(seed)
+    await fleet.publish(config_document(**routes))
+    for domain in domains:
+        await fleet.add(domain, 'desk')
+    await fleet.until_in_force(1, 5)
+    await asyncio.sleep(3)
+    return fleet
+
+
+class RequestTest(TestCase):
+    """What becomes of one request."""
+
+    def test_answered_whole(self) -> None:
+        run_virtual(self._answered())
+
+    async def _answered(self) -> None:
+        fleet = await settled_fleet()
+        answer = await fleet.call('a-0:7000')
+        self.assertThat(answer.status, Equals(200))
+        self.assertThat(answer.first_part.chunk, Equals(b'whole'))
+        answer.close()
+        self.assertThat(sum(fleet.runs().values()), Equals(1))
+
+    def test_refused_by_target_goes_elsewhere(self) -> None:
+        run_virtual(self._refused())
+
+    async def _refused(self) -> None:
+        fleet = await settled_fleet(seed=2)
+        for place in list(fleet.places.values())[:1]:
+            place.script.refuses = True
+        for _ in range(20):
+            answer = await fleet.call('a-0:7000', '/write/1')
+            answer.close()
+            self.assertThat(answer.status, Equals(200))
+
+    def test_lost_answer_of_a_write_is_not_repeated(self) -> None:
+        run_virtual(self._lost_write())
+
+    async def _lost_write(self) -> None:
+        fleet = await settled_fleet(seed=3)
+        for script in targets_of(fleet, 'desk'):
+            script.truncates = True
+        for _ in range(5):
+            try:
+                await fleet.call('a-0:7000', '/write/1')
+            except RequestUnknown:
+                continue
+            self.fail('a truncated answer was passed on')
+        self.assertThat(max(fleet.runs().values()), Equals(1))
+
+    def test_lost_answer_of_a_read_is_repeated_once(self) -> None:
+        run_virtual(self._lost_read())
+
+    async def _lost_read(self) -> None:
+        fleet = await settled_fleet(seed=4)
+        for script in targets_of(fleet, 'desk'):
+            script.truncates = True
+        try:
+            await fleet.call('a-0:7000', '/read/1')
+        except RequestUnknown:
+            self.assertThat(max(fleet.runs().values()), Equals(2))
+            return
+        self.fail('a truncated answer was passed on')
+
+    def test_stray_answer_is_skipped(self) -> None:
+        run_virtual(self._stray())
+
+    async def _stray(self) -> None:
+        fleet = await settled_fleet(seed=5)
+        for script in targets_of(fleet, 'desk'):
+            script.strays = 1
+        answer = await fleet.call('a-0:7000', '/write/1')
+        answer.close()
+        self.assertThat(answer.status, Equals(200))
+        self.assertThat(max(fleet.runs().values()), Equals(1))
+
+    def test_success_without_seal_is_no_answer(self) -> None:
+        run_virtual(self._spoiled(TargetScript(has_seal=False)))
+
+    def test_encoded_success_is_no_answer(self) -> None:
+        run_virtual(self._spoiled(TargetScript(encoding='gzip')))
+
+    async def _spoiled(self, script: TargetScript) -> None:
+        fleet = MeshFleet(6)
+        await fleet.publish(config_document())
+        await fleet.add('a', 'desk', script)
+        await asyncio.sleep(3)
+        try:
+            await fleet.call('a-0:7000', '/write/1')
+        except RequestUnknown:
+            return
+        self.fail('a spoiled answer was passed on')
+
+    def test_deadline_shrinks_on_the_way(self) -> None:
+        run_virtual(self._deadline())
+
+    async def _deadline(self) -> None:
+        fleet = await settled_fleet(seed=7)
+        answer = await fleet.call('a-0:7000', timeout_s=0.5)
+        answer.close()
+        told = [
+            left_ms
+            for script in targets_of(fleet, 'desk')
+            for left_ms in script.deadlines_ms
+        ]
+        self.assertThat(max(told), LessThan(501))
+        self.assertThat(min(told), GreaterThan(450))
+
+
+class LeavingTest(TestCase):
+    """A target that leaves gets no new work, whoever lags."""
+
+    def test_no_work_after_acknowledgement(self) -> None:
+        run_virtual(self._leave())
+
+    async def _leave(self) -> None:
+        fleet = await settled_fleet(seed=8)
+        leaving = fleet.places['a-1:7000']
+        calls = asyncio.ensure_future(self._keep_calling(fleet))
+        await asyncio.sleep(1)
+        # The other nodes hear nothing of it.
+        fleet.fabric.loss = 1.0
+        fleet.beat(leaving, is_draining=True)
+        acknowledged_at = asyncio.get_running_loop().time()
+        await asyncio.sleep(4)
+        answered, refused = await calls
+        last_run_at = max(leaving.script.run_at)
+        self.assertThat(last_run_at - acknowledged_at, LessThan(1.0))
+        self.assertThat(refused, Equals(0))
+        self.assertThat(answered, GreaterThan(200))
+
+    async def _keep_calling(self, fleet: MeshFleet) -> tuple[int, int]:
+        answered = refused = 0
+        for number in range(300):
+            address = list(fleet.places)[number % 6]
+            try:
+                answer = await fleet.call(address, f'/write/{number}')
+            except RequestNotRun:
+                refused += 1
+            else:
+                answer.close()
+                answered += 1
+            await asyncio.sleep(0.01)
+        return answered, refused
+
+    def test_late_heartbeat_brings_nothing_back(self) -> None:
+        run_virtual(self._late_beat())
+
+    async def _late_beat(self) -> None:
+        fleet = await settled_fleet(seed=9, domains='ab')
+        place = fleet.places['a-0:7000']
+        lifecycle = place.node.lifecycle
+        fleet.beat(place, is_draining=True)
+        fleet.beat(place)
+        assert lifecycle.current is not None
+        self.assertThat(lifecycle.current.is_leaving, Equals(True))
+        place.born_ms += 5
+        fleet.beat(place)
+        self.assertThat(lifecycle.current.is_leaving, Equals(False))
+        place.born_ms -= 5
+        fleet.beat(place)
+        self.assertThat(
+            lifecycle.current.heartbeat.born_ms,
+            Equals(place.born_ms + 5),
+        )
+
+
+class ConfigTest(TestCase):
+    """A configuration reaches every node, whoever can read the log."""
+
+    def test_reaches_nodes_that_the_log_turns_away(self) -> None:
+        run_virtual(self._turned_away())
+
+    async def _turned_away(self) -> None:
+        fleet = await settled_fleet(seed=10)
+        for address in ('a-0:7000', 'a-1:7000', 'b-0:7000', 'b-1:7000'):
+            fleet.places[address].log.is_cut = True
+        await fleet.publish(config_document(version=5))
+        self.assertThat(await fleet.until_in_force(5, 5), LessThan(2))
+
+    def test_never_goes_back(self) -> None:
+        run_virtual(self._back())
+
+    async def _back(self) -> None:
+        fleet = await settled_fleet(seed=11)
+        await fleet.publish(config_document(version=9))
+        await fleet.until_in_force(9, 2)
+        await fleet.publish(config_document(version=7))
+        await asyncio.sleep(2)
+        self.assertThat(set(fleet.versions().values()), Equals({9}))
+
+    def test_history_dropped(self) -> None:
+        run_virtual(self._dropped())
+
+    async def _dropped(self) -> None:
+        fleet = await settled_fleet(seed=12)
+        fleet.log.is_down = True
+        await asyncio.sleep(1)
+        fleet.log.is_down = False
+        await fleet.publish(config_document(version=3))
+        fleet.log.expire('keyed.op')
+        self.assertThat(await fleet.until_in_force(3, 5), LessThan(3))
+
+
+class RecoveryTest(TestCase):
+    """Nodes that come back serve soon."""
+
+    def test_everything_killed(self) -> None:
+        run_virtual(self._herd())
+
+    async def _herd(self) -> None:
+        fleet = await settled_fleet(seed=13)
+        killed = [await fleet.kill(address) for address in list(fleet.places)]
+        await asyncio.sleep(1)
+        for place in killed:
+            await fleet.restart(place)
+        await asyncio.sleep(4)
+        answer = await fleet.call('b-0:7000')
+        answer.close()
+        self.assertThat(answer.status, Equals(200))
+
+    def test_restarts_while_the_log_is_down(self) -> None:
+        run_virtual(self._log_down())
+
+    async def _log_down(self) -> None:
+        fleet = await settled_fleet(seed=14)
+        place = await fleet.kill('a-0:7000')
+        fleet.log.is_down = True
+        await asyncio.sleep(1)
+        await fleet.restart(place)
+        await asyncio.sleep(8)
+        answer = await fleet.call('a-0:7000')
+        answer.close()
+        self.assertThat(answer.status, Equals(200))
