Silent connections and dead instances cost one wait, not one for each request

Cause: connects to one dead peer waited for each other, a second each, and a request on a connection that had gone silent waited for three seconds. Now waiting requests share one connect, a connection with calls asks for a sign of life after 0.25 s, and from 0.75 s on it gets no new calls and its idempotent ones go elsewhere. Both tests failed before.

--- a/filbertdrift/chooser.py
+++ b/filbertdrift/chooser.py
@@ -7,7 +7,7 @@
 """
 
 import random
-from collections.abc import Collection, Sequence
+from collections.abc import Callable, Collection, Sequence
 from dataclasses import dataclass
 
 from filbertdrift.members import Member
@@ -57,6 +57,7 @@
         self._rng = rng
         self._observed: dict[str, Observed] = {}
         self.unreachable_domains: set[str] = set()
+        self.is_suspect: Callable[[str], bool] = _never_suspect
 
     def choose(
         self,
@@ -162,6 +163,8 @@
     def _is_usable(self, member: Member, now: float) -> bool:
         if member.domain in self.unreachable_domains:
             return False
+        if self.is_suspect(member.node):
+            return False
         seen = self._observed.get(member.node)
         if seen is None or seen.generation != member.generation:
             return True
@@ -216,3 +219,7 @@
             seen = Observed(member.generation, first_seen_at=now)
             self._observed[member.node] = seen
         return seen
+
+
+def _never_suspect(node: str) -> bool:
+    return False
--- a/filbertdrift/dispatch.py
+++ b/filbertdrift/dispatch.py
@@ -274,6 +274,7 @@
             self._chooser.ended(self._member, loop.time())
             raise
         call = link.begin()
+        call.is_repeatable = self._graded.route.is_idempotent
         try:
             answer = await self._exchange(call)
         except BaseException:
--- a/filbertdrift/link.py
+++ b/filbertdrift/link.py
@@ -17,9 +17,15 @@
 
 CHUNK_BYTES = 65_536
 WINDOW_BYTES = 262_144
+# A connection without calls asks for a sign of life that often, one with
+# calls that nothing was heard of sooner.
 KEEP_ALIVE_S = 1.0
+BUSY_KEEP_ALIVE_S = 0.25
+# From then on a connection gets no new calls and repeatable ones go elsewhere.
+SUSPECT_S = 0.75
 SILENT_S = 3.0
 IDLE_CLOSE_S = 15.0
+TICK_S = 0.25
 
 
 class CallStream:
@@ -32,6 +38,9 @@
         conn: The connection that carries the call.
         call_id: The call's number on that connection.
         window_bytes: How much this side may send before it gets credit.
+
+    Attributes:
+        is_repeatable: It is given up as soon as its connection is suspect.
     """
 
     def __init__(
@@ -43,6 +52,7 @@
         """Start open."""
         self.peer = conn.peer
         self.call_id = call_id
+        self.is_repeatable = False
         self._conn = conn
         self._window_bytes = window_bytes
         self._credited = asyncio.Event()
@@ -140,6 +150,7 @@
         self.is_open = True
         self.heard_at = loop.time()
         self.used_at = loop.time()
+        self._ask_at = 0.0
         self._conn = conn
         self._calls: dict[int, CallStream] = {}
         self._ids = itertools.count(1)
@@ -179,8 +190,20 @@
             self.close('silent connection')
         elif not self._calls and now - self.used_at > IDLE_CLOSE_S:
             self.close('idle')
-        elif now - self.heard_at >= KEEP_ALIVE_S:
+        elif now >= self._ask_at and now - self.heard_at >= self._quiet_s():
+            self._ask_at = now + self._quiet_s()
             self._conn.send_nowait(0, ttypes.KeepAlive(reply=False))
+        if self.is_suspect(now):
+            self._give_up_repeatable()
+
+    def is_suspect(self, now: float) -> bool:
+        """Tell whether nothing was heard though a sign of life was due.
+
+        Args:
+            now: The time on the event loop's clock.
+        """
+        is_due = self._ask_at - self._quiet_s() > self.heard_at
+        return is_due and now - self.heard_at >= SUSPECT_S
 
     def close(self, reason: str) -> None:
         """Close the connection and fail its calls."""
@@ -192,6 +215,15 @@
         for call in list(self._calls.values()):
             call.fail(exc)
 
+    def _quiet_s(self) -> float:
+        return BUSY_KEEP_ALIVE_S if self._calls else KEEP_ALIVE_S
+
+    def _give_up_repeatable(self) -> None:
+        exc = PeerUnavailable('suspect', step='call', peer=self.peer)
+        for call in list(self._calls.values()):
+            if call.is_repeatable:
+                call.fail(exc)
+
     async def _read(self) -> None:
         loop = asyncio.get_running_loop()
         reason = 'connection ended'
@@ -219,7 +251,7 @@
         self.silent_links = 0
         self._network = network
         self._links: dict[str, PeerLink] = {}
-        self._locks: dict[str, asyncio.Lock] = {}
+        self._opening: dict[str, asyncio.Task[PeerLink]] = {}
 
     def __len__(self) -> int:
         """Return the number of open connections."""
@@ -239,13 +271,20 @@
         found = self.ready(peer)
         if found:
             return found
-        lock = self._locks.setdefault(peer, asyncio.Lock())
-        async with lock:
-            found = self.ready(peer)
-            if found is None:
-                found = PeerLink(await self._network.connect(peer))
-                self._links[peer] = found
-        return found
+        opening = self._opening.get(peer)
+        if opening is None:
+            loop = asyncio.get_running_loop()
+            opening = loop.create_task(self._open(peer))
+            self._opening[peer] = opening
+            opening.add_done_callback(lambda task: self._opened(peer, task))
+        return await asyncio.shield(opening)
+
+    def is_suspect(self, peer: str) -> bool:
+        """Tell whether the open connection to a peer may have gone silent."""
+        link = self.ready(peer)
+        if link is None:
+            return False
+        return link.is_suspect(asyncio.get_running_loop().time())
 
     async def ask(self, peer: str, body: object, deadline: float) -> object:
         """Make one call with a single answer.
@@ -271,7 +310,7 @@
         """Find silent and idle connections until cancelled."""
         loop = asyncio.get_running_loop()
         while True:
-            await asyncio.sleep(KEEP_ALIVE_S)
+            await asyncio.sleep(TICK_S)
             for peer, link in list(self._links.items()):
                 with contextlib.suppress(PeerUnavailable):
                     link.keep_alive(loop.time())
@@ -283,6 +322,19 @@
         for link in self._links.values():
             link.close('shutdown')
         self._links.clear()
+        for opening in list(self._opening.values()):
+            opening.cancel()
+
+    async def _open(self, peer: str) -> PeerLink:
+        link = PeerLink(await self._network.connect(peer))
+        self._links[peer] = link
+        return link
+
+    def _opened(self, peer: str, task: asyncio.Task[PeerLink]) -> None:
+        self._opening.pop(peer, None)
+        if not task.cancelled():
+            # Whoever waited has the error; nobody may be left to take it.
+            task.exception()
 
     async def _ask(self, peer: str, body: object) -> object:
         link = await self.link(peer)
@@ -296,7 +348,6 @@
     def _forget(self, peer: str, link: PeerLink) -> None:
         if self._links.get(peer) is link:
             self._links.pop(peer)
-            self._locks.pop(peer, None)
         if asyncio.get_running_loop().time() - link.heard_at > SILENT_S:
             self.silent_links += 1
 
--- a/filbertdrift/mesh.py
+++ b/filbertdrift/mesh.py
@@ -158,6 +158,7 @@
         self.membership.crashes_digest = self.crashes.digest
         self.membership.on_crashes_digest = self.crash_sync.compare
         self.chooser = TargetChooser(identity.domain, identity.region, rng)
+        self.chooser.is_suspect = self.links.is_suspect
         self.budget = SharedRetryBudget(
             settings.retry_limits,
             lambda: len(self.membership.table),
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -225,6 +225,39 @@
         self.assertThat(await fleet.until_in_force(3, 5), LessThan(3))
 
 
+class SilentTest(TestCase):
+    """Connections that went silent, and nodes that are gone."""
+
+    def test_reads_leave_a_silent_connection_soon(self) -> None:
+        run_virtual(self._silent())
+
+    async def _silent(self) -> None:
+        fleet = await settled_fleet(seed=15, domains='aaa')
+        for _ in range(10):
+            answer = await fleet.call('a-0:7000')
+            answer.close()
+        fleet.fabric.silence('a-1:7000')
+        loop = asyncio.get_running_loop()
+        for _ in range(10):
+            began = loop.time()
+            answer = await fleet.call('a-0:7000', timeout_s=5)
+            answer.close()
+            self.assertThat(loop.time() - began, LessThan(1.0))
+
+    def test_dead_instance_costs_one_connect(self) -> None:
+        run_virtual(self._dead())
+
+    async def _dead(self) -> None:
+        fleet = await settled_fleet(seed=16, domains='aaa')
+        fleet.fabric.cut(['a-1:7000'], ['a-0:7000', 'a-2:7000'])
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        calls = [fleet.call('a-0:7000', timeout_s=5) for _ in range(30)]
+        for answer in await asyncio.gather(*calls):
+            answer.close()
+        self.assertThat(loop.time() - began, LessThan(1.5))
+
+
 class RecoveryTest(TestCase):
     """Nodes that come back serve soon."""
 
