The gate counts the urgent in its estimates and gives late turns to others

Pattern: twice what a target can do, a third of it urgent. Less urgent requests were let in by an estimate without the urgent ones that came after them, and served when their objective had passed: 36 of 1,100 in time, where the target had room for 300. The estimate now leaves out the part of the slots that more urgent ranks take, and a turn goes to a waiter that is still in time; those passed over are refused at once. The test failed before.

The chooser weighs a target by the share of its answers that are good, fading with a half-life, so that grey targets get less and come back (test_chooser).

--- a/filbertdrift/chooser.py
+++ b/filbertdrift/chooser.py
@@ -21,6 +21,11 @@
 SLOW_START_PENALTY_PERMILLE = 300
 OWN_REQUEST_PERMILLE = 1000
 LATENCY_WEIGHT = 0.2
+GOOD_SHARE_WEIGHT = 0.1
+# Below that share of good answers a target costs no more.
+MIN_GOOD_SHARE = 0.1
+# Bad answers are forgotten, so that a target which gets no work comes back.
+BAD_HALF_LIFE_S = 2.0
 IDLE_COST_PERMILLE = 200
 FULL_PERMILLE = 1000
 
@@ -39,6 +44,8 @@
     failures: int = 0
     ejections: int = 0
     ejected_until: float = 0.0
+    good_share: float = 1.0
+    judged_at: float = 0.0
 
 
 class TargetChooser:
@@ -109,6 +116,7 @@
         seen.load_permille = load_permille
         seen.load_at = now
         seen.heard_at = now
+        self._judge(seen, now, is_good=True)
         seen.failures = 0
         seen.ejections = 0
         seen.ejected_until = 0
@@ -116,6 +124,15 @@
             seen.latency_s = latency_s
         seen.latency_s += LATENCY_WEIGHT * (latency_s - seen.latency_s)
 
+    def answered_badly(self, member: Member, now: float) -> None:
+        """Note an answer that says that the target failed.
+
+        Its latency is left out: failing is often faster than working.
+        """
+        seen = self._seen(member, now)
+        seen.heard_at = now
+        self._judge(seen, now, is_good=False)
+
     def refused(self, member: Member, load_permille: int, now: float) -> None:
         """Note that a request was refused.
 
@@ -142,6 +159,7 @@
             unreachable: The node itself did not answer.
         """
         seen = self._seen(member, now)
+        self._judge(seen, now, is_good=False)
         seen.failures += 1
         if unreachable or seen.failures >= FAILURES_TO_EJECT:
             span_s = FIRST_EJECTION_S * 2**seen.ejections
@@ -211,7 +229,14 @@
         latency_s = seen.latency_s
         if seen.in_flight:
             latency_s = max(latency_s, now - seen.heard_at)
-        return (self._score(member, now) + IDLE_COST_PERMILLE) * latency_s
+        cost = (self._score(member, now) + IDLE_COST_PERMILLE) * latency_s
+        good_share = max(_good_share(seen, now), MIN_GOOD_SHARE)
+        return cost / good_share**2
+
+    def _judge(self, seen: Observed, now: float, *, is_good: bool) -> None:
+        known = _good_share(seen, now)
+        seen.good_share = known + GOOD_SHARE_WEIGHT * (is_good - known)
+        seen.judged_at = now
 
     def _seen(self, member: Member, now: float) -> Observed:
         seen = self._observed.get(member.node)
@@ -221,5 +246,11 @@
         return seen
 
 
+def _good_share(seen: Observed, now: float) -> float:
+    """Return the share of good answers, with bad ones fading."""
+    kept = 0.5 ** ((now - seen.judged_at) / BAD_HALF_LIFE_S)
+    return 1 - (1 - seen.good_share) * kept
+
+
 def _never_suspect(node: str) -> bool:
     return False
--- a/filbertdrift/dispatch.py
+++ b/filbertdrift/dispatch.py
@@ -32,6 +32,7 @@
 # What is left of a deadline must be worth another try.
 MIN_TRY_S = 0.01
 COME_BACK_MS = 100
+STATUS_SERVER_ERROR = 500
 COME_BACK_SPREAD_MS = 200
 
 
@@ -280,9 +281,7 @@
         except BaseException:
             self._end(link, call, cancel=True)
             raise
-        now = loop.time()
-        load = answer.load_permille or 0
-        self._chooser.answered(self._member, load, now - started_at, now)
+        self._note_answer(answer, loop.time() - started_at)
         opened = GradedAnswer(
             answer,
             call,
@@ -291,6 +290,14 @@
         opened.upload = self._upload
         return opened
 
+    def _note_answer(self, answer: ttypes.AnswerOpen, spent_s: float) -> None:
+        now = asyncio.get_running_loop().time()
+        if answer.status >= STATUS_SERVER_ERROR:
+            self._chooser.answered_badly(self._member, now)
+            return
+        load = answer.load_permille or 0
+        self._chooser.answered(self._member, load, spent_s, now)
+
     async def _open_link(self) -> PeerLink:
         node = self._member.node
         try:
--- a/filbertdrift/objective_gate.py
+++ b/filbertdrift/objective_gate.py
@@ -22,6 +22,10 @@
 SERVICE_TIME_WEIGHT = 0.1
 MIN_COME_BACK_MS = 40
 MAX_COME_BACK_MS = 3000
+# Weight of one request in the estimate of which ranks take the slots.
+RANK_SHARE_WEIGHT = 0.02
+# The more urgent ranks leave at least this part of the slots in estimates.
+MIN_LEFT_SHARE = 0.1
 # A target with more waiting than this for each slot is certainly too slow.
 QUEUE_PER_SLOT = 4
 
@@ -83,6 +87,8 @@
         self._queue: list[_Waiter] = []
         self._numbers = itertools.count()
         self._mean_s = FIRST_SERVICE_TIME_S
+        # Part of the slots that each rank has taken lately.
+        self._rank_share: dict[int, float] = {}
         self._kind_s: dict[str, float] = defaultdict(lambda: self._mean_s)
 
     @property
@@ -110,7 +116,7 @@
         if now >= demand.deadline:
             raise self._refusal('the deadline has passed')
         if not self._queue and self.running < self.slots:
-            self._take_slot()
+            self._take_slot(demand.rank)
             return
         waiter = self._enqueue(demand, now)
         try:
@@ -145,7 +151,15 @@
         if not self._queue and self.running < self.slots:
             return 0
         ahead = sum(waiter.rank <= rank for waiter in self._queue)
-        return (ahead + 1) * self._mean_s / self.slots
+        wait_s = (ahead + 1) * self._mean_s / self.slots
+        return wait_s / self._left_share(rank)
+
+    def _left_share(self, rank: int) -> float:
+        """Return the part of the slots that the more urgent ranks leave."""
+        taken = sum(
+            share for other, share in self._rank_share.items() if other < rank
+        )
+        return max(1 - taken, MIN_LEFT_SHARE)
 
     def _latest_start(self, demand: Demand, now: float) -> float:
         """Return when the request must start to be worth most.
@@ -185,7 +199,12 @@
         if not last.admitted.done():
             last.admitted.set_exception(self._refusal('displaced'))
 
-    def _take_slot(self) -> None:
+    def _take_slot(self, rank: int) -> None:
+        shares = self._rank_share
+        shares.setdefault(rank, 0)
+        for other, share in shares.items():
+            step = RANK_SHARE_WEIGHT * ((other == rank) - share)
+            shares[other] = share + step
         self.running += 1
         self.counters.admitted += 1
 
@@ -205,17 +224,38 @@
     def _wake(self) -> None:
         now = asyncio.get_running_loop().time()
         while self._queue and self.running < self.slots:
-            waiter = self._queue.pop(0)
+            waiter = self._next_waiter(now)
             if waiter.admitted.done():
                 continue
             if self._is_too_late(waiter, now):
-                self.counters.expired += 1
-                reason = 'its turn came too late'
-                waiter.admitted.set_exception(self._refusal(reason))
+                self._expire(waiter)
                 continue
-            self._take_slot()
+            self._take_slot(waiter.rank)
             waiter.admitted.set_result(None)
 
+    def _next_waiter(self, now: float) -> _Waiter:
+        """Take the most urgent waiter, one that is still in time if any.
+
+        Those of its rank that are too late for their objective are refused
+        then: their turn would make others late as well.
+        """
+        rank = self._queue[0].rank
+        for index, waiter in enumerate(self._queue):
+            if waiter.rank != rank:
+                break
+            if waiter.latest_start >= now:
+                late, self._queue[:index] = self._queue[:index], []
+                for passed in late:
+                    self._expire(passed)
+                return self._queue.pop(0)
+        return self._queue.pop(0)
+
+    def _expire(self, waiter: _Waiter) -> None:
+        self.counters.expired += 1
+        if not waiter.admitted.done():
+            refusal = self._refusal('its turn came too late')
+            waiter.admitted.set_exception(refusal)
+
     def _is_too_late(self, waiter: _Waiter, now: float) -> bool:
         if now >= self.closes_at:
             return True
--- /dev/null
+++ b/tests/test_objective_gate.py
@@ -0,0 +1,155 @@
+"""The gate before a target, by patterns of load."""
+
+import asyncio
+import random
+from dataclasses import dataclass, field
+
+from testtools import TestCase
+from testtools.matchers import Equals, GreaterThan, LessThan
+
+from filbertdrift.errors import RequestNotRun
+from filbertdrift.objective_gate import Demand, ObjectiveGate
+from tests.builders import run_virtual
+
+OBJECTIVE_S = 0.3
+DEADLINE_S = 1.0
+WORK_S = 0.1
+
+
+@dataclass
+class Tally:
+    """What became of the requests of one kind."""
+
+    in_time: int = 0
+    late: int = 0
+    refused: int = 0
+    refusal_waits: list[float] = field(default_factory=list)
+
+    @property
+    def asked(self) -> int:
+        """Return how many requests there were."""
+        return self.in_time + self.late + self.refused
+
+
+async def ask(gate: ObjectiveGate, rank: int, tally: Tally) -> None:
+    """Send one request through a gate and note what became of it."""
+    loop = asyncio.get_running_loop()
+    began = loop.time()
+    kind = f'rank-{rank}'
+    demand = Demand(rank, kind, began + OBJECTIVE_S, began + DEADLINE_S)
+    try:
+        await gate.admit(demand)
+    except RequestNotRun:
+        tally.refused += 1
+        tally.refusal_waits.append(loop.time() - began)
+        return
+    started = loop.time()
+    await asyncio.sleep(WORK_S)
+    gate.release(kind, loop.time() - started)
+    if loop.time() - began <= OBJECTIVE_S:
+        tally.in_time += 1
+    else:
+        tally.late += 1
+
+
+async def offer(
+    gate: ObjectiveGate,
+    per_s: dict[int, float],
+    for_s: float,
+    rng: random.Random,
+) -> dict[int, Tally]:
+    """Offer requests of several ranks at steady rates."""
+    tallies = {rank: Tally() for rank in per_s}
+    tasks = []
+    ranks = list(per_s)
+    weights = list(per_s.values())
+    loop = asyncio.get_running_loop()
+    ends_at = loop.time() + for_s
+    while loop.time() < ends_at:
+        rank = rng.choices(ranks, weights)[0]
+        tasks.append(loop.create_task(ask(gate, rank, tallies[rank])))
+        await asyncio.sleep(rng.expovariate(sum(weights)))
+    await asyncio.gather(*tasks)
+    return tallies
+
+
+class OverloadTest(TestCase):
+    """Pattern: many users come at once, twice what the target can do."""
+
+    def test_admitted_answers_are_in_time(self) -> None:
+        run_virtual(self._overload())
+
+    async def _overload(self) -> None:
+        rng = random.Random(1)
+        gate = ObjectiveGate(8, rng)
+        tally = (await offer(gate, {1: 160}, 10, rng))[1]
+        # The target can do 80 a second.
+        self.assertThat(tally.in_time, GreaterThan(0.9 * 800))
+        self.assertThat(tally.late, LessThan(0.02 * tally.asked))
+        self.assertThat(max(tally.refusal_waits), LessThan(0.5))
+
+    def test_the_more_urgent_is_served_first(self) -> None:
+        run_virtual(self._urgent())
+
+    async def _urgent(self) -> None:
+        rng = random.Random(2)
+        gate = ObjectiveGate(8, rng)
+        tallies = await offer(gate, {1: 50, 2: 110}, 10, rng)
+        urgent, other = tallies[1], tallies[2]
+        self.assertThat(urgent.in_time / urgent.asked, GreaterThan(0.95))
+        self.assertThat(other.in_time, GreaterThan(200))
+
+    def test_slots_are_kept_to(self) -> None:
+        run_virtual(self._slots())
+
+    async def _slots(self) -> None:
+        rng = random.Random(3)
+        gate = ObjectiveGate(4, rng)
+        most = 0
+
+        async def watch() -> None:
+            nonlocal most
+            while True:
+                most = max(most, gate.running)
+                await asyncio.sleep(0.001)
+
+        watching = asyncio.get_running_loop().create_task(watch())
+        await offer(gate, {1: 100}, 3, rng)
+        watching.cancel()
+        self.assertThat(most, Equals(4))
+        self.assertThat(gate.running, Equals(0))
+        self.assertThat(gate.waiting, Equals(0))
+
+
+class ClosingTest(TestCase):
+    """A gate that closes refuses what waits."""
+
+    def test_refuses_waiting_and_new(self) -> None:
+        run_virtual(self._close())
+
+    async def _close(self) -> None:
+        rng = random.Random(4)
+        gate = ObjectiveGate(1, rng)
+        tally = Tally()
+        loop = asyncio.get_running_loop()
+        tasks = [loop.create_task(ask(gate, 1, tally)) for _ in range(3)]
+        await asyncio.sleep(0.01)
+        gate.closes_at = loop.time()
+        tasks.append(loop.create_task(ask(gate, 1, tally)))
+        await asyncio.gather(*tasks)
+        self.assertThat(tally.in_time, Equals(1))
+        self.assertThat(tally.refused, Equals(3))
+
+    def test_cancelled_waiter_leaves_no_trace(self) -> None:
+        run_virtual(self._cancel())
+
+    async def _cancel(self) -> None:
+        gate = ObjectiveGate(1, random.Random(5))
+        tally = Tally()
+        loop = asyncio.get_running_loop()
+        first = loop.create_task(ask(gate, 1, tally))
+        second = loop.create_task(ask(gate, 1, tally))
+        await asyncio.sleep(0.01)
+        second.cancel()
+        await first
+        self.assertThat((gate.running, gate.waiting), Equals((0, 0)))
--- /dev/null
+++ b/tests/test_platform.py
@@ -0,0 +1,151 @@
+"""The adapter for the users' platform: what it decodes and refuses."""
+
+import json
+from pathlib import Path
+from tempfile import TemporaryDirectory
+
+from testtools import TestCase
+from testtools.matchers import Contains, Equals, Is
+from testtools.testcase import ExpectedException
+
+from filbertdrift.errors import MalformedMessage, SettingsError
+from filbertdrift.platform.documents import (
+    parse_config,
+    parse_heartbeat,
+    parse_leaving,
+)
+from filbertdrift.platform.settings import load_platform_settings
+from standins.mesh_fleet import config_document
+
+SETTINGS = """
+node_name = "sidecar-a-1"
+ip = "10.1.0.38"
+zone = "a"
+region = "one"
+internal_port_range = [7380,7395]
+seeds = ["10.1.0.39:8144"]
+bounds = ["grace_s=6","retry_budget_ratio=0.2","retry_budget_extra=60","strict=true"]
+app_addr = "10.1.0.38:8145"
+service = "desk"
+unknown_field = 1
+[listen]
+outbound = "10.1.0.38:8147"
+ready = "10.1.0.38:8141"
+control = "10.1.0.38:8144"
+[platform]
+address = "10.200.1.7:8142"
+"""
+
+HEARTBEAT = {
+    'service': 'desk',
+    'address': '10.1.0.38:8145',
+    'zone': 'a',
+    'version': 'v1',
+    'slots': 12,
+    'state': 'ready',
+    'cold_remaining_s': 0,
+    'seq': 4,
+}
+
+
+def heartbeat_body(**changes: object) -> bytes:
+    """Return a heartbeat's body with fields changed; None leaves one out."""
+    fields = {**HEARTBEAT, **changes}
+    return json.dumps(
+        {name: text for name, text in fields.items() if text is not None},
+    ).encode()
+
+
+class HeartbeatTest(TestCase):
+    """What a target says of itself."""
+
+    def test_decoded(self) -> None:
+        found = parse_heartbeat('i-1', heartbeat_body(born=17, state='draining'))
+        self.assertThat(found.instance, Equals('i-1'))
+        self.assertThat(found.born_ms, Equals(17))
+        self.assertThat(found.is_draining, Is(True))
+        self.assertThat(found.slots, Equals(12))
+
+    def test_foreign_or_unreadable(self) -> None:
+        for body in (
+            heartbeat_body(state='resting'),
+            heartbeat_body(slots='many'),
+            heartbeat_body(service=None),
+            heartbeat_body(born='yesterday'),
+            heartbeat_body(address=5),
+            b'\xff\x00',
+            b'[]',
+        ):
+            with ExpectedException(MalformedMessage):
+                parse_heartbeat('i-1', body)
+
+    def test_leaving(self) -> None:
+        self.assertThat(parse_leaving(b''), Is(None))
+        self.assertThat(parse_leaving(b'{"born":9}'), Equals(9))
+        with ExpectedException(MalformedMessage):
+            parse_leaving(b'{"born":"x"}')
+
+
+class ConfigTest(TestCase):
+    """The operator's configuration."""
+
+    def test_decoded(self) -> None:
+        split = [
+            {'service': 'desk', 'weight': 90},
+            {'service': 'ledger', 'weight': 10},
+        ]
+        document = config_document(12, read={'traffic_split': split})
+        config = parse_config(json.dumps(document).encode())
+        routes = {route.name: route for route in config.routes}
+        self.assertThat(config.version, Equals(12))
+        self.assertThat(routes['read'].is_idempotent, Is(True))
+        self.assertThat(routes['write'].is_idempotent, Is(False))
+        self.assertThat(len(routes['read'].shares), Equals(2))
+
+    def test_upload_is_not_idempotent(self) -> None:
+        document = config_document(1, read={'kind': 'upload'})
+        config = parse_config(json.dumps(document).encode())
+        read = next(found for found in config.routes if found.name == 'read')
+        self.assertThat(read.is_idempotent, Is(False))
+
+    def test_refused_whole(self) -> None:
+        bad_route = config_document(1, read={'path_prefix': 'read'})
+        no_version = {**config_document(1), 'version': 'newest'}
+        for document in (bad_route, no_version, {}, []):
+            with ExpectedException(MalformedMessage):
+                parse_config(json.dumps(document).encode())
+
+
+class SettingsTest(TestCase):
+    """The settings file of a process."""
+
+    def load(self, text: str) -> object:
+        """Load settings from a text."""
+        with TemporaryDirectory() as folder:
+            path = Path(folder) / 'boot.toml'
+            path.write_text(text, 'utf-8')
+            return load_platform_settings(str(path))
+
+    def test_decoded(self) -> None:
+        found = self.load(SETTINGS)
+        self.assertThat(found.peer_address, Equals('10.1.0.38:7380'))
+        self.assertThat(found.seeds, Equals(['10.1.0.39:7380']))
+        self.assertThat(found.retry_limits.extra, Equals(60))
+        self.assertThat(found.end_grace_s, Equals(6))
+
+    def test_every_fault_is_named(self) -> None:
+        text = SETTINGS.replace('zone = "a"', '').replace(
+            'ready = "10.1.0.38:8141"',
+            'ready = 5',
+        )
+        try:
+            self.load(text)
+        except SettingsError as exc:
+            self.assertThat(str(exc), Contains('zone'))
+            self.assertThat(str(exc), Contains('listen.ready'))
+            return
+        self.fail('faulty settings were taken')
+
+    def test_missing_file(self) -> None:
+        with ExpectedException(SettingsError):
+            load_platform_settings('no-such-file.toml')
--- /dev/null
+++ b/tests/test_retrybudget.py
@@ -0,0 +1,49 @@
+"""The retry budget that all nodes share without asking each other."""
+
+import asyncio
+
+from testtools import TestCase
+from testtools.matchers import Equals, LessThan
+
+from filbertdrift.retrybudget import RetryLimits, SharedRetryBudget
+from tests.builders import run_virtual
+
+LIMITS = RetryLimits(ratio=0.2, extra=60, window_s=10)
+NODES = 12
+
+
+class FleetTest(TestCase):
+    """Pattern: every request of every node fails and wants to go again."""
+
+    def test_all_nodes_together_keep_to_it(self) -> None:
+        run_virtual(self._storm())
+
+    async def _storm(self) -> None:
+        budgets = [SharedRetryBudget(LIMITS, lambda: NODES) for _ in range(NODES)]
+        for _ in range(100):
+            for budget in budgets:
+                budget.note_request('desk')
+                budget.spend('desk')
+            await asyncio.sleep(0.05)
+        spent = sum(budget.spent for budget in budgets)
+        allowed = LIMITS.ratio * 100 * NODES + LIMITS.extra
+        self.assertThat(spent, LessThan(allowed))
+
+    def test_services_have_budgets_of_their_own(self) -> None:
+        run_virtual(self._services())
+
+    async def _services(self) -> None:
+        budget = SharedRetryBudget(LIMITS, lambda: NODES)
+        while budget.spend('desk'):
+            continue
+        self.assertThat(budget.spend('ledger'), Equals(True))
+
+    def test_returns_with_time(self) -> None:
+        run_virtual(self._time())
+
+    async def _time(self) -> None:
+        budget = SharedRetryBudget(LIMITS, lambda: NODES)
+        while budget.spend('desk'):
+            continue
+        await asyncio.sleep(LIMITS.window_s + 0.1)
+        self.assertThat(budget.spend('desk'), Equals(True))
--- /dev/null
+++ b/tests/test_routing.py
@@ -0,0 +1,62 @@
+"""Routes found by host and longest prefix."""
+
+import random
+
+from testtools import TestCase
+from testtools.matchers import Equals, GreaterThan, Is, LessThan
+
+from filbertdrift.routing import GradedRoute, PrefixTable, Share
+
+
+def route(host: str, prefix: str, *shares: Share) -> GradedRoute:
+    """Return a route named after its prefix."""
+    return GradedRoute(
+        name=prefix,
+        host=host,
+        prefix=prefix,
+        shares=shares or (Share('desk', 1),),
+        is_idempotent=True,
+        timeout_s=1,
+        objective_s=0.3,
+        rank=1,
+        max_attempts=2,
+    )
+
+
+class MatchTest(TestCase):
+    """The longest prefix that begins the path."""
+
+    def test_longest_prefix(self) -> None:
+        table = PrefixTable(
+            (
+                route('x.example', '/'),
+                route('x.example', '/a/'),
+                route('x.example', '/a/b/'),
+            ),
+        )
+        wanted = {
+            '/a/b/c': '/a/b/',
+            '/a/b': '/a/',
+            '/a/?q=/a/b/': '/a/',
+            '/z': '/',
+            '/a/b/c/d/e?x': '/a/b/',
+        }
+        for path, prefix in wanted.items():
+            found = table.match('X.example:80', path)
+            self.assertThat(found and found.name, Equals(prefix))
+
+    def test_no_route(self) -> None:
+        table = PrefixTable((route('x.example', '/a/'),))
+        for host, path in (('y.example', '/a/b'), ('x.example', '/ab/c')):
+            self.assertThat(table.match(host, path), Is(None))
+
+
+class ShareTest(TestCase):
+    """A split gives each service its part."""
+
+    def test_by_weight(self) -> None:
+        split = route('x', '/', Share('one', 90), Share('two', 10))
+        rng = random.Random(1)
+        drawn = [split.pick_service(rng) for _ in range(3000)]
+        self.assertThat(drawn.count('two'), GreaterThan(210))
+        self.assertThat(drawn.count('two'), LessThan(390))
