A chunked body that came whole is forwarded with its length

Cause: a body that fits the first chunk and has no stated length was written behind its head without framing, so a target would have read it as the next request. A body that does not come in time is answered 408: it has not run.

--- a/filbertdrift/entry.py
+++ b/filbertdrift/entry.py
@@ -261,8 +261,16 @@
             self._check_body(int(length))
         if http1.find_header(head.headers, b'expect'):
             self._writer.write(_CONTINUE)
-        first = await self._first_part()
-        req = self._entry_request(head, first, route, began)
+        deadline = began + self._time_limit_s(head, route)
+        try:
+            async with asyncio.timeout_at(deadline):
+                first = await self._first_part()
+        except TimeoutError:
+            self._ends = True
+            reason = 'the body did not come in time'
+            await self._plain(head, STATUS_REQUEST_TIMEOUT, reason)
+            return
+        req = self._entry_request(head, first, deadline)
         graded = self._handler.grade(req, route)
         try:
             answer = await self._handler.dispatch(graded)
@@ -280,12 +288,9 @@
         self,
         head: RequestHead,
         first: BodyPart,
-        route: GradedRoute,
-        began: float,
+        deadline: float,
     ) -> EntryRequest:
         contract = self._server.contract
-        left_s = deadline_left_s(head.headers, contract.deadline_ms)
-        limits = [limit for limit in (left_s, route.timeout_s) if limit]
         own = contract.own_headers()
         headers = [
             header
@@ -301,9 +306,17 @@
             first_chunk=first.chunk,
             is_whole=first.end,
             read_body=self._read_body,
-            deadline=began + min(limits, default=DEFAULT_DEADLINE_S),
+            deadline=deadline,
         )
 
+    def _time_limit_s(self, head: RequestHead, route: GradedRoute) -> float:
+        """Return how long the caller or the route's time-out allows."""
+        name = self._server.contract.deadline_ms
+        left_s = deadline_left_s(head.headers, name)
+        if left_s is None:
+            left_s = DEFAULT_DEADLINE_S
+        return min(left_s, route.timeout_s or left_s)
+
     async def _read_body(self) -> BodyPart:
         part = await self._messages.part()
         self._body_bytes += len(part.chunk)
--- a/filbertdrift/target.py
+++ b/filbertdrift/target.py
@@ -188,10 +188,10 @@
         self._pool = pool
         self._conn = conn
         self._request = request
-        self._is_chunked = not request.is_whole and not http1.find_header(
-            request.headers,
-            b'content-length',
+        self._has_length = bool(
+            http1.find_header(request.headers, b'content-length'),
         )
+        self._is_chunked = not request.is_whole and not self._has_length
         self._is_sent = False
         self._sent_at = 0.0
         self._is_whole = False
@@ -204,6 +204,10 @@
         headers = list(request.headers)
         if self._is_chunked:
             headers.append((b'transfer-encoding', b'chunked'))
+        elif request.first_chunk and not self._has_length:
+            # A chunked body that came whole is sent with its length.
+            length = b'%d' % len(request.first_chunk)
+            headers.append((b'content-length', length))
         raw = http1.request_bytes(request.method, request.path, headers)
         self._sent_at = asyncio.get_running_loop().time()
         await self._conn.write(raw + self._coded(request.first_chunk))
