Fewer timers and reads for each request

Seven time-outs were set for a request, most of them for waits that were over already, and each frame between nodes took two reads. Now a connection keeps one timer, whole bodies and empty write buffers set none, and frames are cut from what one read brings.

--- a/filbertdrift/entry.py
+++ b/filbertdrift/entry.py
@@ -39,6 +39,10 @@
 STATUS_GATEWAY_TIMEOUT = 504
 
 _CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
+_HEAD_TIMEOUT = http1.response_bytes(
+    STATUS_REQUEST_TIMEOUT,
+    [(b'content-length', b'0'), (b'connection', b'close')],
+)
 _BODILESS_STATUSES = frozenset((204, 304))
 
 
@@ -175,6 +179,7 @@
         self._has_read_body = True
         self._body_bytes = 0
         self._task = asyncio.current_task()
+        self._timer: asyncio.TimerHandle | None = None
 
     async def run(self) -> None:
         """Serve requests until the caller or the node closes."""
@@ -215,21 +220,37 @@
     async def _next_head(self) -> RequestHead | None:
         limits = self._handler.limits
         self._is_idle = True
+        self._arm(limits.idle_timeout_s)
         try:
-            async with asyncio.timeout(limits.idle_timeout_s):
-                if not await self._messages.has_begun():
-                    return None
-        except TimeoutError:
-            return None
+            if not await self._messages.has_begun():
+                return None
+            self._is_idle = False
+            head = self._messages.parsed_head()
+            if head is None:
+                self._arm(limits.header_timeout_s)
+                head = await self._messages.head()
+            return head
         finally:
             self._is_idle = False
-        try:
-            async with asyncio.timeout(limits.header_timeout_s):
-                return await self._messages.head()
-        except TimeoutError as exc:
-            late = MalformedMessage('the head took too long', step='read head')
-            await self._reject(STATUS_REQUEST_TIMEOUT, late)
-            raise late from exc
+            self._disarm()
+
+    def _arm(self, limit_s: float) -> None:
+        """End the connection unless the head comes in time."""
+        self._disarm()
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(limit_s, self._expire)
+
+    def _disarm(self) -> None:
+        if self._timer:
+            self._timer.cancel()
+
+    def _expire(self) -> None:
+        if not self._is_idle:
+            # A head that began but does not end: the caller hears of it.
+            self._server.counters.rejected += 1
+            self._writer.write(_HEAD_TIMEOUT)
+        if self._task:
+            self._task.cancel()
 
     async def _serve(self, head: RequestHead) -> None:
         self._server.counters.requests += 1
@@ -263,8 +284,7 @@
             self._writer.write(_CONTINUE)
         deadline = began + self._time_limit_s(head, route)
         try:
-            async with asyncio.timeout_at(deadline):
-                first = await self._first_part()
+            first = await self._first_part(deadline)
         except TimeoutError:
             self._ends = True
             reason = 'the body did not come in time'
@@ -319,10 +339,13 @@
 
     async def _read_body(self) -> BodyPart:
         part = await self._messages.part()
+        self._note_body(part)
+        return part
+
+    def _note_body(self, part: BodyPart) -> None:
         self._body_bytes += len(part.chunk)
         self._check_body(self._body_bytes)
         self._has_read_body = part.end
-        return part
 
     def _check_body(self, size_bytes: int) -> None:
         limit_bytes = self._handler.limits.body_bytes
@@ -332,12 +355,17 @@
                 step='read body',
             )
 
-    async def _first_part(self) -> BodyPart:
-        part = await self._read_body()
-        chunks = [part.chunk]
-        while not part.end and self._body_bytes < FIRST_CHUNK_BYTES:
-            part = await self._read_body()
-            chunks.append(part.chunk)
+    async def _first_part(self, deadline: float) -> BodyPart:
+        part = self._messages.parsed()
+        if part.end:
+            self._note_body(part)
+            return part
+        async with asyncio.timeout_at(deadline):
+            self._note_body(part)
+            chunks = [part.chunk]
+            while not part.end and self._body_bytes < FIRST_CHUNK_BYTES:
+                part = await self._read_body()
+                chunks.append(part.chunk)
         return BodyPart(b''.join(chunks), part.end)
 
     async def _pass_on(self, head: RequestHead, answer: GradedAnswer) -> None:
@@ -371,6 +399,8 @@
         await self._drain()
 
     async def _drain(self) -> None:
+        if not self._writer.transport.get_write_buffer_size():
+            return
         async with asyncio.timeout(WRITE_STALL_S):
             await self._writer.drain()
 
--- a/filbertdrift/http1.py
+++ b/filbertdrift/http1.py
@@ -268,6 +268,14 @@
             self._feed(raw)
         return bool(raw)
 
+    def parsed_head(self) -> RequestHead | None:
+        """Return the next request's head if it has arrived whole."""
+        head = self._parts[0] if self._parts else None
+        if not isinstance(head, RequestHead):
+            return None
+        self._parts.popleft()
+        return head
+
     async def head(self) -> RequestHead | None:
         """Return the next request's head, None if the caller closed.
 
--- a/filbertdrift/link.py
+++ b/filbertdrift/link.py
@@ -382,19 +382,31 @@
         self._calls: dict[int, CallStream] = {}
         self._tasks: dict[int, asyncio.Task[None]] = {}
         self._last_opened = 0
+        self._loop = asyncio.get_running_loop()
+        self._heard_at = self._loop.time()
+        self._watching: asyncio.TimerHandle | None = None
 
     async def run(self) -> None:
         """Read until the connection ends."""
+        self._watch()
         while True:
-            try:
-                async with asyncio.timeout(IDLE_CLOSE_S + SILENT_S):
-                    call_id, body = await self._conn.receive()
-            except TimeoutError:
-                return
+            call_id, body = await self._conn.receive()
+            self._heard_at = self._loop.time()
             self._take(call_id, body)
 
+    def _watch(self) -> None:
+        """Close the connection once nothing was heard of it for long."""
+        silent_at = self._heard_at + IDLE_CLOSE_S + SILENT_S
+        left_s = silent_at - self._loop.time()
+        if left_s < TICK_S:
+            self._conn.close()
+        else:
+            self._watching = self._loop.call_later(left_s, self._watch)
+
     def close(self) -> None:
         """Cancel the calls in progress."""
+        if self._watching:
+            self._watching.cancel()
         exc = PeerUnavailable('ended', step='serve', peer=self._conn.peer)
         for call in self._calls.values():
             call.fail(exc)
@@ -417,8 +429,8 @@
     def _open(self, call_id: int, body: object) -> None:
         call = CallStream(self._conn, call_id, WINDOW_BYTES)
         self._calls[call_id] = call
-        loop = asyncio.get_running_loop()
-        self._tasks[call_id] = loop.create_task(self._serve(call, body))
+        task = self._loop.create_task(self._serve(call, body))
+        self._tasks[call_id] = task
 
     async def _serve(self, call: CallStream, body: object) -> None:
         try:
--- a/filbertdrift/network.py
+++ b/filbertdrift/network.py
@@ -216,6 +216,7 @@
         super().__init__(peer, counters)
         self._reader = reader
         self._writer = writer
+        self._received = b''
 
     def close(self) -> None:
         """Abort the connection; buffered frames are dropped."""
@@ -243,15 +244,34 @@
             ) from exc
 
     async def _read(self) -> bytes:
+        frame = self._take_frame()
+        while frame is None:
+            self._received += await self._read_some()
+            frame = self._take_frame()
+        return frame
+
+    def _take_frame(self) -> bytes | None:
+        """Return the next frame if it has arrived whole."""
+        received = self._received
+        if len(received) < LENGTH_BYTES:
+            return None
+        end = LENGTH_BYTES + frame_length(received[:LENGTH_BYTES])
+        if len(received) < end:
+            return None
+        self._received = received[end:]
+        return received[LENGTH_BYTES:end]
+
+    async def _read_some(self) -> bytes:
         try:
-            prefix = await self._reader.readexactly(LENGTH_BYTES)
-            return await self._reader.readexactly(frame_length(prefix))
-        except (OSError, asyncio.IncompleteReadError) as exc:
-            raise PeerUnavailable(
-                repr(exc),
-                step='receive',
-                peer=self.peer,
-            ) from exc
+            chunk = await self._reader.read(READ_BUFFER_BYTES)
+        except OSError as exc:
+            raise self._lost(repr(exc)) from exc
+        if not chunk:
+            raise self._lost('the connection ended')
+        return chunk
+
+    def _lost(self, reason: str) -> PeerUnavailable:
+        return PeerUnavailable(reason, step='receive', peer=self.peer)
 
 
 class _DatagramReceiver(asyncio.DatagramProtocol):
