A node reaches its own target without encoding and sockets

A request whose chosen target stands beside the entry went through a socket to the same process. Connection and its counters moved to a module of their own.

--- a/filbertdrift/link.py
+++ b/filbertdrift/link.py
@@ -13,7 +13,8 @@
     PeerUnavailable,
 )
 from filbertdrift.gen import ttypes
-from filbertdrift.network import Connection, Network
+from filbertdrift.connection import Connection
+from filbertdrift.network import Network
 
 CHUNK_BYTES = 65_536
 WINDOW_BYTES = 262_144
--- a/filbertdrift/mesh.py
+++ b/filbertdrift/mesh.py
@@ -32,7 +32,8 @@
 from filbertdrift.link import CallStream, LinkPool, serve_connection
 from filbertdrift.members import Member
 from filbertdrift.membership import Membership
-from filbertdrift.network import Connection, Network
+from filbertdrift.connection import Connection
+from filbertdrift.network import Network
 from filbertdrift.identity import Identity
 from filbertdrift.pause import PauseGuard
 from filbertdrift.profile import Profile
--- a/filbertdrift/network.py
+++ b/filbertdrift/network.py
@@ -7,138 +7,26 @@
 import asyncio
 import contextlib
 from abc import ABC, abstractmethod
-from collections import Counter
 from collections.abc import Awaitable, Callable
 
+from filbertdrift.connection import Connection, NetworkCounters
 from filbertdrift.errors import MalformedMessage, PeerUnavailable
+from filbertdrift.network_inner import inner_pair
 from filbertdrift.wire import (
     LENGTH_BYTES,
     frame_length,
     pack_datagram,
-    pack_frame,
     unpack_datagram,
-    unpack_frame,
 )
 
 CONNECT_TIMEOUT_S = 1.0
 DRAIN_ABOVE_BYTES = 65_536
 READ_BUFFER_BYTES = 262_144
 
-REQUEST_KINDS = frozenset(
-    (
-        'RequestOpen',
-        'BodyChunk',
-        'Credit',
-        'AnswerOpen',
-        'Refusal',
-        'Cancel',
-        'ClaimAsk',
-        'ClaimVerdict',
-    )
-)
-
 OnConnection = Callable[['Connection'], Awaitable[None]]
 OnDatagram = Callable[[str, int, object], None]
 
 
-class NetworkCounters:
-    """Bytes and messages sent by kind, and bad input received."""
-
-    def __init__(self) -> None:
-        """Start at zero."""
-        self.sent_bytes: Counter[str] = Counter()
-        self.sent_messages: Counter[str] = Counter()
-        self.received_messages: Counter[str] = Counter()
-        self.malformed = 0
-
-    def sent(self, body: object, size_bytes: int) -> None:
-        """Count one sent message."""
-        kind = type(body).__name__
-        self.sent_bytes[kind] += size_bytes
-        self.sent_messages[kind] += 1
-
-    def control_bytes(self) -> dict[str, int]:
-        """Return the bytes sent for control by kind, requests left out."""
-        return {
-            kind: size_bytes
-            for kind, size_bytes in self.sent_bytes.items()
-            if kind not in REQUEST_KINDS
-        }
-
-    def received(self, body: object) -> None:
-        """Count one received message."""
-        self.received_messages[type(body).__name__] += 1
-
-
-class Connection(ABC):
-    """A framed connection to another node.
-
-    Args:
-        peer: The other side's address.
-        counters: Where to count messages.
-    """
-
-    def __init__(self, peer: str, counters: NetworkCounters) -> None:
-        """Keep the peer's address."""
-        self.peer = peer
-        self._counters = counters
-
-    def send_nowait(self, call_id: int, body: object) -> None:
-        """Put one message into the send buffer.
-
-        Args:
-            call_id: The call that the message belongs to.
-            body: The message.
-        """
-        frame = pack_frame(call_id, body)
-        self._counters.sent(body, len(frame))
-        self._write(frame)
-
-    async def send(self, call_id: int, body: object) -> None:
-        """Send one message, waiting while the send buffer is full.
-
-        Args:
-            call_id: The call that the message belongs to.
-            body: The message.
-
-        Raises:
-            PeerUnavailable: The connection is broken.
-        """
-        self.send_nowait(call_id, body)
-        await self._drain()
-
-    async def receive(self) -> tuple[int, object]:
-        """Return the next call id and message.
-
-        Raises:
-            PeerUnavailable: The connection ended.
-            MalformedMessage: The other side sent something else.
-        """
-        try:
-            call_id, body = unpack_frame(await self._read())
-        except MalformedMessage:
-            self._counters.malformed += 1
-            raise
-        self._counters.received(body)
-        return call_id, body
-
-    @abstractmethod
-    def close(self) -> None:
-        """Close the connection at once."""
-
-    @abstractmethod
-    def _write(self, frame: bytes) -> None:
-        """Buffer a frame."""
-
-    @abstractmethod
-    async def _drain(self) -> None:
-        """Wait while the send buffer is full."""
-
-    @abstractmethod
-    async def _read(self) -> bytes:
-        """Return the next frame without its length prefix."""
-
-
 class Network(ABC):
     """How one node reaches the others.
 
@@ -298,6 +186,8 @@
         self._server: asyncio.Server | None = None
         self._datagrams: asyncio.DatagramTransport | None = None
         self._accepted: dict[asyncio.Task[None], Connection] = {}
+        self._on_connection: OnConnection | None = None
+        self._inner: set[asyncio.Task[None]] = set()
 
     async def start(
         self,
@@ -307,6 +197,7 @@
         """Bind the TCP and the UDP port."""
         loop = asyncio.get_running_loop()
         host, port = split_address(self.address)
+        self._on_connection = on_connection
 
         async def accept(
             reader: asyncio.StreamReader,
@@ -331,7 +222,9 @@
         self._datagrams = endpoint[0]
 
     async def connect(self, address: str) -> Connection:
-        """Open a TCP connection."""
+        """Open a TCP connection, or one within the process to itself."""
+        if address == self.address and self._on_connection:
+            return self._connect_self(self._on_connection)
         host, port = split_address(address)
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
@@ -362,6 +255,14 @@
         if self._datagrams and not self._datagrams.is_closing():
             self._datagrams.sendto(payload, split_address(address))
 
+    def _connect_self(self, on_connection: OnConnection) -> Connection:
+        near, far = inner_pair(self.address, self.counters)
+        loop = asyncio.get_running_loop()
+        task = loop.create_task(self._serve(far, on_connection))
+        self._inner.add(task)
+        task.add_done_callback(self._inner.discard)
+        return near
+
     async def _serve(
         self,
         conn: Connection,
--- a/filbertdrift/network_memory.py
+++ b/filbertdrift/network_memory.py
@@ -5,12 +5,11 @@
 import random
 from collections.abc import Callable, Sequence
 
+from filbertdrift.connection import Connection, NetworkCounters
 from filbertdrift.errors import MalformedMessage, PeerUnavailable
 from filbertdrift.network import (
     CONNECT_TIMEOUT_S,
-    Connection,
     Network,
-    NetworkCounters,
     OnConnection,
     OnDatagram,
 )
--- a/filbertdrift/node.py
+++ b/filbertdrift/node.py
@@ -34,7 +34,8 @@
 from filbertdrift.members import Member
 from filbertdrift.membership import Membership
 from filbertdrift.metrics import Timings
-from filbertdrift.network import Connection, Network
+from filbertdrift.connection import Connection
+from filbertdrift.network import Network
 from filbertdrift.pause import PauseGuard
 from filbertdrift.profile import Profile
 from filbertdrift.publisher import Publisher
