filbertdrift trace: a request's story and a node's beliefs from log files

Tests also show that the event log drops lines and does not block when its reader stops, and keeps to a rate for each kind of line.

--- a/filbertdrift/cli.py
+++ b/filbertdrift/cli.py
@@ -149,6 +149,11 @@
         for report in porcelain.watch(folder, admin):
             self._print.show(report)
 
+    def trace(self, *files: str, request: str = '', node: str = '') -> None:
+        """Show what became of a request, or what a node believed, from logs."""
+        for event in porcelain.trace(files, str(request), str(node)):
+            self._print.show(event.text())
+
     def status(self, admin: str = DEFAULT_ADMIN) -> None:
         """Show the state of a node."""
         self._print.show(porcelain.status(admin))
--- a/filbertdrift/porcelain.py
+++ b/filbertdrift/porcelain.py
@@ -17,6 +17,7 @@
     ConfigInvalid,
     FilbertdriftError,
     PeerUnavailable,
+    SettingsError,
 )
 from filbertdrift.explain import (
     CrashReport,
@@ -27,6 +28,12 @@
     VerdictReport,
 )
 from filbertdrift.settings import load_settings
+from filbertdrift.tracelog import (
+    LogEvent,
+    node_story,
+    read_events,
+    request_story,
+)
 
 HTTP_TIMEOUT_S = 30.0
 WATCH_INTERVAL_S = 0.5
@@ -323,6 +330,29 @@
     return RequestReport.model_validate(found)
 
 
+def trace(
+    files: Sequence[str],
+    request: str = '',
+    node: str = '',
+) -> list[LogEvent]:
+    """Return the story of one request or of one node from log files.
+
+    Args:
+        files: Log files of any number of processes.
+        request: The request's id.
+        node: The node's name; one of both is given.
+
+    Raises:
+        SettingsError: A file cannot be read, or nothing is asked for.
+    """
+    if bool(request) == bool(node):
+        raise SettingsError('give one of --request and --node', step='trace')
+    events = read_events(files)
+    if request:
+        return request_story(events, request)
+    return node_story(events, node)
+
+
 def bench_control(
     nodes: Sequence[int],
     profile: str,
--- /dev/null
+++ b/tests/test_eventlog.py
@@ -0,0 +1,50 @@
+"""Log lines are bounded and never block."""
+
+import json
+import os
+import time
+
+from loguru import logger
+from testtools import TestCase
+from testtools.matchers import Equals, GreaterThan, LessThan
+
+from filbertdrift.eventlog import QUEUE_LINES, configure_event_log
+
+FULL_PIPE_LINES = 3 * QUEUE_LINES
+
+
+class FullPipeTest(TestCase):
+    """A reader that stops reading costs lines, not time."""
+
+    def test_never_blocks(self) -> None:
+        reading, writing = os.pipe()
+        self.addCleanup(os.close, reading)
+        sink = configure_event_log('n', descriptor=writing)
+        self.addCleanup(logger.remove)
+        began = time.monotonic()
+        for number in range(FULL_PIPE_LINES):
+            # A kind of its own for each line, so that no rate applies.
+            logger.bind(event=f'e{number}', text='x' * 200).info('line')
+        self.assertThat(time.monotonic() - began, LessThan(10))
+        self.assertThat(sum(sink.dropped.values()), GreaterThan(0))
+
+    def test_rate_of_one_kind(self) -> None:
+        reading, writing = os.pipe()
+        self.addCleanup(os.close, reading)
+        sink = configure_event_log('n', descriptor=writing)
+        self.addCleanup(logger.remove)
+        for _ in range(1000):
+            logger.bind(event='refused', request='r').info('refused')
+        logger.bind(event='stopped').info('stopped')
+        sink.close()
+        os.close(writing)
+        raw = b''
+        chunk = os.read(reading, 65_536)
+        while chunk:
+            raw += chunk
+            chunk = os.read(reading, 65_536)
+        events = [json.loads(line) for line in raw.splitlines()]
+        refused = [found for found in events if found['event'] == 'refused']
+        self.assertThat(len(refused), LessThan(300))
+        self.assertThat(events[-1]['event'], Equals('stopped'))
+        self.assertThat(events[-1]['node'], Equals('n'))
