--- a/filbertdrift/daemon.py
+++ b/filbertdrift/daemon.py
@@ -12,10 +12,10 @@
 
 from filbertdrift.admin import AdminServer
 from filbertdrift.errors import SettingsError
+from filbertdrift.identity import Identity
 from filbertdrift.log import open_log
 from filbertdrift.metrics import NodeCollector
 from filbertdrift.network import TcpNetwork, split_address
-from filbertdrift.identity import Identity
 from filbertdrift.node import Node
 from filbertdrift.profile import PROFILES
 from filbertdrift.settings import LoggingSection, Settings
--- a/filbertdrift/directory.py
+++ b/filbertdrift/directory.py
@@ -21,6 +21,7 @@
 # A settled node looks again now and then, so that halves which formed apart
 # find each other.
 LOOK_AGAIN_S = 60.0
+MIN_SPREAD = 0.75
 
 
 class Directory:
@@ -94,7 +95,7 @@
             await asyncio.sleep(self._pause_s())
 
     def _pause_s(self) -> float:
-        spread = 0.75 + self._rng.random() / 2
+        spread = MIN_SPREAD + self._rng.random() / 2
         if len(self._membership.table) == 1:
             return MAX_BACKOFF_S * spread
         return LOOK_AGAIN_S * spread
--- a/filbertdrift/dispatch.py
+++ b/filbertdrift/dispatch.py
@@ -145,7 +145,7 @@
             attempt = self._next_attempt(graded)
             try:
                 return await attempt.run()
-            except RequestNotRun as exc:
+            except RequestNotRun:
                 refusals += 1
                 handed_over += attempt.reached_target
                 if not self._may_go_on(graded, attempt, refusals, handed_over):
@@ -392,4 +392,3 @@
         link.end(call, cancel=cancel)
         now = asyncio.get_running_loop().time()
         self._chooser.ended(self._member, now)
-
--- a/filbertdrift/entry.py
+++ b/filbertdrift/entry.py
@@ -461,7 +461,6 @@
 
 
 def _head_bytes(head: RequestHead) -> int:
-    size_bytes = len(head.path)
-    for name, text in head.headers:
-        size_bytes += len(name) + len(text)
-    return size_bytes
+    return len(head.path) + sum(
+        len(name) + len(text) for name, text in head.headers
+    )
--- a/filbertdrift/eventlog.py
+++ b/filbertdrift/eventlog.py
@@ -115,18 +115,21 @@
             line = self._lines.get()
             if line is None:
                 return
-            chunk = bytearray(line)
-            is_last = False
-            while len(chunk) < MAX_WRITE_BYTES and not self._lines.empty():
-                found = self._lines.get()
-                if found is None:
-                    is_last = True
-                    break
-                chunk += found
-            self._write_whole(bytes(chunk))
+            chunk, is_last = self._gather(line)
+            self._write_whole(chunk)
             if is_last:
                 return
 
+    def _gather(self, line: bytes) -> tuple[bytes, bool]:
+        """Return a line with those queued behind it, and if they are all."""
+        chunk = bytearray(line)
+        while len(chunk) < MAX_WRITE_BYTES and not self._lines.empty():
+            found = self._lines.get()
+            if found is None:
+                return bytes(chunk), True
+            chunk += found
+        return bytes(chunk), False
+
     def _write_whole(self, chunk: bytes) -> None:
         rest = memoryview(chunk)
         while rest:
@@ -170,4 +173,4 @@
 
 def _line(fields: dict[str, Any]) -> bytes:
     text = json.dumps(fields, default=str, separators=(',', ':'))
-    return text.encode() + b'\n'
+    return f'{text}\n'.encode()
--- a/filbertdrift/handover.py
+++ b/filbertdrift/handover.py
@@ -30,7 +30,8 @@
 
 MS_PER_S = 1000
 COME_BACK_MS = 100
-STATUS_SUCCESS = range(200, 300)
+FIRST_SUCCESS = 200
+FIRST_REDIRECT = 300
 STATUS_MISDIRECTED = 421
 STATUS_SERVER_ERROR = 500
 # A target ends its work at the deadline; its answer needs a moment to arrive.
@@ -125,31 +126,21 @@
         loop = asyncio.get_running_loop()
         current = self._matching_target(req)
         self._crashes.check(req.fingerprint or '')
-        now = loop.time()
-        deadline = now + req.remaining_ms / MS_PER_S
-        kind = req.route_name or ''
-        gate = current.gate
-        await gate.admit(
-            Demand(
-                rank=req.importance,
-                kind=kind,
-                objective_at=now + (req.objective_ms or 0) / MS_PER_S,
-                deadline=deadline,
-            ),
-        )
+        demand = _demand(req, loop.time())
+        await current.gate.admit(demand)
         self._running[call] = req.fingerprint or ''
         started_at = loop.time()
-        is_answered = False
+        spent_s = 0.0
         try:
-            exchange = await self._connect(current, req, deadline)
+            exchange = await self._connect(current, req, demand.deadline)
             with contextlib.closing(exchange):
                 run = _TargetRun(call, req, exchange, self._contract, reached)
-                status = await run.run(deadline, gate.load_permille)
+                load = current.gate.load_permille
+                status = await run.run(demand.deadline, load)
             self.counters.stray_answers += run.stray_answers
-            is_answered = True
+            spent_s = loop.time() - started_at
         finally:
-            spent_s = loop.time() - started_at if is_answered else 0
-            gate.release(kind, spent_s)
+            current.gate.release(demand.kind, spent_s)
         self._note_answer(status, req)
 
     def _note_answer(self, status: int, req: ttypes.RequestOpen) -> None:
@@ -257,6 +248,15 @@
         ).info('handover {}', outcome)
 
 
+def _demand(req: ttypes.RequestOpen, now: float) -> Demand:
+    return Demand(
+        rank=req.importance,
+        kind=req.route_name or '',
+        objective_at=now + (req.objective_ms or 0) / MS_PER_S,
+        deadline=now + req.remaining_ms / MS_PER_S,
+    )
+
+
 @dataclass(slots=True)
 class _Reached:
     """Whether the target itself has refused the request."""
@@ -357,7 +357,7 @@
 
     def _check_genuine(self, head: http1.ResponseHead) -> None:
         """Raise if a success is not the application's whole answer."""
-        if head.status not in STATUS_SUCCESS:
+        if not FIRST_SUCCESS <= head.status < FIRST_REDIRECT:
             return
         names = {name for name, _ in head.headers}
         has_id = self._contract.request_id in names
--- a/filbertdrift/link.py
+++ b/filbertdrift/link.py
@@ -7,13 +7,13 @@
 
 from loguru import logger
 
+from filbertdrift.connection import Connection
 from filbertdrift.errors import (
     FilbertdriftError,
     MalformedMessage,
     PeerUnavailable,
 )
 from filbertdrift.gen import ttypes
-from filbertdrift.connection import Connection
 from filbertdrift.network import Network
 
 CHUNK_BYTES = 65_536
--- a/filbertdrift/mesh.py
+++ b/filbertdrift/mesh.py
@@ -16,6 +16,7 @@
 from filbertdrift.config_exchange import ConfigExchange
 from filbertdrift.config_holder import ConfigHolder, ParseDocument
 from filbertdrift.configwatch import ConfigWatch
+from filbertdrift.connection import Connection
 from filbertdrift.contract import HeaderContract
 from filbertdrift.crash_sync import CrashSync
 from filbertdrift.crashes import CrashLedger
@@ -32,9 +33,7 @@
 from filbertdrift.link import CallStream, LinkPool, serve_connection
 from filbertdrift.members import Member
 from filbertdrift.membership import Membership
-from filbertdrift.connection import Connection
 from filbertdrift.network import Network
-from filbertdrift.identity import Identity
 from filbertdrift.pause import PauseGuard
 from filbertdrift.profile import Profile
 from filbertdrift.request import EntryRequest
--- a/filbertdrift/network_inner.py
+++ b/filbertdrift/network_inner.py
@@ -2,8 +2,8 @@
 
 import asyncio
 
-from filbertdrift.errors import PeerUnavailable
 from filbertdrift.connection import Connection, NetworkCounters
+from filbertdrift.errors import PeerUnavailable
 
 
 class InnerConnection(Connection):
@@ -73,5 +73,6 @@
     """
     near = InnerConnection(address, counters)
     far = InnerConnection(address, counters)
-    near.twin, far.twin = far, near
+    near.twin = far
+    far.twin = near
     return near, far
--- a/filbertdrift/node.py
+++ b/filbertdrift/node.py
@@ -11,6 +11,7 @@
 from filbertdrift.caller import CallerServer
 from filbertdrift.chooser import TargetChooser
 from filbertdrift.claims import Claims
+from filbertdrift.connection import Connection
 from filbertdrift.crash_sync import CrashSync
 from filbertdrift.crashes import CrashLedger
 from filbertdrift.distribution import Distributor
@@ -34,7 +35,6 @@
 from filbertdrift.members import Member
 from filbertdrift.membership import Membership
 from filbertdrift.metrics import Timings
-from filbertdrift.connection import Connection
 from filbertdrift.network import Network
 from filbertdrift.pause import PauseGuard
 from filbertdrift.profile import Profile
--- a/filbertdrift/objective_gate.py
+++ b/filbertdrift/objective_gate.py
@@ -244,12 +244,14 @@
             if waiter.rank != rank:
                 break
             if waiter.latest_start >= now:
-                late, self._queue[:index] = self._queue[:index], []
-                for passed in late:
-                    self._expire(passed)
-                return self._queue.pop(0)
+                self._expire_first(index)
+                break
         return self._queue.pop(0)
 
+    def _expire_first(self, count: int) -> None:
+        for _ in range(count):
+            self._expire(self._queue.pop(0))
+
     def _expire(self, waiter: _Waiter) -> None:
         self.counters.expired += 1
         if not waiter.admitted.done():
--- a/filbertdrift/platform/settings.py
+++ b/filbertdrift/platform/settings.py
@@ -98,6 +98,7 @@
     except (OSError, ValueError) as exc:
         raise SettingsError(_explain(path, exc), step='settings') from exc
     port = model.internal_port_range[0]
+    defaults = RetryLimits()
     return PlatformSettings(
         name=model.node_name,
         peer_address=f'{model.ip}:{port}',
@@ -114,9 +115,9 @@
         seeds=[f'{seed.rpartition(":")[0]}:{port}' for seed in model.seeds],
         store_address=model.platform.address,
         retry_limits=RetryLimits(
-            ratio=bounds.get('retry_budget_ratio', RetryLimits.ratio),
-            extra=bounds.get('retry_budget_extra', RetryLimits.extra),
-            window_s=bounds.get('budget_window_s', RetryLimits.window_s),
+            ratio=bounds.get('retry_budget_ratio', defaults.ratio),
+            extra=bounds.get('retry_budget_extra', defaults.extra),
+            window_s=bounds.get('budget_window_s', defaults.window_s),
         ),
         end_grace_s=bounds.get('grace_s', DEFAULT_GRACE_S),
     )
--- a/filbertdrift/platform/store.py
+++ b/filbertdrift/platform/store.py
@@ -169,7 +169,12 @@
         try:
             async with asyncio.timeout(CALL_TIMEOUT_S + wait_s):
                 reply, keeps = await conn.call(raw)
-        except (PeerUnavailable, MalformedMessage, OSError, TimeoutError) as exc:
+        except (
+            PeerUnavailable,
+            MalformedMessage,
+            OSError,
+            TimeoutError,
+        ) as exc:
             conn.close()
             self.counters.failures += 1
             raise LogAnswerLost(
--- a/filbertdrift/routing.py
+++ b/filbertdrift/routing.py
@@ -143,7 +143,5 @@
 
 def services_of(config: RoutingConfig) -> Sequence[str]:
     """Return the services that routes go to, sorted."""
-    found = {
-        share.service for route in config.routes for share in route.shares
-    }
+    found = {share.service for route in config.routes for share in route.shares}
     return sorted(found)
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -12,9 +12,9 @@
 from filbertdrift import http1
 from filbertdrift.errors import PeerUnavailable
 from filbertdrift.gen import ttypes
+from filbertdrift.identity import Identity
 from filbertdrift.log import MemoryLog, SharedLog
 from filbertdrift.network_memory import Fabric, MemoryNetwork
-from filbertdrift.identity import Identity
 from filbertdrift.node import Node
 from filbertdrift.profile import PROFILES, Profile
 from filbertdrift.publisher import Published
--- a/standins/mesh_fleet.py
+++ b/standins/mesh_fleet.py
@@ -254,7 +254,9 @@
         limits: The retry budget of all nodes together.
     """
 
-    def __init__(self, seed: int = 1, limits: RetryLimits | None = None) -> None:
+    def __init__(
+        self, seed: int = 1, limits: RetryLimits | None = None
+    ) -> None:
         self.rng = random.Random(seed)
         self.fabric = Fabric(random.Random(seed + 1))
         self.log = MemoryKeyedLog()
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -9,9 +9,9 @@
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
 
+from filbertdrift.identity import Identity
 from filbertdrift.log import MemoryLog
 from filbertdrift.network import TcpNetwork
-from filbertdrift.identity import Identity
 from filbertdrift.node import Node
 from filbertdrift.profile import PROFILES
 from filbertdrift.registration import Announcement
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -153,7 +153,8 @@
         self.assertThat(answered, GreaterThan(200))
 
     async def _keep_calling(self, fleet: MeshFleet) -> tuple[int, int]:
-        answered = refused = 0
+        answered = 0
+        refused = 0
         for number in range(300):
             address = list(fleet.places)[number % 6]
             try:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -24,7 +24,7 @@
 region = "one"
 internal_port_range = [7380,7395]
 seeds = ["10.1.0.39:8144"]
-bounds = ["grace_s=6","retry_budget_ratio=0.2","retry_budget_extra=60","strict=true"]
+bounds = ["grace_s=6","retry_budget_ratio=0.2","strict=true"]
 app_addr = "10.1.0.38:8145"
 service = "desk"
 unknown_field = 1
@@ -60,7 +60,9 @@
     """What a target says of itself."""
 
     def test_decoded(self) -> None:
-        found = parse_heartbeat('i-1', heartbeat_body(born=17, state='draining'))
+        found = parse_heartbeat(
+            'i-1', heartbeat_body(born=17, state='draining')
+        )
         self.assertThat(found.instance, Equals('i-1'))
         self.assertThat(found.born_ms, Equals(17))
         self.assertThat(found.is_draining, Is(True))
@@ -130,7 +132,8 @@
         found = self.load(SETTINGS)
         self.assertThat(found.peer_address, Equals('10.1.0.38:7380'))
         self.assertThat(found.seeds, Equals(['10.1.0.39:7380']))
-        self.assertThat(found.retry_limits.extra, Equals(60))
+        self.assertThat(found.retry_limits.ratio, Equals(0.2))
+        self.assertThat(found.retry_limits.extra, Equals(20))
         self.assertThat(found.end_grace_s, Equals(6))
 
     def test_every_fault_is_named(self) -> None:
--- a/tests/test_retrybudget.py
+++ b/tests/test_retrybudget.py
@@ -12,6 +12,13 @@
 NODES = 12
 
 
+def use_up(budget: SharedRetryBudget) -> None:
+    """Spend what is left for the desk."""
+    is_left = True
+    while is_left:
+        is_left = budget.spend('desk')
+
+
 class FleetTest(TestCase):
     """Pattern: every request of every node fails and wants to go again."""
 
@@ -19,7 +26,9 @@
         run_virtual(self._storm())
 
     async def _storm(self) -> None:
-        budgets = [SharedRetryBudget(LIMITS, lambda: NODES) for _ in range(NODES)]
+        budgets = [
+            SharedRetryBudget(LIMITS, lambda: NODES) for _ in range(NODES)
+        ]
         for _ in range(100):
             for budget in budgets:
                 budget.note_request('desk')
@@ -34,8 +43,7 @@
 
     async def _services(self) -> None:
         budget = SharedRetryBudget(LIMITS, lambda: NODES)
-        while budget.spend('desk'):
-            continue
+        use_up(budget)
         self.assertThat(budget.spend('ledger'), Equals(True))
 
     def test_returns_with_time(self) -> None:
@@ -43,7 +51,6 @@
 
     async def _time(self) -> None:
         budget = SharedRetryBudget(LIMITS, lambda: NODES)
-        while budget.spend('desk'):
-            continue
+        use_up(budget)
         await asyncio.sleep(LIMITS.window_s + 0.1)
         self.assertThat(budget.spend('desk'), Equals(True))
--- a/tests/test_tracelog.py
+++ b/tests/test_tracelog.py
@@ -20,7 +20,7 @@
 
 LINES = (
     line(100.021, 'entry', 'request', request='r1', outcome='not_run'),
-    '  12.5 gate ' + line(100.030, 'gate', 'handover', request='r1', waiting=9),
+    '  12.5 gate ' + line(100.03, 'gate', 'handover', request='r1', waiting=9),
     line(100.1, 'gate', 'config_adopted', version=4),
     line(99.0, 'gate', 'member', status='DEAD'),
     line(100.2, 'entry', 'request', request='r2', outcome='unknown'),
