An answer without a length that ends in a reset is not whole

Ruled out: truncated answers with a length or in chunks, they were found. At the end another read from the socket tells. The test reproduces it on loopback with uvloop and failed before.

Also: requests leave their failure domain later (SPILL_PERMILLE), those with large bodies only when refused near by.

--- a/filbertdrift/chooser.py
+++ b/filbertdrift/chooser.py
@@ -71,6 +71,7 @@
         endpoints: Sequence[Member],
         tried: Collection[str],
         now: float,
+        spill_permille: int = SPILL_PERMILLE,
     ) -> Member | None:
         """Return the target for a request.
 
@@ -78,6 +79,8 @@
             endpoints: The members that have a target of the service.
             tried: Nodes that this request has tried already.
             now: The time on the event loop's clock.
+            spill_permille: Load of the near targets from which on others get
+                the request as well.
 
         Returns:
             A member, or None if there is nothing left to try.
@@ -88,7 +91,7 @@
         for near in (self._is_local, self._is_in_region):
             group = [found for found in candidates if near(found)]
             best = self._better_of_two(group, now)
-            if best and self._score(best, now) < SPILL_PERMILLE:
+            if best and self._score(best, now) < spill_permille:
                 return best
         return self._better_of_two(candidates, now)
 
--- a/filbertdrift/dispatch.py
+++ b/filbertdrift/dispatch.py
@@ -31,6 +31,12 @@
 ANSWER_SLACK_S = 0.03
 # What is left of a deadline must be worth another try.
 MIN_TRY_S = 0.01
+# Load of the targets near by from which on requests go farther. Bytes between
+# domains cost more than a short wait, and large bodies most of all: they go
+# farther only when the gates near by refuse them.
+SPILL_PERMILLE = 1500
+BULK_SPILL_PERMILLE = 4000
+BULK_BYTES = 16_384
 COME_BACK_MS = 100
 STATUS_SERVER_ERROR = 500
 COME_BACK_SPREAD_MS = 200
@@ -165,7 +171,10 @@
             )
         endpoints = self._endpoints(graded.service)
         tried = graded.req.tried
-        member = self._chooser.choose(endpoints, tried, now)
+        spill = SPILL_PERMILLE
+        if len(graded.req.first_chunk) >= BULK_BYTES:
+            spill = BULK_SPILL_PERMILLE
+        member = self._chooser.choose(endpoints, tried, now, spill)
         if member is None:
             raise RequestNotRun(
                 f'no target of {graded.service} is left to try',
--- a/filbertdrift/http1.py
+++ b/filbertdrift/http1.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections import deque
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from typing import Any
 
@@ -301,10 +301,22 @@
 class ResponseReader(_Reader):
     """Reads the responses of one connection, one after the other."""
 
-    def __init__(self, reader: asyncio.StreamReader, peer: str) -> None:
-        """Wrap a stream."""
+    def __init__(
+        self,
+        reader: asyncio.StreamReader,
+        peer: str,
+        was_reset: Callable[[], bool] | None = None,
+    ) -> None:
+        """Wrap a stream.
+
+        Args:
+            reader: The stream.
+            peer: The other side's address.
+            was_reset: Tells at the end of the stream whether it was a reset.
+        """
         super().__init__(reader, peer)
         self.parser = httptools.HttpResponseParser(self)
+        self._was_reset = was_reset
         self._ends_with_connection = False
 
     def on_headers_complete(self) -> None:
@@ -341,7 +353,8 @@
                 return part
 
     def _at_eof(self) -> _Part:
-        if self._ends_with_connection:
+        was_reset = self._was_reset is not None and self._was_reset()
+        if self._ends_with_connection and not was_reset:
             return _END
         return super()._at_eof()
 
--- a/filbertdrift/target.py
+++ b/filbertdrift/target.py
@@ -1,6 +1,7 @@
 """The target beside a node: kept connections and one exchange at a time."""
 
 import asyncio
+import os
 from abc import ABC, abstractmethod
 from collections import deque
 from dataclasses import dataclass
@@ -135,7 +136,7 @@
         peer: str,
     ) -> None:
         """Wrap a stream."""
-        self.messages = http1.ResponseReader(reader, peer)
+        self.messages = http1.ResponseReader(reader, peer, self._was_reset)
         self.reuse_until = 0.0
         self._reader = reader
         self._writer = writer
@@ -168,6 +169,20 @@
         """Close the connection at once."""
         self._writer.transport.abort()
 
+    def _was_reset(self) -> bool:
+        """Tell a reset from a close at the end of the stream.
+
+        libuv reports both as the end if it sees them together with the last
+        bytes; another read from the socket tells.
+        """
+        sock = self._writer.get_extra_info('socket')
+        if sock is None or sock.fileno() < 0:
+            return True
+        try:
+            return bool(os.read(sock.fileno(), 1))
+        except OSError:
+            return True
+
 
 class HttpExchange(Exchange):
     """An exchange over HTTP/1.1.
--- a/tests/test_chooser.py
+++ b/tests/test_chooser.py
@@ -3,7 +3,7 @@
 import random
 
 from testtools import TestCase
-from testtools.matchers import GreaterThan, LessThan
+from testtools.matchers import Equals, GreaterThan, LessThan
 
 from filbertdrift.chooser import TargetChooser
 from filbertdrift.members import Member, MemberStatus
@@ -44,3 +44,29 @@
         fair = 2000 / len(members)
         self.assertThat(chosen['a-0:7000'], LessThan(fair * 0.5))
         self.assertThat(chosen['a-0:7000'], GreaterThan(10))
+
+
+class SpillTest(TestCase):
+    """Pattern: a domain's targets fill up while others have room."""
+
+    def test_large_bodies_stay_near_longer(self) -> None:
+        chooser = TargetChooser('a', '', random.Random(2))
+        members = [target(0), target(1), target(0, 'b'), target(1, 'b')]
+        for member in members:
+            load = 2000 if member.domain == 'a' else 100
+            chooser.answered(member, load, 0.05, 10)
+        drawn = {'small': 0, 'large': 0}
+        for _ in range(200):
+            for kind, spill in (('small', 1500), ('large', 4000)):
+                chosen = chooser.choose(members, (), 10, spill)
+                assert chosen is not None
+                drawn[kind] += chosen.domain == 'a'
+        self.assertThat(drawn['large'], Equals(200))
+        self.assertThat(drawn['small'], LessThan(100))
+
+    def test_refused_near_by_goes_farther(self) -> None:
+        chooser = TargetChooser('a', '', random.Random(3))
+        members = [target(0), target(0, 'b')]
+        chosen = chooser.choose(members, ('a-0:7000',), 10, 4000)
+        assert chosen is not None
+        self.assertThat(chosen.domain, Equals('b'))
--- a/tests/test_target.py
+++ b/tests/test_target.py
@@ -1,12 +1,19 @@
 """Exchanges with a target over real sockets."""
 
 import asyncio
+import socket
+import struct
+import threading
+import time
 
+import uvloop
 from testtools import TestCase
 from testtools.matchers import Contains, Equals, Not
+from testtools.testcase import ExpectedException
 
 from filbertdrift.errors import MalformedMessage
-from filbertdrift.target import HttpTarget, TargetRequest
+from filbertdrift.http1 import MessageTruncated
+from filbertdrift.target import Exchange, HttpTarget, TargetRequest
 
 ANSWER = b'HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok'
 
@@ -54,18 +61,23 @@
     found = await target.exchange(req)
     try:
         await found.send_head()
-        await found.head()
-        chunks = []
-        end = False
-        while not end:
-            part = await found.part()
-            chunks.append(part.chunk)
-            end = part.end
-        return b''.join(chunks)
+        return await whole_body(found)
     finally:
         found.close()
 
 
+async def whole_body(found: Exchange) -> bytes:
+    """Read the head and the whole body of an answer."""
+    await found.head()
+    chunks = []
+    end = False
+    while not end:
+        part = await found.part()
+        chunks.append(part.chunk)
+        end = part.end
+    return b''.join(chunks)
+
+
 class FramingTest(TestCase):
     """No body runs into the next request, no answer into the next answer."""
 
@@ -111,3 +123,50 @@
         finally:
             target.close()
         self.fail('bytes that are no answer were taken')
+
+
+class UnframedTest(TestCase):
+    """An answer without a length ends with its connection.
+
+    The event loop sees the answer and the end of its connection at once.
+    """
+
+    def test_reset_is_no_end(self) -> None:
+        for runner in (asyncio.run, uvloop.run):
+            with ExpectedException(MessageTruncated):
+                runner(self._cut(with_reset=True))
+
+    def test_close_is_the_end(self) -> None:
+        for runner in (asyncio.run, uvloop.run):
+            body = runner(self._cut(with_reset=False))
+            self.assertThat(body, Equals(b'part'))
+
+    async def _cut(self, *, with_reset: bool) -> bytes:
+        listener = socket.create_server(('127.0.0.1', 0))
+        done = threading.Event()
+
+        def serve() -> None:
+            conn, _ = listener.accept()
+            conn.recv(65_536)
+            time.sleep(0.05)
+            conn.sendall(b'HTTP/1.1 200 OK\r\n\r\npart')
+            if with_reset:
+                linger = struct.pack('ii', 1, 0)
+                conn.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+            conn.close()
+            listener.close()
+            done.set()
+
+        thread = threading.Thread(target=serve)
+        thread.start()
+        port = listener.getsockname()[1]
+        target = HttpTarget(f'127.0.0.1:{port}', 4)
+        try:
+            found = await target.exchange(request())
+            await found.send_head()
+            await asyncio.sleep(0.01)
+            done.wait()
+            return await whole_body(found)
+        finally:
+            target.close()
+            thread.join()
