The gate counts only who goes first, and takes late requests behind the others

The estimate counted all that waited of the same rank, also uploads whose turn is later, so short calls were refused while they could have gone first; and a call whose objective was out of reach was refused though its deadline, on which its parent depends, was far. Now the estimate counts those that go before, and a request that cannot be in time waits behind those that can, if what they leave of the slots suffices. NestedCallTest failed before.

--- a/filbertdrift/objective_gate.py
+++ b/filbertdrift/objective_gate.py
@@ -1,9 +1,10 @@
 """Admission to one target by what can still be answered in time.
 
-The gate keeps to the target's slots. A request waits only if its turn is
-expected before it is too late for its latency objective; otherwise it is
-refused at once with the time in which the queue drains. The more urgent rank
-goes first and may take the place of a less urgent request that waits.
+The gate keeps to the target's slots. A request waits if its turn is expected
+in time for its latency objective, or else, behind those that are in time, if
+what they leave of the slots lets it meet its deadline. Otherwise it is refused
+at once with the time in which the queue drains. The more urgent rank goes
+first and may take the place of a less urgent request that waits.
 """
 
 import asyncio
@@ -22,10 +23,12 @@
 SERVICE_TIME_WEIGHT = 0.1
 MIN_COME_BACK_MS = 40
 MAX_COME_BACK_MS = 3000
-# Weight of one request in the estimate of which ranks take the slots.
-RANK_SHARE_WEIGHT = 0.02
-# The more urgent ranks leave at least this part of the slots in estimates.
+# Weight of one request in the estimate of which tiers take the slots.
+TIER_SHARE_WEIGHT = 0.02
+# The tiers before one leave at least this part of the slots in estimates.
 MIN_LEFT_SHARE = 0.1
+# Part of the time to its deadline that a late request may be expected to wait.
+LATE_WAIT_SHARE = 0.5
 # A target with more waiting than this for each slot is certainly too slow.
 QUEUE_PER_SLOT = 4
 
@@ -47,11 +50,19 @@
     deadline: float
 
 
+@dataclass(frozen=True, order=True, slots=True)
+class _Tier:
+    """Requests that go before or after all others: by rank, in time first."""
+
+    rank: int
+    is_late: bool
+
+
 @dataclass(order=True, slots=True)
 class _Waiter:
     """A request in the queue, ordered by who goes first."""
 
-    rank: int
+    tier: _Tier
     latest_start: float
     number: int
     demand: Demand = field(compare=False)
@@ -87,8 +98,8 @@
         self._queue: list[_Waiter] = []
         self._numbers = itertools.count()
         self._mean_s = FIRST_SERVICE_TIME_S
-        # Part of the slots that each rank has taken lately.
-        self._rank_share: dict[int, float] = {}
+        # Part of the slots that each tier has taken lately.
+        self._tier_share: dict[_Tier, float] = {}
         self._kind_s: dict[str, float] = defaultdict(lambda: self._mean_s)
 
     @property
@@ -116,7 +127,7 @@
         if now >= demand.deadline:
             raise self._refusal('the deadline has passed')
         if not self._queue and self.running < self.slots:
-            self._take_slot(demand.rank)
+            self._take_slot(_Tier(demand.rank, is_late=False))
             return
         waiter = self._enqueue(demand, now)
         try:
@@ -146,39 +157,13 @@
             self._mean_s += step * (service_time_s - self._mean_s)
         self._wake()
 
-    def expected_wait_s(self, rank: int) -> float:
-        """Return how long a new request of a rank would wait."""
-        if not self._queue and self.running < self.slots:
-            return 0
-        ahead = sum(waiter.rank <= rank for waiter in self._queue)
-        wait_s = (ahead + 1) * self._mean_s / self.slots
-        return wait_s / self._left_share(rank)
-
-    def _left_share(self, rank: int) -> float:
-        """Return the part of the slots that the more urgent ranks leave."""
-        taken = sum(
-            share for other, share in self._rank_share.items() if other < rank
-        )
-        return max(1 - taken, MIN_LEFT_SHARE)
-
-    def _latest_start(self, demand: Demand, now: float) -> float:
-        """Return when the request must start to be worth most.
-
-        Once its objective is out of reach, its deadline counts.
-        """
-        service_time_s = self._kind_s[demand.kind]
-        latest = demand.objective_at - service_time_s
-        return latest if latest > now else demand.deadline - service_time_s
-
     def _enqueue(self, demand: Demand, now: float) -> _Waiter:
-        latest = self._latest_start(demand, now)
-        if now + self.expected_wait_s(demand.rank) > latest:
-            raise self._refusal('it would wait too long')
+        tier, latest = self._place(demand, now)
         if len(self._queue) >= self.slots * QUEUE_PER_SLOT:
-            self._displace(demand.rank)
+            self._displace(tier)
         loop = asyncio.get_running_loop()
         waiter = _Waiter(
-            demand.rank,
+            tier,
             latest,
             next(self._numbers),
             demand,
@@ -189,21 +174,56 @@
         self._wake()
         return waiter
 
-    def _displace(self, rank: int) -> None:
-        """Make room for a request by refusing a less urgent one."""
+    def _place(self, demand: Demand, now: float) -> tuple[_Tier, float]:
+        """Return the tier of a request and when it must start at the latest.
+
+        Raises:
+            RequestNotRun: It would be too late in any tier.
+        """
+        service_time_s = self._kind_s[demand.kind]
+        in_time = _Tier(demand.rank, is_late=False)
+        latest = demand.objective_at - service_time_s
+        if now + self._expected_wait_s(in_time, latest) <= latest:
+            return in_time, latest
+        late = _Tier(demand.rank, is_late=True)
+        latest = demand.deadline - service_time_s
+        wait_s = self._expected_wait_s(late, latest)
+        if wait_s <= (latest - now) * LATE_WAIT_SHARE:
+            return late, latest
+        raise self._refusal('it would wait too long')
+
+    def _expected_wait_s(self, tier: _Tier, latest_start: float) -> float:
+        """Return how long a new request would wait in a tier."""
+        place = (tier, latest_start)
+        ahead = sum(
+            (waiter.tier, waiter.latest_start) <= place
+            for waiter in self._queue
+        )
+        wait_s = (ahead + 1) * self._mean_s / self.slots
+        return wait_s / self._left_share(tier)
+
+    def _left_share(self, tier: _Tier) -> float:
+        """Return the part of the slots that the tiers before one leave."""
+        taken = sum(
+            share for other, share in self._tier_share.items() if other < tier
+        )
+        return max(1 - taken, MIN_LEFT_SHARE)
+
+    def _displace(self, tier: _Tier) -> None:
+        """Make room for a request by refusing one of a later tier."""
         last = self._queue[-1]
-        if last.rank <= rank:
+        if last.tier <= tier:
             raise self._refusal('the queue is full')
         self._queue.pop()
         self.counters.displaced += 1
         if not last.admitted.done():
             last.admitted.set_exception(self._refusal('displaced'))
 
-    def _take_slot(self, rank: int) -> None:
-        shares = self._rank_share
-        shares.setdefault(rank, 0)
+    def _take_slot(self, tier: _Tier) -> None:
+        shares = self._tier_share
+        shares.setdefault(tier, 0)
         for other, share in shares.items():
-            step = RANK_SHARE_WEIGHT * ((other == rank) - share)
+            step = TIER_SHARE_WEIGHT * ((other == tier) - share)
             shares[other] = share + step
         self.running += 1
         self.counters.admitted += 1
@@ -230,18 +250,31 @@
             if self._is_too_late(waiter, now):
                 self._expire(waiter)
                 continue
-            self._take_slot(waiter.rank)
+            self._take_slot(waiter.tier)
             waiter.admitted.set_result(None)
+        self._give_up_hopeless(now)
+
+    def _give_up_hopeless(self, now: float) -> None:
+        """Refuse the last late waiter if its turn is not to be expected."""
+        for index in range(len(self._queue) - 1, -1, -1):
+            waiter = self._queue[index]
+            if not waiter.tier.is_late:
+                continue
+            wait_s = index * self._mean_s / self.slots
+            wait_s /= self._left_share(waiter.tier)
+            if wait_s > (waiter.latest_start - now) * LATE_WAIT_SHARE:
+                self._expire(self._queue.pop(index))
+            return
 
     def _next_waiter(self, now: float) -> _Waiter:
-        """Take the most urgent waiter, one that is still in time if any.
+        """Take the first waiter, one that can still start in time if any.
 
-        Those of its rank that are too late for their objective are refused
-        then: their turn would make others late as well.
+        Those of its tier that cannot are refused then: their turn would make
+        others late as well.
         """
-        rank = self._queue[0].rank
+        tier = self._queue[0].tier
         for index, waiter in enumerate(self._queue):
-            if waiter.rank != rank:
+            if waiter.tier != tier:
                 break
             if waiter.latest_start >= now:
                 self._expire_first(index)
--- a/tests/test_objective_gate.py
+++ b/tests/test_objective_gate.py
@@ -121,6 +121,39 @@
         self.assertThat(gate.waiting, Equals(0))
 
 
+class NestedCallTest(TestCase):
+    """Pattern: short calls of requests under way meet long new requests."""
+
+    def test_short_calls_are_not_refused_for_long_ones_behind(self) -> None:
+        run_virtual(self._nested())
+
+    async def _nested(self) -> None:
+        gate = ObjectiveGate(4, random.Random(6))
+        loop = asyncio.get_running_loop()
+
+        async def run(kind: str, work_s: float, objective_s: float) -> bool:
+            now = loop.time()
+            demand = Demand(1, kind, now + objective_s, now + 1)
+            try:
+                await gate.admit(demand)
+            except RequestNotRun:
+                return False
+            await asyncio.sleep(work_s)
+            gate.release(kind, work_s)
+            return loop.time() - now <= objective_s
+
+        for _ in range(40):
+            await run('long', 0.14, 0.5)
+            await run('short', 0.02, 0.12)
+        tasks = [
+            loop.create_task(run('long', 0.14, 0.5)) for _ in range(10)
+        ]
+        await asyncio.sleep(0.1)
+        served = await run('short', 0.02, 0.12)
+        await asyncio.gather(*tasks)
+        self.assertThat(served, Equals(True))
+
+
 class ClosingTest(TestCase):
     """A gate that closes refuses what waits."""
 
