--- a/filbertdrift/mesh.py
+++ b/filbertdrift/mesh.py
@@ -33,6 +33,7 @@
 from filbertdrift.link import CallStream, LinkPool, serve_connection
 from filbertdrift.members import Member
 from filbertdrift.membership import Membership
+from filbertdrift.metrics import Timings
 from filbertdrift.network import Network
 from filbertdrift.pause import PauseGuard
 from filbertdrift.profile import Profile
@@ -184,6 +185,10 @@
             self.health,
         )
         self.entry = EntryServer(self, contract, settings.caller_service)
+        self.request_timings = Timings(
+            'request',
+            'Time from the head of a request to the head of its answer.',
+        )
         self.supervisor = Supervisor()
         self.pause = PauseGuard()
         self.pause.on_pause = self.membership.suspicions.drop_all
@@ -306,7 +311,12 @@
 
     async def dispatch(self, graded: GradedRequest) -> GradedAnswer:
         """Return the answer to a request that entered here."""
-        return await self.dispatcher.dispatch(graded)
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        try:
+            return await self.dispatcher.dispatch(graded)
+        finally:
+            self.request_timings.record(loop.time() - began)
 
     # The target beside this node
 
--- /dev/null
+++ b/filbertdrift/mesh_metrics.py
@@ -0,0 +1,75 @@
+"""Metrics of a node with graded routes."""
+
+from collections.abc import Mapping
+
+from filbertdrift.listener import Reply
+from filbertdrift.mesh import MeshNode
+from filbertdrift.metrics import NodeCollector, expose
+
+STATUS_OK = 200
+STATUS_NOT_FOUND = 404
+METRICS_PATH = '/metrics'
+TEXT_FORMAT = b'text/plain; version=0.0.4; charset=utf-8'
+
+
+def build_mesh_collector(node: MeshNode) -> NodeCollector:
+    """Return the metrics of a node.
+
+    Args:
+        node: The node, whose parts keep the counters.
+    """
+    collector = NodeCollector()
+    sources: Mapping[str, object] = {
+        'callers': node.entry.counters,
+        'requests': node.dispatcher.counters,
+        'handover': node.handover.counters,
+        'target': node.lifecycle.counters,
+        'config': node.holder.counters,
+        'config_watch': node.watch.counters,
+        'store': node.log.counters,
+        'membership': node.membership.counters,
+        'pings': node.membership.prober.counters,
+        'health': node.health.counters,
+        'crashes': node.crashes.counters,
+        'supervisor': node.supervisor.counters,
+        'node': node.counters,
+    }
+    for name, source in sources.items():
+        collector.add_counters(name, source)
+    network = node.network.counters
+    collector.add_labelled('sent_bytes', network.sent_bytes)
+    collector.add_labelled('sent_messages', network.sent_messages)
+    collector.add_labelled('received_messages', network.received_messages)
+    collector.add_timings(node.request_timings)
+    collector.add_gauge('config_version', lambda: node.holder.version)
+    collector.add_gauge('members', lambda: len(node.membership.table))
+    collector.add_gauge('peer_links', lambda: len(node.links))
+    collector.add_gauge('retries_spent', lambda: node.budget.spent)
+    collector.add_gauge('retries_denied', lambda: node.budget.denied)
+    collector.add_gauge('gate_running', lambda: _gate(node, 'running'))
+    collector.add_gauge('gate_waiting', lambda: _gate(node, 'waiting'))
+    collector.add_gauge('gate_slots', lambda: _gate(node, 'slots'))
+    return collector
+
+
+class MetricsCalls:
+    """Serves the metrics to scrapers.
+
+    Args:
+        collector: What it serves.
+    """
+
+    def __init__(self, collector: NodeCollector) -> None:
+        """Keep the collector."""
+        self._collector = collector
+
+    async def serve(self, method: str, path: str, body: bytes) -> Reply:
+        """Return all metrics as text."""
+        if path.partition('?')[0] != METRICS_PATH:
+            return Reply(STATUS_NOT_FOUND)
+        return Reply(STATUS_OK, expose(self._collector), TEXT_FORMAT)
+
+
+def _gate(node: MeshNode, field: str) -> int:
+    current = node.lifecycle.current
+    return int(getattr(current.gate, field)) if current else 0
--- a/filbertdrift/platform/settings.py
+++ b/filbertdrift/platform/settings.py
@@ -13,6 +13,8 @@
 SETTINGS_VARIABLE = 'FILBERTDRIFT_NODE_FILE'
 
 DEFAULT_GRACE_S = 6.0
+# The port that deploy/system.toml names for metrics.
+METRICS_PORT = 9464
 
 
 class _Table(BaseModel):
@@ -56,6 +58,7 @@
         caller_address: Where callers and the own target send requests.
         ready_address: Where the platform asks whether the node is ready.
         target_calls_address: Where the own target sends its heartbeats.
+        metrics_address: Where scrapers fetch the metrics.
         target_address: Where the own target listens.
         service: The own target's service.
         domain: The failure domain.
@@ -72,6 +75,7 @@
     caller_address: str
     ready_address: str
     target_calls_address: str
+    metrics_address: str
     target_address: str
     service: str
     domain: str
@@ -106,6 +110,7 @@
         caller_address=model.listen.outbound,
         ready_address=model.listen.ready,
         target_calls_address=model.listen.control,
+        metrics_address=f'{model.ip}:{METRICS_PORT}',
         target_address=model.app_addr,
         service=model.service,
         domain=model.zone,
--- /dev/null
+++ b/tests/test_mesh_metrics.py
@@ -0,0 +1,36 @@
+"""Metrics of a node with graded routes."""
+
+import asyncio
+
+from testtools import TestCase
+from testtools.matchers import Contains, Equals
+
+from filbertdrift.mesh_metrics import MetricsCalls, build_mesh_collector
+from standins.mesh_fleet import MeshFleet, config_document
+from tests.builders import run_virtual
+
+
+class ScrapeTest(TestCase):
+    """What a scraper gets."""
+
+    def test_counts_requests(self) -> None:
+        run_virtual(self._scrape())
+
+    async def _scrape(self) -> None:
+        fleet = MeshFleet(1)
+        await fleet.publish(config_document(version=4))
+        place = await fleet.add('a', 'desk')
+        await asyncio.sleep(3)
+        answer = await fleet.call('a-0:7000')
+        answer.close()
+        calls = MetricsCalls(build_mesh_collector(place.node))
+        reply = await calls.serve('GET', '/metrics', b'')
+        for line in (
+            b'filbertdrift_requests_answered_total 1.0',
+            b'filbertdrift_handover_answered_total 1.0',
+            b'filbertdrift_config_version 4.0',
+            b'filbertdrift_request_seconds_count 1.0',
+        ):
+            self.assertThat(reply.body, Contains(line))
+        missing = await calls.serve('GET', '/', b'')
+        self.assertThat(missing.status, Equals(404))
--- a/tests/test_objective_gate.py
+++ b/tests/test_objective_gate.py
@@ -145,9 +145,7 @@
         for _ in range(40):
             await run('long', 0.14, 0.5)
             await run('short', 0.02, 0.12)
-        tasks = [
-            loop.create_task(run('long', 0.14, 0.5)) for _ in range(10)
-        ]
+        tasks = [loop.create_task(run('long', 0.14, 0.5)) for _ in range(10)]
         await asyncio.sleep(0.1)
         served = await run('short', 0.02, 0.12)
         await asyncio.gather(*tasks)
