What may run only once goes on no connection that was idle for long

Targets of the grown deployments drop idle connections without notice, and what is sent next is reset: its outcome is unknown and it cannot be repeated. Such requests take a connection that was idle for a second at most, or a new one.

--- a/filbertdrift/dispatch.py
+++ b/filbertdrift/dispatch.py
@@ -374,6 +374,7 @@
             generation=self._member.generation,
             objective_ms=int((graded.objective_at - now) * MS_PER_S),
             route_name=graded.route.name,
+            is_idempotent=graded.route.is_idempotent,
         )
 
     def _refused(self, body: ttypes.Refusal) -> Exception:
--- a/filbertdrift/gen/ttypes.py
+++ b/filbertdrift/gen/ttypes.py
@@ -2396,6 +2396,7 @@
      - stall_ms
      - objective_ms: What is left until the answer counts as slow.
      - route_name: Route, for the estimate of how long it runs.
+     - is_idempotent: It may run more than once.
 
     """
 
@@ -2416,10 +2417,11 @@
         'stall_ms',
         'objective_ms',
         'route_name',
+        'is_idempotent',
     )
 
 
-    def __init__(self, method=None, path=None, headers=None, remaining_ms=None, service_name=None, importance=None, customer=None, body=None, end=None, request_id=None, fingerprint=None, refusal_statuses=None, generation=None, stall_ms=None, objective_ms=None, route_name=None,):
+    def __init__(self, method=None, path=None, headers=None, remaining_ms=None, service_name=None, importance=None, customer=None, body=None, end=None, request_id=None, fingerprint=None, refusal_statuses=None, generation=None, stall_ms=None, objective_ms=None, route_name=None, is_idempotent=None,):
         self.method = method
         self.path = path
         self.headers = headers
@@ -2436,6 +2438,7 @@
         self.stall_ms = stall_ms
         self.objective_ms = objective_ms
         self.route_name = route_name
+        self.is_idempotent = is_idempotent
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2537,6 +2540,11 @@
                     self.route_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 18:
+                if ftype == TType.BOOL:
+                    self.is_idempotent = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2617,6 +2625,10 @@
             oprot.writeFieldBegin('route_name', TType.STRING, 17)
             oprot.writeString(self.route_name.encode('utf-8') if sys.version_info[0] == 2 else self.route_name)
             oprot.writeFieldEnd()
+        if self.is_idempotent is not None:
+            oprot.writeFieldBegin('is_idempotent', TType.BOOL, 18)
+            oprot.writeBool(self.is_idempotent)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4006,6 +4018,7 @@
     (15, TType.I32, 'stall_ms', None, None, ),  # 15
     (16, TType.I32, 'objective_ms', None, None, ),  # 16
     (17, TType.STRING, 'route_name', 'UTF8', None, ),  # 17
+    (18, TType.BOOL, 'is_idempotent', None, None, ),  # 18
 )
 all_structs.append(BodyChunk)
 BodyChunk.thrift_spec = (
--- a/filbertdrift/handover.py
+++ b/filbertdrift/handover.py
@@ -38,6 +38,9 @@
 ANSWER_SLACK_S = 0.02
 # Answers up to this size are checked whole before any of it is passed on.
 WHOLE_ANSWER_BYTES = 1_048_576
+# A target may drop an idle connection without notice. What may run only once
+# goes on a connection that was idle for no longer, or on a new one.
+FRESH_S = 1.0
 # Answers to requests that are not this one, skipped on one connection.
 MAX_STRAY_ANSWERS = 3
 
@@ -208,6 +211,7 @@
             headers=headers,
             first_chunk=req.body or b'',
             is_whole=bool(req.end),
+            max_idle_s=float('inf') if req.is_idempotent else FRESH_S,
         )
 
     async def _note_crash(self, exc: RequestUnknown) -> None:
--- a/filbertdrift/target.py
+++ b/filbertdrift/target.py
@@ -30,6 +30,7 @@
         headers: End-to-end headers.
         first_chunk: The beginning of the body.
         is_whole: True if the body ends with the first chunk.
+        max_idle_s: It goes on no connection that was idle for longer.
     """
 
     method: str
@@ -37,6 +38,7 @@
     headers: http1.Headers
     first_chunk: bytes
     is_whole: bool
+    max_idle_s: float = float('inf')
 
 
 class Exchange(ABC):
@@ -137,6 +139,7 @@
     ) -> None:
         """Wrap a stream."""
         self.messages = http1.ResponseReader(reader, peer, self._was_reset)
+        self.kept_at = 0.0
         self.reuse_until = 0.0
         self._reader = reader
         self._writer = writer
@@ -311,9 +314,14 @@
         now = asyncio.get_running_loop().time()
         while self._idle:
             conn = self._idle.pop()
-            if conn.is_usable(now):
+            if not conn.is_usable(now):
+                conn.close()
+            elif now - conn.kept_at > request.max_idle_s:
+                # The others have been idle for longer.
+                self._idle.append(conn)
+                break
+            else:
                 return HttpExchange(self, conn, request)
-            conn.close()
         return HttpExchange(self, await self._connect(), request)
 
     async def is_up(self) -> bool:
@@ -361,6 +369,7 @@
             idle_s: How long it may stay idle before it is used again.
         """
         now = asyncio.get_running_loop().time()
+        conn.kept_at = now
         conn.reuse_until = now + idle_s
         self._idle.append(conn)
         if len(self._idle) > self._limit:
--- a/idl/filbertdrift.thrift
+++ b/idl/filbertdrift.thrift
@@ -184,6 +184,8 @@
   16: i32 objective_ms
   /** Route, for the estimate of how long it runs. */
   17: string route_name
+  /** It may run more than once. */
+  18: bool is_idempotent
 }
 
 struct BodyChunk {
--- a/tests/test_target.py
+++ b/tests/test_target.py
@@ -170,3 +170,23 @@
         finally:
             target.close()
             thread.join()
+
+
+class IdleTest(TestCase):
+    """Connections that were idle for long may be gone without a sign."""
+
+    def test_what_may_run_once_gets_a_fresh_one(self) -> None:
+        asyncio.run(self._fresh())
+
+    async def _fresh(self) -> None:
+        server = ScriptedServer(ANSWER, ANSWER, ANSWER)
+        target = HttpTarget(await server.start(), 4)
+        await exchange(target, request())
+        await asyncio.sleep(0.05)
+        once = request()
+        once.max_idle_s = 0.01
+        await exchange(target, once)
+        self.assertThat(server.connections, Equals(2))
+        await exchange(target, request())
+        self.assertThat(server.connections, Equals(2))
+        target.close()
