A quiet connection that is well is not suspect; a soak of real processes

An idle connection that had answered became suspect as soon as a call began. Now the time of the first unanswered question is kept. test_idle_connection_is_not_suspect failed before.

standins/soak.py runs node processes on loopback addresses of their own, with proxies before targets and store, and faults drawn from a seed.

--- a/filbertdrift/handover.py
+++ b/filbertdrift/handover.py
@@ -326,7 +326,7 @@
             loop = asyncio.get_running_loop()
             self._upload = loop.create_task(self._pump_upload())
         head = await self._own_head()
-        self._check_refused(head)
+        await self._check_refused(head)
         self._check_genuine(head)
         first = await self._gather(WHOLE_ANSWER_BYTES)
         await self._pass_answer(head, first, load_permille)
@@ -348,11 +348,14 @@
             await self._gather(WHOLE_ANSWER_BYTES)
         raise MalformedMessage('answers of other requests', step='read head')
 
-    def _check_refused(self, head: http1.ResponseHead) -> None:
+    async def _check_refused(self, head: http1.ResponseHead) -> None:
         is_marked = http1.find_header(head.headers, self._contract.not_run)
         if not is_marked and head.status != STATUS_MISDIRECTED:
             return
         self._reached.target = True
+        with contextlib.suppress(PeerUnavailable, MalformedMessage):
+            # Read to its end, the answer leaves the connection usable.
+            await self._gather(WHOLE_ANSWER_BYTES)
         raise RequestNotRun(
             f'the target refused with status {head.status}',
             come_back_ms=COME_BACK_MS,
--- a/filbertdrift/link.py
+++ b/filbertdrift/link.py
@@ -22,8 +22,9 @@
 # calls that nothing was heard of sooner.
 KEEP_ALIVE_S = 1.0
 BUSY_KEEP_ALIVE_S = 0.25
-# From then on a connection gets no new calls and repeatable ones go elsewhere.
-SUSPECT_S = 0.75
+# A connection that owes a sign of life for so long gets no new calls, and
+# repeatable ones go elsewhere.
+SUSPECT_S = 0.5
 SILENT_S = 3.0
 IDLE_CLOSE_S = 15.0
 TICK_S = 0.25
@@ -151,7 +152,9 @@
         self.is_open = True
         self.heard_at = loop.time()
         self.used_at = loop.time()
-        self._ask_at = 0.0
+        # The first question that is not answered, and the last one.
+        self._asked_at = 0.0
+        self._last_ask_at = 0.0
         self._conn = conn
         self._calls: dict[int, CallStream] = {}
         self._ids = itertools.count(1)
@@ -191,9 +194,8 @@
             self.close('silent connection')
         elif not self._calls and now - self.used_at > IDLE_CLOSE_S:
             self.close('idle')
-        elif now >= self._ask_at and now - self.heard_at >= self._quiet_s():
-            self._ask_at = now + self._quiet_s()
-            self._conn.send_nowait(0, ttypes.KeepAlive(reply=False))
+        elif now - self.heard_at >= self._quiet_s():
+            self._ask(now)
         if self.is_suspect(now):
             self._give_up_repeatable()
 
@@ -203,8 +205,8 @@
         Args:
             now: The time on the event loop's clock.
         """
-        is_due = self._ask_at - self._quiet_s() > self.heard_at
-        return is_due and now - self.heard_at >= SUSPECT_S
+        is_owed = self._asked_at > self.heard_at
+        return is_owed and now - self._asked_at >= SUSPECT_S
 
     def close(self, reason: str) -> None:
         """Close the connection and fail its calls."""
@@ -216,6 +218,15 @@
         for call in list(self._calls.values()):
             call.fail(exc)
 
+    def _ask(self, now: float) -> None:
+        """Ask for a sign of life, unless one was asked for just now."""
+        if now - self._last_ask_at < self._quiet_s():
+            return
+        self._last_ask_at = now
+        if self._asked_at <= self.heard_at:
+            self._asked_at = now
+        self._conn.send_nowait(0, ttypes.KeepAlive(reply=False))
+
     def _quiet_s(self) -> float:
         return BUSY_KEEP_ALIVE_S if self._calls else KEEP_ALIVE_S
 
--- /dev/null
+++ b/standins/platform_store.py
@@ -0,0 +1,108 @@
+"""A stand-in for the platform's store: its keyed log calls over HTTP."""
+
+import asyncio
+import base64
+import json
+import struct
+from urllib.parse import parse_qs, urlsplit
+
+from filbertdrift.errors import LogGap
+from filbertdrift.keyedlog import KeyedRecord, MemoryKeyedLog
+from filbertdrift.listener import HttpListener, Reply
+
+CONFIG_STREAM = 'keyed.op'
+CONFIG_KEY = 'config'
+BOUNDS = struct.Struct('>QQ')
+LENGTH = struct.Struct('>I')
+RAW = b'application/octet-stream'
+
+
+class PlatformStore:
+    """Serves a keyed log as the platform's pages say.
+
+    Args:
+        address: Where it listens.
+
+    Attributes:
+        is_down: Every call is answered 503 and has no effect.
+        loses_answers: Appends are done and then not answered.
+        delay_s: Time each call takes.
+    """
+
+    def __init__(self, address: str) -> None:
+        self.log = MemoryKeyedLog()
+        self.is_down = False
+        self.loses_answers = False
+        self.delay_s = 0.004
+        self.calls = 0
+        self._listener = HttpListener(address, self._serve)
+
+    async def start(self) -> None:
+        """Listen."""
+        await self._listener.start()
+
+    def close(self) -> None:
+        """Stop listening."""
+        self._listener.close()
+
+    async def publish(self, document: dict[str, object]) -> None:
+        """Write a configuration as the operator does."""
+        raw = json.dumps(document).encode()
+        await self.log.append(CONFIG_STREAM, KeyedRecord(CONFIG_KEY, raw))
+
+    async def _serve(self, method: str, path: str, body: bytes) -> Reply:
+        self.calls += 1
+        await asyncio.sleep(self.delay_s)
+        if self.is_down:
+            return Reply(503)
+        url = urlsplit(path)
+        query = {name: found[0] for name, found in parse_qs(url.query).items()}
+        if url.path == '/log-newest':
+            return await self._newest(query['topic'])
+        if url.path == '/log-read':
+            return await self._read(query)
+        if url.path == '/log-append' and method == 'POST':
+            return await self._append(query['topic'], body)
+        return Reply(404)
+
+    async def _newest(self, topic: str) -> Reply:
+        page = await self.log.newest(topic)
+        items = [
+            {
+                'key': record.key,
+                'value': base64.b64encode(record.payload).decode(),
+                'offset': 0,
+            }
+            for record in page.records
+        ]
+        found = {'items': items, 'has_more': False, 'end': page.next_offset}
+        return Reply(200, json.dumps(found).encode())
+
+    async def _read(self, query: dict[str, str]) -> Reply:
+        wait_s = int(query.get('wait_ms', '0')) / 1000
+        try:
+            page = await self.log.read(
+                query['topic'],
+                int(query['from']),
+                wait_s,
+            )
+        except LogGap:
+            return Reply(410, b'{"first":0}')
+        raw = b''.join(_framed(record) for record in page.records)
+        return Reply(200, BOUNDS.pack(page.next_offset, 0) + raw, RAW)
+
+    async def _append(self, topic: str, body: bytes) -> Reply:
+        size = LENGTH.unpack_from(body)[0]
+        content = body[LENGTH.size : LENGTH.size + size]
+        key_end = 1 + content[0]
+        key = content[1:key_end].decode()
+        await self.log.append(topic, KeyedRecord(key, content[key_end:]))
+        if self.loses_answers:
+            await asyncio.sleep(3600)
+        return Reply(200, b'{"offset":0,"end":1}')
+
+
+def _framed(record: KeyedRecord) -> bytes:
+    key = record.key.encode()
+    content = bytes((len(key),)) + key + record.payload
+    return LENGTH.pack(len(content)) + content
--- /dev/null
+++ b/standins/soak.py
@@ -0,0 +1,442 @@
+"""Randomized soak: real node processes under faults from outside them.
+
+Each instance has a loopback address of its own, with a node process, a
+target, and loopback proxies before the target and the store. A seed decides
+the faults; they come in series and overlap. What callers and targets see is
+checked against the promises.
+"""
+
+import asyncio
+import contextlib
+import os
+import random
+import signal
+import sys
+import tempfile
+import time
+from collections import Counter
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from filbertdrift import http1
+from filbertdrift.errors import FilbertdriftError
+from filbertdrift.platform.headers import HEADERS
+from standins.cutting_proxy import CuttingProxy, Fault
+from standins.mesh_fleet import config_document
+from standins.platform_store import PlatformStore
+from standins.platform_target import PlatformTarget, RunLog, answer_body
+
+HOST = 'desk.example'
+SERVICE = 'desk'
+PEER_PORT = 7380
+READY_PORT = 7401
+CONTROL_PORT = 7402
+CALLER_PORT = 7403
+TARGET_PORT = 7404
+TARGET_PROXY_PORT = 7405
+STORE_PROXY_PORT = 7406
+STORE_PORT = 7407
+
+SETTLE_S = 4.0
+RECOVERY_S = 8.0
+DRAIN_S = 2.0
+GRACE_S = 6.0
+DEADLINE_S = 2.0
+# A client gives up that long after its deadline.
+CLIENT_SLACK_S = 1.0
+UPLOAD_BYTES = 200_000
+SERVED_AT_END = 0.9
+LAST_CALLS = 60
+
+
+@dataclass
+class Verdict:
+    """What a soak saw.
+
+    Args:
+        seed: The seed of its faults.
+        logs: Where the processes' logs are.
+        violations: Broken promises.
+        outcomes: Answers by status.
+    """
+
+    seed: int
+    logs: str
+    violations: list[str] = field(default_factory=list)
+    outcomes: Counter[str] = field(default_factory=Counter)
+    faults: list[str] = field(default_factory=list)
+
+
+class SoakInstance:
+    """One instance: its node process, target and proxies.
+
+    Args:
+        number: Its number, which makes its address.
+        folder: Where its settings and log lie.
+        store: Host and port of the store.
+        log: Where targets note what they ran.
+        daemon: The module that is run as the node.
+    """
+
+    def __init__(
+        self,
+        number: int,
+        folder: Path,
+        store: tuple[str, int],
+        log: RunLog,
+        daemon: list[str],
+    ) -> None:
+        self.ip = f'127.1.0.{number + 1}'
+        self.name = f'node-{number}'
+        self.zone = f'zone-{number % 3}'
+        self.process: asyncio.subprocess.Process | None = None
+        self.target_proxy = CuttingProxy(
+            (self.ip, TARGET_PROXY_PORT),
+            (self.ip, TARGET_PORT),
+        )
+        self.store_proxy = CuttingProxy((self.ip, STORE_PROXY_PORT), store)
+        self.target = PlatformTarget(
+            (self.ip, TARGET_PORT),
+            f'{self.ip}:{TARGET_PROXY_PORT}',
+            (self.ip, CONTROL_PORT),
+            SERVICE,
+            log,
+        )
+        self._daemon = daemon
+        self._settings = folder / f'{self.name}.toml'
+        self._log_path = folder / f'{self.name}.log'
+
+    async def start(self) -> None:
+        """Start proxies, target and node."""
+        self._settings.write_text(self._settings_text(), 'utf-8')
+        await self.target_proxy.start()
+        await self.store_proxy.start()
+        await self.target.start()
+        await self.start_node()
+
+    async def start_node(self) -> None:
+        """Start the node process."""
+        environment = {
+            **os.environ,
+            'FILBERTDRIFT_NODE_FILE': str(self._settings),
+        }
+        with self._log_path.open('ab') as log:
+            self.process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                *self._daemon,
+                stdout=log,
+                stderr=log,
+                env=environment,
+            )
+
+    def signal(self, number: int) -> None:
+        """Send a signal to the node process, if it lives."""
+        with contextlib.suppress(ProcessLookupError):
+            if self.process and self.process.returncode is None:
+                self.process.send_signal(number)
+
+    async def wait(self, limit_s: float) -> bool:
+        """Wait for the end of the node process; tell whether it came."""
+        if self.process is None:
+            return True
+        try:
+            async with asyncio.timeout(limit_s):
+                await self.process.wait()
+        except TimeoutError:
+            return False
+        return True
+
+    async def close(self) -> None:
+        """End everything of this instance."""
+        self.signal(signal.SIGCONT)
+        self.signal(signal.SIGKILL)
+        await self.wait(5)
+        self.target.crash()
+        self.target_proxy.close()
+        self.store_proxy.close()
+
+    def _settings_text(self) -> str:
+        return f"""
+node_name = "{self.name}"
+ip = "{self.ip}"
+zone = "{self.zone}"
+region = "one"
+internal_port_range = [{PEER_PORT},{PEER_PORT + 8}]
+bounds = ["grace_s={GRACE_S}","retry_budget_ratio=0.2","retry_budget_extra=60"]
+app_addr = "{self.ip}:{TARGET_PROXY_PORT}"
+service = "{SERVICE}"
+[listen]
+outbound = "{self.ip}:{CALLER_PORT}"
+ready = "{self.ip}:{READY_PORT}"
+control = "{self.ip}:{CONTROL_PORT}"
+[platform]
+address = "{self.ip}:{STORE_PROXY_PORT}"
+"""
+
+
+class Soak:
+    """A fleet of processes, callers, faults and checks.
+
+    Args:
+        seed: Decides the faults and the traffic.
+        count: Instances.
+        per_s: Requests a second, over all instances.
+        daemon: Arguments of Python that run a node.
+    """
+
+    def __init__(
+        self,
+        seed: int,
+        count: int,
+        per_s: float,
+        daemon: list[str],
+    ) -> None:
+        folder = Path(tempfile.mkdtemp(prefix=f'soak-{seed}-'))
+        self.verdict = Verdict(seed, str(folder))
+        self.run_log = RunLog()
+        self._rng = random.Random(seed)
+        self._per_s = per_s
+        self._store = PlatformStore(f'127.0.0.1:{STORE_PORT}')
+        self._version = 1
+        self._calls = 0
+        self._lingering: set[asyncio.Task[None]] = set()
+        self._refused: set[str] = set()
+        self._versions: dict[str, int] = {}
+        self.instances = [
+            SoakInstance(
+                number,
+                folder,
+                ('127.0.0.1', STORE_PORT),
+                self.run_log,
+                daemon,
+            )
+            for number in range(count)
+        ]
+
+    async def run(self, seconds: float) -> Verdict:
+        """Play the faults for some seconds, then check the recovery."""
+        await self._store.start()
+        await self._store.publish(config_document(version=self._version))
+        try:
+            await asyncio.gather(*(place.start() for place in self.instances))
+            await asyncio.sleep(SETTLE_S)
+            traffic = asyncio.ensure_future(self._send_traffic())
+            await self._play_faults(seconds)
+            await self._mend()
+            await asyncio.sleep(RECOVERY_S)
+            traffic.cancel()
+            await asyncio.gather(*self._lingering, return_exceptions=True)
+            await self._check_recovered()
+            self._check_runs()
+        finally:
+            await asyncio.gather(*(place.close() for place in self.instances))
+            self._store.close()
+        return self.verdict
+
+    # Traffic
+
+    async def _send_traffic(self) -> None:
+        while True:
+            place = self._rng.choice(self.instances)
+            kind = self._rng.choice(('read', 'read', 'write', 'upload'))
+            self._linger(self._call(place, kind))
+            await asyncio.sleep(self._rng.expovariate(self._per_s))
+
+    async def _call(self, place: SoakInstance, kind: str) -> None:
+        status = await self._ask(place, kind)
+        self.verdict.outcomes[status] += 1
+
+    async def _ask(self, place: SoakInstance, kind: str) -> str:
+        """Send one request and check its answer; return the status."""
+        self._calls += 1
+        request_id = f'{kind}-{self._calls}'
+        path = '/read/x' if kind == 'read' else '/write/x'
+        body = b'u' * UPLOAD_BYTES if kind == 'upload' else b''
+        try:
+            async with asyncio.timeout(DEADLINE_S + CLIENT_SLACK_S):
+                status, answer = await _exchange(
+                    place.ip, request_id, path, body
+                )
+        except (OSError, FilbertdriftError):
+            return 'broken'
+        except TimeoutError:
+            return 'no answer'
+        if status == 200 and answer != answer_body(request_id, body):
+            self._violate(f'{request_id}: not its own whole answer')
+        if status in {429, 503}:
+            self._refused.add(request_id)
+        return str(status)
+
+    # Faults
+
+    async def _play_faults(self, seconds: float) -> None:
+        faults: list[Callable[[SoakInstance], Awaitable[None]]] = [
+            self._kill,
+            self._terminate,
+            self._pause,
+            self._break_target,
+            self._break_store,
+            self._replace_target,
+            self._store_outage,
+            self._change_config,
+        ]
+        ends_at = time.monotonic() + seconds
+        while time.monotonic() < ends_at:
+            fault = self._rng.choice(faults)
+            place = self._rng.choice(self.instances)
+            name = fault.__name__.strip('_')
+            self.verdict.faults.append(f'{name} {place.name}')
+            self._linger(fault(place))
+            await asyncio.sleep(self._rng.uniform(0.1, 1.5))
+
+    async def _kill(self, place: SoakInstance) -> None:
+        place.signal(signal.SIGKILL)
+        await self._restart(place)
+
+    async def _terminate(self, place: SoakInstance) -> None:
+        place.signal(signal.SIGTERM)
+        if not await place.wait(GRACE_S + 1):
+            place.signal(signal.SIGKILL)
+        await self._restart(place)
+
+    async def _restart(self, place: SoakInstance) -> None:
+        ended = place.process
+        await place.wait(GRACE_S)
+        await asyncio.sleep(self._rng.uniform(0.1, 1))
+        if place.process is ended:
+            await place.start_node()
+
+    async def _pause(self, place: SoakInstance) -> None:
+        place.signal(signal.SIGSTOP)
+        await asyncio.sleep(self._rng.uniform(0.3, 3.5))
+        place.signal(signal.SIGCONT)
+
+    async def _break_target(self, place: SoakInstance) -> None:
+        await self._break(place.target_proxy)
+
+    async def _break_store(self, place: SoakInstance) -> None:
+        await self._break(place.store_proxy)
+
+    async def _break(self, proxy: CuttingProxy) -> None:
+        proxy.set_fault(self._rng.choice(list(Fault)))
+        await asyncio.sleep(self._rng.uniform(0.2, 3))
+        proxy.set_fault(Fault.NONE)
+
+    async def _replace_target(self, place: SoakInstance) -> None:
+        if self._rng.random() < 0.5:
+            await place.target.leave()
+            await asyncio.sleep(DRAIN_S + 0.5)
+        place.target.crash()
+        await asyncio.sleep(0.2)
+        await place.target.start()
+
+    async def _store_outage(self, place: SoakInstance) -> None:
+        self._store.is_down = True
+        await asyncio.sleep(self._rng.uniform(0.5, 4))
+        self._store.is_down = False
+
+    async def _change_config(self, place: SoakInstance) -> None:
+        self._version += self._rng.randint(1, 5)
+        name = f'/v{self._version}/'
+        route = {'path_prefix': name, 'kind': 'idempotent'}
+        document = config_document(self._version, newest=route)
+        await self._store.publish(document)
+
+    async def _mend(self) -> None:
+        for place in self.instances:
+            place.target_proxy.set_fault(Fault.NONE)
+            place.store_proxy.set_fault(Fault.NONE)
+            place.signal(signal.SIGCONT)
+        self._store.is_down = False
+
+    # Checks
+
+    async def _check_recovered(self) -> None:
+        """Every node serves again, by the newest configuration."""
+        served = 0
+        for number in range(LAST_CALLS):
+            place = self.instances[number % len(self.instances)]
+            served += await self._ask(place, 'read') == '200'
+        if served < SERVED_AT_END * LAST_CALLS:
+            self._violate(f'only {served} of {LAST_CALLS} served at the end')
+        path = f'/v{self._version}/x'
+        if self._version == 1:
+            return
+        for place in self.instances:
+            with contextlib.suppress(OSError, FilbertdriftError, TimeoutError):
+                async with asyncio.timeout(DEADLINE_S):
+                    status, _ = await _exchange(place.ip, 'probe', path, b'')
+                if status == 404:
+                    self._violate(f'{place.name} has an old configuration')
+
+    def _check_runs(self) -> None:
+        runs = self.run_log.runs
+        for request_id, count in runs.items():
+            if count > 1 and not request_id.startswith(('read', 'probe')):
+                self._violate(f'{request_id} ran {count} times')
+        for request_id in self._refused:
+            if runs[request_id] and not request_id.startswith('read'):
+                self._violate(f'{request_id} was refused as not run and ran')
+        for instance, at in self.run_log.arrivals:
+            left_at = self.run_log.acknowledged.get(instance)
+            if left_at is not None and at > left_at + DRAIN_S:
+                self._violate(f'{instance} got work after it had left')
+
+    def _violate(self, text: str) -> None:
+        if text not in self.verdict.violations:
+            self.verdict.violations.append(text)
+
+    def _linger(self, work: Awaitable[None]) -> None:
+        task = asyncio.ensure_future(work)
+        self._lingering.add(task)
+        task.add_done_callback(self._lingering.discard)
+
+
+async def _exchange(
+    host: str,
+    request_id: str,
+    path: str,
+    body: bytes,
+) -> tuple[int, bytes]:
+    reader, writer = await asyncio.open_connection(host, CALLER_PORT)
+    try:
+        headers = [
+            (b'host', HOST.encode()),
+            (HEADERS.request_id, request_id.encode()),
+            (HEADERS.deadline_ms, b'%d' % (DEADLINE_S * 1000)),
+            (b'content-length', b'%d' % len(body)),
+        ]
+        method = 'POST' if body else 'GET'
+        writer.write(http1.request_bytes(method, path, headers) + body)
+        messages = http1.ResponseReader(reader, host)
+        head = await messages.head()
+        chunks = []
+        end = False
+        while not end:
+            part = await messages.part()
+            chunks.append(part.chunk)
+            end = part.end
+        return head.status, b''.join(chunks)
+    finally:
+        writer.close()
+
+
+def run_soak(
+    seed: int,
+    seconds: float = 20,
+    count: int = 6,
+    per_s: float = 60,
+    daemon: str = '-m filbertdrift.platform.daemon',
+) -> Verdict:
+    """Run one soak and return its verdict.
+
+    Args:
+        seed: Decides the faults and the traffic.
+        seconds: How long faults are played.
+        count: Instances, each a node process.
+        per_s: Requests a second, over all instances.
+        daemon: Arguments of Python that run a node.
+    """
+    soak = Soak(seed, count, per_s, daemon.split())
+    return asyncio.run(soak.run(seconds))
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -245,6 +245,25 @@
             answer.close()
             self.assertThat(loop.time() - began, LessThan(1.0))
 
+    def test_idle_connection_is_not_suspect(self) -> None:
+        run_virtual(self._idle())
+
+    async def _idle(self) -> None:
+        """Work comes to a connection that was quiet and is well."""
+        fleet = await settled_fleet(seed=17, domains='aa')
+        for script in targets_of(fleet, 'desk'):
+            script.work_s = 0.6
+        links = fleet.places['a-0:7000'].node.links
+        link = await links.link('a-1:7000')
+        for _ in range(30):
+            await asyncio.sleep(0.93)
+            call = link.begin()
+            for _ in range(30):
+                now = asyncio.get_running_loop().time()
+                self.assertThat(link.is_suspect(now), Equals(False))
+                await asyncio.sleep(0.02)
+            link.end(call)
+
     def test_dead_instance_costs_one_connect(self) -> None:
         run_virtual(self._dead())
 
