Gates that were full just now are not asked again at once

An entry leaves out gates that were full for the same kind of request within 40 ms, and refuses at once if none is left. FullFleetTest failed before (three gates asked for each of 1,000 requests).

--- a/filbertdrift/chooser.py
+++ b/filbertdrift/chooser.py
@@ -26,6 +26,9 @@
 MIN_GOOD_SHARE = 0.1
 # Bad answers are forgotten, so that a target which gets no work comes back.
 BAD_HALF_LIFE_S = 2.0
+# A gate that was full for a kind of request is not asked again for so long;
+# its queue has moved on by some requests then.
+FULL_S = 0.04
 IDLE_COST_PERMILLE = 200
 FULL_PERMILLE = 1000
 
@@ -63,6 +66,7 @@
         self._region = region
         self._rng = rng
         self._observed: dict[str, Observed] = {}
+        self._full_until: dict[tuple[str, str], float] = {}
         self.unreachable_domains: set[str] = set()
         self.is_suspect: Callable[[str], bool] = _never_suspect
 
@@ -72,6 +76,7 @@
         tried: Collection[str],
         now: float,
         spill_permille: int = SPILL_PERMILLE,
+        kind: str = '',
     ) -> Member | None:
         """Return the target for a request.
 
@@ -81,11 +86,16 @@
             now: The time on the event loop's clock.
             spill_permille: Load of the near targets from which on others get
                 the request as well.
+            kind: Gates that were full for this kind just now are left out.
 
         Returns:
             A member, or None if there is nothing left to try.
         """
-        untried = [found for found in endpoints if found.node not in tried]
+        untried = [
+            found
+            for found in endpoints
+            if found.node not in tried and not self._is_full(found, kind, now)
+        ]
         usable = [found for found in untried if self._is_usable(found, now)]
         candidates = usable or untried
         for near in (self._is_local, self._is_in_region):
@@ -136,7 +146,13 @@
         seen.heard_at = now
         self._judge(seen, now, is_good=False)
 
-    def refused(self, member: Member, load_permille: int, now: float) -> None:
+    def refused(
+        self,
+        member: Member,
+        load_permille: int,
+        now: float,
+        kind: str = '',
+    ) -> None:
         """Note that a request was refused.
 
         A gate with a free slot refuses only because its target is broken.
@@ -145,6 +161,7 @@
             member: The target's member.
             load_permille: The load of its gate.
             now: The time on the event loop's clock.
+            kind: The kind of request, if the gate tells kinds apart.
         """
         if load_permille < FULL_PERMILLE:
             self.failed(member, now, unreachable=True)
@@ -152,6 +169,8 @@
         seen = self._seen(member, now)
         seen.load_permille = load_permille
         seen.load_at = now
+        if kind:
+            self._full_until[member.node, kind] = now + FULL_S
 
     def failed(self, member: Member, now: float, *, unreachable: bool) -> None:
         """Note a failure.
@@ -176,6 +195,9 @@
         for node in list(self._observed):
             if node not in known:
                 self._observed.pop(node)
+        for node, kind in list(self._full_until):
+            if node not in known:
+                self._full_until.pop((node, kind))
 
     def observed(self, node: str) -> Observed | None:
         """Return what was seen of a target."""
@@ -191,6 +213,9 @@
             return True
         return now >= seen.ejected_until
 
+    def _is_full(self, member: Member, kind: str, now: float) -> bool:
+        return now < self._full_until.get((member.node, kind), 0)
+
     def _is_local(self, member: Member) -> bool:
         return member.domain == self._domain
 
--- a/filbertdrift/dispatch.py
+++ b/filbertdrift/dispatch.py
@@ -174,10 +174,16 @@
         spill = SPILL_PERMILLE
         if len(graded.req.first_chunk) >= BULK_BYTES:
             spill = BULK_SPILL_PERMILLE
-        member = self._chooser.choose(endpoints, tried, now, spill)
+        member = self._chooser.choose(
+            endpoints,
+            tried,
+            now,
+            spill,
+            graded.route.name,
+        )
         if member is None:
             raise RequestNotRun(
-                f'no target of {graded.service} is left to try',
+                f'no target of {graded.service} has room',
                 come_back_ms=self._come_back_ms(),
                 step='choose target',
             )
@@ -383,7 +389,8 @@
         if body.kind != ttypes.RefusalKind.NOT_RUN:
             return self._unknown(body.reason or '')
         load = body.load_permille or 0
-        self._chooser.refused(self._member, load, now)
+        kind = self._graded.route.name
+        self._chooser.refused(self._member, load, now, kind)
         return RequestNotRun(
             body.reason or '',
             come_back_ms=body.come_back_ms or COME_BACK_MS,
--- a/tests/test_chooser.py
+++ b/tests/test_chooser.py
@@ -70,3 +70,33 @@
         chosen = chooser.choose(members, ('a-0:7000',), 10, 4000)
         assert chosen is not None
         self.assertThat(chosen.domain, Equals('b'))
+
+
+class FullFleetTest(TestCase):
+    """Pattern: all targets are full; refusals must cost little."""
+
+    def test_full_gates_are_not_asked_again_at_once(self) -> None:
+        chooser = TargetChooser('a', '', random.Random(4))
+        members = [target(number) for number in range(4)]
+        asked = 0
+        now = 10.0
+        for _ in range(1000):
+            now += 0.001
+            tried: list[str] = []
+            for _ in range(3):
+                member = chooser.choose(members, tried, now, 1500, 'read')
+                if member is None:
+                    break
+                asked += 1
+                tried.append(member.node)
+                chooser.refused(member, 2000, now, 'read')
+        # A second, in which each of four gates may be asked every 40 ms.
+        self.assertThat(asked, LessThan(4 * 26))
+        self.assertThat(asked, GreaterThan(4 * 20))
+
+    def test_other_kinds_are_not_concerned(self) -> None:
+        chooser = TargetChooser('a', '', random.Random(5))
+        members = [target(0)]
+        chooser.refused(members[0], 2000, 10, 'read')
+        found = chooser.choose(members, (), 10.01, 1500, 'write')
+        self.assertThat(found, Equals(members[0]))
