Idle connections ask for a sign of life every 4 s

In the grown fleets a node keeps some twenty idle connections; one question and answer a second on each is most of what it sends. A connection with calls still asks after 0.25 s, so that silence is found as soon as it matters.

--- a/filbertdrift/link.py
+++ b/filbertdrift/link.py
@@ -19,13 +19,14 @@
 CHUNK_BYTES = 65_536
 WINDOW_BYTES = 262_144
 # A connection without calls asks for a sign of life that often, one with
-# calls that nothing was heard of sooner.
-KEEP_ALIVE_S = 1.0
+# calls that nothing was heard of sooner. A fleet's idle connections are many.
+KEEP_ALIVE_S = 4.0
 BUSY_KEEP_ALIVE_S = 0.25
 # A connection that owes a sign of life for so long gets no new calls, and
 # repeatable ones go elsewhere.
 SUSPECT_S = 0.5
-SILENT_S = 3.0
+# A connection that owes a sign of life for so long is closed.
+SILENT_S = 2.5
 IDLE_CLOSE_S = 15.0
 TICK_S = 0.25
 
@@ -190,7 +191,7 @@
         Args:
             now: The time on the event loop's clock.
         """
-        if now - self.heard_at > SILENT_S:
+        if self._owed_s(now) > SILENT_S:
             self.close('silent connection')
         elif not self._calls and now - self.used_at > IDLE_CLOSE_S:
             self.close('idle')
@@ -205,8 +206,12 @@
         Args:
             now: The time on the event loop's clock.
         """
+        return self._owed_s(now) >= SUSPECT_S
+
+    def _owed_s(self, now: float) -> float:
+        """Return how long a sign of life has been owed, zero if it is not."""
         is_owed = self._asked_at > self.heard_at
-        return is_owed and now - self._asked_at >= SUSPECT_S
+        return now - self._asked_at if is_owed else 0
 
     def close(self, reason: str) -> None:
         """Close the connection and fail its calls."""
