--- a/filbertdrift/chooser.py
+++ b/filbertdrift/chooser.py
@@ -91,20 +91,39 @@
         Returns:
             A member, or None if there is nothing left to try.
         """
-        untried = [
-            found
-            for found in endpoints
-            if found.node not in tried and not self._is_full(found, kind, now)
-        ]
-        usable = [found for found in untried if self._is_usable(found, now)]
-        candidates = usable or untried
         for near in (self._is_local, self._is_in_region):
-            group = [found for found in candidates if near(found)]
-            best = self._better_of_two(group, now)
+            group = [found for found in endpoints if near(found)]
+            open_group = self._open(group, tried, kind, now)
+            best = self._better_of_two(open_group, now)
             if best and self._score(best, now) < spill_permille:
                 return best
+        candidates = self._open(endpoints, tried, kind, now)
+        if not candidates:
+            # Targets that look unusable are better than none.
+            candidates = [
+                found
+                for found in endpoints
+                if found.node not in tried
+                and not self._is_full(found, kind, now)
+            ]
         return self._better_of_two(candidates, now)
 
+    def _open(
+        self,
+        group: Sequence[Member],
+        tried: Collection[str],
+        kind: str,
+        now: float,
+    ) -> Sequence[Member]:
+        """Return the members that are usable, not full and not yet tried."""
+        return [
+            found
+            for found in group
+            if found.node not in tried
+            and not self._is_full(found, kind, now)
+            and self._is_usable(found, now)
+        ]
+
     def began(self, member: Member, now: float) -> None:
         """Note that a request was sent to a target."""
         seen = self._seen(member, now)
--- a/filbertdrift/members.py
+++ b/filbertdrift/members.py
@@ -78,6 +78,7 @@
         self._by_domain: dict[str, dict[str, Member]] = defaultdict(dict)
         self._by_service: dict[str, dict[str, Member]] = defaultdict(dict)
         self._forget_at: dict[str, float] = {}
+        self._serving: dict[str, Sequence[Member]] = {}
 
     def __len__(self) -> int:
         """Return the number of members that are not dead."""
@@ -139,11 +140,17 @@
 
         If none does, those whose targets look unhealthy are better than none.
         """
-        known = list(self._by_service[service].values())
-        serving = [
-            member for member in known if member.status == MemberStatus.SERVING
-        ]
-        return serving or known
+        found = self._serving.get(service)
+        if found is None:
+            known = list(self._by_service[service].values())
+            serving = [
+                member
+                for member in known
+                if member.status == MemberStatus.SERVING
+            ]
+            found = serving or known
+            self._serving[service] = found
+        return found
 
     def in_buckets(self, numbers: Iterable[int]) -> Sequence[Member]:
         """Return the members in some buckets, the dead included."""
@@ -163,6 +170,7 @@
         ]
 
     def _link(self, member: Member, now: float) -> None:
+        self._serving.clear()
         self._members[member.node] = member
         if member.status == MemberStatus.DEAD:
             self._forget_at[member.node] = now + DEAD_KEPT_S
@@ -174,6 +182,7 @@
         self._toggle(member)
 
     def _unlink(self, member: Member) -> None:
+        self._serving.clear()
         self._by_domain[member.domain].pop(member.node, None)
         self._by_service[member.service].pop(member.node, None)
         if member.status != MemberStatus.DEAD:
