A caller does not wait while its target is tried after a lost answer

The node beside a target that broke off tried to connect, for up to a second if it was dark, before it told the entry. The crash is made certain in a task of its own. Answered requests that took a second try and one in 100 of the others are logged.

--- a/filbertdrift/dispatch.py
+++ b/filbertdrift/dispatch.py
@@ -40,6 +40,8 @@
 COME_BACK_MS = 100
 STATUS_SERVER_ERROR = 500
 COME_BACK_SPREAD_MS = 200
+# One in so many answered requests is logged, and all that took a second try.
+ANSWERED_SAMPLE = 100
 
 
 @dataclass(slots=True)
@@ -142,6 +144,8 @@
             self._log(graded, 'unknown', str(exc))
             raise
         self.counters.answered += 1
+        if self.counters.answered % ANSWERED_SAMPLE == 0 or req.tried[1:]:
+            self._log(graded, 'answered', f'status {answer.status}')
         return answer
 
     async def _try_targets(self, graded: GradedRequest) -> GradedAnswer:
@@ -231,8 +235,10 @@
         return COME_BACK_MS + int(COME_BACK_SPREAD_MS * self._rng.random())
 
     def _log(self, graded: GradedRequest, outcome: str, reason: str) -> None:
+        left_s = graded.req.deadline - asyncio.get_running_loop().time()
         logger.bind(
             event='request',
+            left_ms=int(left_s * MS_PER_S),
             request=graded.req.request_id,
             route=graded.route.name,
             service=graded.service,
--- a/filbertdrift/handover.py
+++ b/filbertdrift/handover.py
@@ -6,7 +6,7 @@
 
 import asyncio
 import contextlib
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
 from loguru import logger
@@ -88,6 +88,7 @@
         self._health = health
         self._running: dict[CallStream, str] = {}
         self._is_crashed = False
+        self._tasks: set[asyncio.Task[None]] = set()
 
     async def serve(self, call: CallStream, req: ttypes.RequestOpen) -> None:
         """Serve one request to its end.
@@ -111,7 +112,7 @@
         except RequestUnknown as exc:
             self.counters.unknown += 1
             self._log(req, 'unknown', exc)
-            await self._note_crash(exc)
+            self._suspect_crash(exc)
             await call.send(self._refusal(ttypes.RefusalKind.UNKNOWN, exc))
         except asyncio.CancelledError:
             self.counters.cancelled += 1
@@ -214,8 +215,11 @@
             max_idle_s=float('inf') if req.is_idempotent else FRESH_S,
         )
 
-    async def _note_crash(self, exc: RequestUnknown) -> None:
-        """Mark what ran if the target broke off and cannot be reached."""
+    def _suspect_crash(self, exc: RequestUnknown) -> None:
+        """Find out whether the target broke off because it crashed.
+
+        The request's caller does not wait for that.
+        """
         current = self._lifecycle.current
         if current is None or not isinstance(exc.__cause__, PeerUnavailable):
             return
@@ -224,6 +228,17 @@
             return
         self._is_crashed = True
         running = list(self._running.values())
+        task = asyncio.get_running_loop().create_task(
+            self._mark_if_down(current, running),
+        )
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _mark_if_down(
+        self,
+        current: Incarnation,
+        running: Sequence[str],
+    ) -> None:
         self._is_crashed = not await current.target.is_up()
         if self._is_crashed:
             self.counters.crashes += 1
--- a/standins/mesh_fleet.py
+++ b/standins/mesh_fleet.py
@@ -36,6 +36,7 @@
 HOST = 'desk.example'
 HEARTBEAT_S = 1.5
 HANDSHAKE_S = 0.001
+CONNECT_TIMEOUT_S = 1.0
 
 
 @dataclass
@@ -101,7 +102,9 @@
         return ScriptedExchange(self, request)
 
     async def is_up(self) -> bool:
-        """Tell whether the target is up."""
+        """Tell whether the target is up; one that is dark takes its time."""
+        if not self.script.is_up:
+            await asyncio.sleep(CONNECT_TIMEOUT_S)
         return self.script.is_up
 
     async def is_well(self, probe_path: str) -> bool:
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -131,6 +131,33 @@
         self.assertThat(min(told), GreaterThan(450))
 
 
+class PoisonTest(TestCase):
+    """Requests that crash the targets that run them."""
+
+    def test_stopped_on_all_nodes_after_two_crashes(self) -> None:
+        run_virtual(self._poison())
+
+    async def _poison(self) -> None:
+        fleet = await settled_fleet(seed=19)
+        for script in targets_of(fleet, 'desk'):
+            script.crashes_on = 'poison'
+        loop = asyncio.get_running_loop()
+        for _ in range(2):
+            began = loop.time()
+            with ExpectedException(RequestUnknown):
+                await fleet.call('a-0:7000', '/write/poison')
+            # Its caller does not wait until the crash is certain.
+            self.assertThat(loop.time() - began, LessThan(0.5))
+            await asyncio.sleep(1.5)
+        for address in fleet.places:
+            with ExpectedException(RequestNotRun):
+                await fleet.call(address, '/write/poison')
+        down = [
+            script for script in targets_of(fleet, 'desk') if not script.is_up
+        ]
+        self.assertThat(len(down), Equals(2))
+
+
 class LeavingTest(TestCase):
     """A target that leaves gets no new work, whoever lags."""
 
