--- a/filbertdrift/dispatch.py
+++ b/filbertdrift/dispatch.py
@@ -151,24 +151,31 @@
     async def _try_targets(self, graded: GradedRequest) -> GradedAnswer:
         refusals = 0
         handed_over = 0
+        unknown: RequestUnknown | None = None
         while True:
-            attempt = self._next_attempt(graded)
+            attempt = self._next_attempt(graded, unknown)
             try:
                 return await attempt.run()
-            except RequestNotRun:
+            except RequestNotRun as exc:
                 refusals += 1
                 handed_over += attempt.reached_target
                 if not self._may_go_on(graded, attempt, refusals, handed_over):
-                    raise
-            except RequestUnknown:
+                    # Once a try has ended unknown, the request may have run.
+                    raise unknown or exc from exc
+            except RequestUnknown as exc:
+                unknown = exc
                 handed_over += 1
                 if not self._may_repeat(graded, handed_over):
                     raise
 
-    def _next_attempt(self, graded: GradedRequest) -> 'TargetAttempt':
+    def _next_attempt(
+        self,
+        graded: GradedRequest,
+        unknown: RequestUnknown | None,
+    ) -> 'TargetAttempt':
         now = asyncio.get_running_loop().time()
         if now + MIN_TRY_S >= graded.req.deadline:
-            raise RequestNotRun(
+            raise unknown or RequestNotRun(
                 'the deadline passed before a target had it',
                 come_back_ms=0,
                 step='dispatch',
@@ -186,7 +193,7 @@
             graded.route.name,
         )
         if member is None:
-            raise RequestNotRun(
+            raise unknown or RequestNotRun(
                 f'no target of {graded.service} has room',
                 come_back_ms=self._come_back_ms(),
                 step='choose target',
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -86,6 +86,18 @@
             return
         self.fail('a truncated answer was passed on')
 
+    def test_refused_after_a_lost_answer_is_unknown(self) -> None:
+        run_virtual(self._lost_then_refused())
+
+    async def _lost_then_refused(self) -> None:
+        fleet = await settled_fleet(seed=20, domains='ab')
+        first, second = targets_of(fleet, 'desk')
+        first.truncates = True
+        second.refuses = True
+        with ExpectedException(RequestUnknown):
+            await fleet.call('a-0:7000', '/read/1')
+        self.assertThat(len(first.run_at), Equals(1))
+
     def test_stray_answer_is_skipped(self) -> None:
         run_virtual(self._stray())
 
