--- /dev/null
+++ b/tests/test_entry.py
@@ -0,0 +1,245 @@
+"""The callers' port of a node with graded routes, over real sockets."""
+
+import asyncio
+import json
+import random
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+
+from testtools import TestCase
+from testtools.matchers import Contains, Equals, LessThan, StartsWith
+
+from filbertdrift.identity import Identity
+from filbertdrift.keyedlog import KeyedRecord, MemoryKeyedLog
+from filbertdrift.lifecycle import Heartbeat
+from filbertdrift.mesh import MeshNode, MeshSettings
+from filbertdrift.network import TcpNetwork
+from filbertdrift.platform.documents import parse_config
+from filbertdrift.platform.headers import HEADERS
+from filbertdrift.profile import PROFILES
+from filbertdrift.retrybudget import RetryLimits
+from filbertdrift.target import HttpTarget
+from standins.mesh_fleet import config_document
+from tests.sockets import free_port
+
+HOST = '127.0.0.1'
+WORK_S = 0.3
+
+
+@dataclass
+class SocketMesh:
+    """A node with a target, over sockets."""
+
+    node: MeshNode
+    caller_port: int
+    received: list[bytes]
+    closed: list[float]
+
+    async def send(self, raw: bytes) -> bytes:
+        """Send bytes as a caller and return all that comes back."""
+        reader, writer = await asyncio.open_connection(HOST, self.caller_port)
+        writer.write(raw)
+        try:
+            return await reader.read()
+        finally:
+            writer.close()
+
+
+def request(
+    path: str = '/read/x',
+    body: bytes = b'',
+    *headers: str,
+    host: str = 'desk.example',
+    keep: bool = False,
+) -> bytes:
+    """Return a request as a caller sends it."""
+    lines = [
+        f'POST {path} HTTP/1.1',
+        f'host: {host}',
+        'attempt-id: r1',
+        'deadline-ms: 2000',
+        *headers,
+    ]
+    if not keep:
+        lines.append('connection: close')
+    if not any('transfer-encoding' in line for line in headers):
+        lines.append(f'content-length: {len(body)}')
+    return '\r\n'.join([*lines, '', '']).encode() + body
+
+
+@asynccontextmanager
+async def socket_mesh(
+    *,
+    configured: bool = True,
+    **limits: int,
+) -> AsyncIterator[SocketMesh]:
+    """Start a node with a target that works for a while."""
+    received: list[bytes] = []
+    closed: list[float] = []
+
+    async def serve(
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        raw = await reader.read(1_000_000)
+        received.append(raw)
+        head, _, body = raw.partition(b'\r\n\r\n')
+        wanted = _content_length(head)
+        while len(body) < wanted:
+            body += await reader.read(1_000_000)
+        end = asyncio.ensure_future(reader.read(1))
+        done, _ = await asyncio.wait((end,), timeout=WORK_S)
+        if done:
+            closed.append(asyncio.get_running_loop().time())
+            return
+        writer.write(
+            b'HTTP/1.1 200 OK\r\nattempt-id: r1\r\nserver-seal: s\r\n'
+            b'content-length: 2\r\n\r\nok',
+        )
+        await end
+        writer.close()
+
+    server = await asyncio.start_server(serve, HOST, 0)
+    port = server.sockets[0].getsockname()[1]
+    log = MemoryKeyedLog()
+    if configured:
+        document = {**config_document(), 'limits': limits}
+        record = KeyedRecord('config', json.dumps(document).encode())
+        await log.append('keyed.op', record)
+    caller_port = free_port()
+    address = f'{HOST}:{free_port()}'
+    node = MeshNode(
+        identity=Identity(address, 'a', 'one', 1),
+        settings=MeshSettings(
+            caller_address=(HOST, caller_port),
+            caller_service='desk',
+            seeds=(),
+            config_stream='keyed.op',
+            config_key='config',
+            directory_stream='keyed.nodes',
+            retry_limits=RetryLimits(),
+            end_grace_s=6,
+        ),
+        network=TcpNetwork(address),
+        log=log,
+        profile=PROFILES['convergence'],
+        contract=HEADERS,
+        parse=parse_config,
+        open_target=lambda _, target_address: HttpTarget(target_address, 8),
+        rng=random.Random(1),
+    )
+    await node.start()
+    node.lifecycle.beat(
+        Heartbeat('i-1', 1, 1, 'desk', f'{HOST}:{port}', 4, False, 0),
+    )
+    await asyncio.sleep(0.3)
+    try:
+        yield SocketMesh(node, caller_port, received, closed)
+    finally:
+        await node.stop()
+        server.close()
+
+
+def _content_length(head: bytes) -> int:
+    for line in head.lower().split(b'\r\n'):
+        if line.startswith(b'content-length:'):
+            return int(line.split(b':')[1])
+    return 0
+
+
+class InputTest(TestCase):
+    """Bad input gets a clear answer, proper input passes unchanged."""
+
+    def test_answers(self) -> None:
+        asyncio.run(self._answers())
+
+    async def _answers(self) -> None:
+        limits = {'max_body_bytes': 100, 'max_header_bytes': 1000}
+        async with socket_mesh(**limits) as mesh:
+            wanted = {
+                request(): 200,
+                request('/other/x'): 404,
+                request(host='other.example'): 404,
+                request(body=b'x' * 101): 413,
+                request('/read/x', b'', 'x-long: ' + 'x' * 1000): 431,
+                b'nonsense\r\n\r\n': 400,
+            }
+            for raw, status in wanted.items():
+                answer = await mesh.send(raw)
+                self.assertThat(answer, StartsWith(b'HTTP/1.1 %d ' % status))
+
+    def test_without_configuration(self) -> None:
+        asyncio.run(self._unconfigured())
+
+    async def _unconfigured(self) -> None:
+        async with socket_mesh(configured=False) as mesh:
+            answer = await mesh.send(request())
+            self.assertThat(answer, StartsWith(b'HTTP/1.1 503 '))
+            self.assertThat(answer, Contains(b'retry-after: 0.'))
+
+    def test_headers_that_nodes_set(self) -> None:
+        asyncio.run(self._headers())
+
+    async def _headers(self) -> None:
+        async with socket_mesh() as mesh:
+            await mesh.send(
+                request('/read/x', b'', 'caller-service: forged', 'x-own: 1'),
+            )
+            sent = mesh.received[0].lower()
+            self.assertThat(sent, Contains(b'caller-service: desk\r\n'))
+            self.assertThat(sent, Contains(b'expect-instance: i-1\r\n'))
+            self.assertThat(sent, Contains(b'x-own: 1\r\n'))
+            self.assertThat(sent.count(b'caller-service'), Equals(1))
+
+    def test_chunked_body(self) -> None:
+        asyncio.run(self._chunked())
+
+    async def _chunked(self) -> None:
+        async with socket_mesh() as mesh:
+            body = b'5\r\nhello\r\n0\r\n\r\n'
+            raw = request('/write/x', body, 'transfer-encoding: chunked')
+            answer = await mesh.send(raw)
+            self.assertThat(answer, StartsWith(b'HTTP/1.1 200 '))
+            self.assertThat(mesh.received[0], Contains(b'\r\n\r\nhello'))
+
+
+class LeftTest(TestCase):
+    """A caller that leaves frees the target."""
+
+    def test_target_is_told_at_once(self) -> None:
+        asyncio.run(self._left())
+
+    async def _left(self) -> None:
+        async with socket_mesh() as mesh:
+            _, writer = await asyncio.open_connection(HOST, mesh.caller_port)
+            writer.write(request())
+            await asyncio.sleep(0.1)
+            left_at = asyncio.get_running_loop().time()
+            writer.close()
+            await asyncio.sleep(0.15)
+            self.assertThat(len(mesh.closed), Equals(1))
+            self.assertThat(mesh.closed[0] - left_at, LessThan(0.1))
+
+
+class DrainTest(TestCase):
+    """A graceful end cuts no request."""
+
+    def test_finishes_what_is_in_progress(self) -> None:
+        asyncio.run(self._drain())
+
+    async def _drain(self) -> None:
+        async with socket_mesh() as mesh:
+            upload = b'u' * 500_000
+            asked = asyncio.ensure_future(
+                mesh.send(request('/write/x', upload)),
+            )
+            kept = asyncio.ensure_future(mesh.send(request(keep=True)))
+            await asyncio.sleep(0.05)
+            draining = asyncio.ensure_future(mesh.node.drain())
+            await asyncio.sleep(0.05)
+            self.assertThat(mesh.node.is_ready, Equals(False))
+            for answer in await asyncio.gather(asked, kept):
+                self.assertThat(answer, StartsWith(b'HTTP/1.1 200 '))
+                self.assertThat(answer, Contains(b'connection: close'))
+            await draining
