One port for callers, one refusal after a pause

The callers' ports of both nodes had copies of the same listening, counting and closing of connections, and both nodes of the refusal after a pause.

--- a/filbertdrift/caller.py
+++ b/filbertdrift/caller.py
@@ -8,7 +8,7 @@
 from typing import Protocol
 
 from filbertdrift import http1
-from filbertdrift.callerprotocol import CallerProtocol
+from filbertdrift.callerport import CallerConnection, CallerPort
 from filbertdrift.errors import (
     FilbertdriftError,
     MalformedMessage,
@@ -24,6 +24,7 @@
 FIRST_CHUNK_BYTES = 65_536
 IDLE_TIMEOUT_S = 75.0
 LINGER_S = 1.0
+DRAIN_POLL_S = 0.02
 FIRST_CHUNK_TIMEOUT_S = 10.0
 NO_CONFIG_COME_BACK_MS = 500
 
@@ -60,91 +61,52 @@
     aborted_answers: int = 0
 
 
-class CallerServer:
+class CallerServer(CallerPort):
     """Accepts callers' connections.
 
     Args:
         handler: Answers the requests.
-        generation: Makes request ids of this start of the node unique.
     """
 
     def __init__(self, handler: RequestHandler) -> None:
         """Start without connections."""
-        self.in_progress = 0
+        super().__init__()
         self.counters = CallerCounters()
-        self._handler = handler
-        self._server: asyncio.Server | None = None
-        self._connections: set[_CallerConnection] = set()
-        self._is_closing = False
-
-    async def start(self, host: str, port: int) -> None:
-        """Listen for callers.
-
-        Raises:
-            OSError: The address cannot be bound.
-        """
-        loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(self._protocol, host, port)
+        self.handler = handler
 
     async def drain(self) -> None:
         """Stop accepting and end every connection between requests."""
-        self._is_closing = True
-        if self._server:
-            self._server.close()
-        for conn in list(self._connections):
-            conn.close_after_answer()
+        self.is_closing = True
+        self.stop_listening()
         await asyncio.sleep(LINGER_S)
-        for conn in list(self._connections):
-            conn.close_if_idle()
-        while self._connections:
-            await asyncio.sleep(0.02)
-
-    def close(self) -> None:
-        """Abort all connections."""
-        if self._server:
-            self._server.close()
-        for conn in list(self._connections):
-            conn.abort()
-
-    async def serve(
+        self.close_idle()
+        while not self.is_empty:
+            await asyncio.sleep(DRAIN_POLL_S)
+
+    def _connection(
         self,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
-    ) -> None:
-        """Serve one connection until it ends."""
-        conn = _CallerConnection(self, self._handler, reader, writer)
-        if self._is_closing:
-            conn.close_after_answer()
-        self._connections.add(conn)
-        try:
-            await conn.run()
-        finally:
-            self._connections.discard(conn)
-
-    def _protocol(self) -> asyncio.Protocol:
-        reader = asyncio.StreamReader(limit=FIRST_CHUNK_BYTES)
-        return CallerProtocol(reader, self.serve)
+    ) -> CallerConnection:
+        return _CallerConnection(self, reader, writer)
 
 
-class _CallerConnection:
-    """One caller's connection."""
+class _CallerConnection(CallerConnection):
+    """One caller's connection to a node."""
 
     def __init__(
         self,
         server: CallerServer,
-        handler: RequestHandler,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> None:
         """Start between requests."""
+        super().__init__(writer)
         self._server = server
-        self._handler = handler
-        self._writer = writer
+        self._handler = server.handler
         self._messages = http1.RequestReader(reader, 'caller')
-        self._is_closing = False
-        self._is_idle = False
+        self._ends = False
         self._has_read_body = False
-        self._task = asyncio.current_task()
 
     async def run(self) -> None:
         """Serve requests until the caller or the node closes."""
@@ -154,7 +116,7 @@
                 if head is None:
                     break
                 await self._serve(head)
-                if self._is_closing:
+                if self._ends:
                     break
         except http1.HeadTooLarge as exc:
             await self._reject(431, exc)
@@ -165,20 +127,6 @@
         finally:
             self._writer.close()
 
-    def close_after_answer(self) -> None:
-        """End the connection with the answer to the next request."""
-        self._is_closing = True
-
-    def close_if_idle(self) -> None:
-        """End the connection now unless a request is in progress."""
-        self._is_closing = True
-        if self._is_idle and self._task:
-            self._task.cancel()
-
-    def abort(self) -> None:
-        """End the connection at once."""
-        self._writer.transport.abort()
-
     async def _next_head(self) -> RequestHead | None:
         self._is_idle = True
         self._has_read_body = False
@@ -295,8 +243,8 @@
             await self._writer.drain()
 
     def _end_headers(self, head: RequestHead, headers: Headers) -> None:
-        if self._is_closing or not head.keep_alive:
-            self._is_closing = True
+        if self._ends or self._server.is_closing or not head.keep_alive:
+            self._ends = True
             headers.append((b'connection', b'close'))
 
     async def _refuse(
@@ -333,7 +281,7 @@
             *(extra or ()),
         ]
         if not self._has_read_body and not self._messages.parsed().end:
-            self._is_closing = True
+            self._ends = True
         self._end_headers(head, headers)
         body = b'' if head.method == 'HEAD' else text
         self._writer.write(http1.response_bytes(status, headers) + body)
@@ -341,7 +289,7 @@
 
     async def _reject(self, status: int, exc: FilbertdriftError) -> None:
         self._server.counters.bad_requests += 1
-        self._is_closing = True
+        self._ends = True
         head = RequestHead('GET', '', [], keep_alive=False)
         with contextlib.suppress(OSError):
             await self._plain(head, status, str(exc), Outcome.NOT_RUN)
--- a/filbertdrift/entry.py
+++ b/filbertdrift/entry.py
@@ -8,7 +8,7 @@
 from loguru import logger
 
 from filbertdrift import http1
-from filbertdrift.callerprotocol import CallerProtocol
+from filbertdrift.callerport import CallerConnection, CallerPort
 from filbertdrift.contract import HeaderContract, deadline_left_s
 from filbertdrift.dispatch import GradedAnswer, GradedRequest
 from filbertdrift.errors import (
@@ -28,7 +28,6 @@
 # A caller that takes no bytes of its answer for so long is given up.
 WRITE_STALL_S = 10.0
 NO_CONFIG_COME_BACK_MS = 300
-BACKLOG = 1024
 
 STATUS_BAD_REQUEST = 400
 STATUS_NOT_FOUND = 404
@@ -83,7 +82,7 @@
     left: int = 0
 
 
-class EntryServer:
+class EntryServer(CallerPort):
     """Accepts callers' connections.
 
     Args:
@@ -99,69 +98,23 @@
         caller_service: str,
     ) -> None:
         """Start without connections."""
+        super().__init__()
         self.counters = EntryCounters()
-        self.in_progress = 0
-        self.is_closing = False
         self.handler = handler
         self.contract = contract
         self.caller_service = caller_service.encode()
-        self._server: asyncio.Server | None = None
-        self._connections: set[_EntryConnection] = set()
 
-    async def start(self, host: str, port: int) -> None:
-        """Listen for callers.
-
-        Raises:
-            OSError: The address cannot be bound.
-        """
-        loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(
-            self._protocol,
-            host,
-            port,
-            backlog=BACKLOG,
-        )
-
-    def close_after_answers(self) -> None:
-        """End each connection with its next answer."""
-        self.is_closing = True
-
-    def close_idle(self) -> None:
-        """Stop listening and end the connections between requests."""
-        self.is_closing = True
-        if self._server:
-            self._server.close()
-        for conn in list(self._connections):
-            conn.close_if_idle()
-
-    def close(self) -> None:
-        """Abort all connections."""
-        if self._server:
-            self._server.close()
-        for conn in list(self._connections):
-            conn.abort()
-
-    async def serve(
+    def _connection(
         self,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
-    ) -> None:
-        """Serve one connection until it ends."""
-        conn = _EntryConnection(self, reader, writer)
+    ) -> CallerConnection:
         self.counters.connections += 1
-        self._connections.add(conn)
-        try:
-            await conn.run()
-        finally:
-            self._connections.discard(conn)
-
-    def _protocol(self) -> asyncio.Protocol:
-        reader = asyncio.StreamReader(limit=FIRST_CHUNK_BYTES)
-        return CallerProtocol(reader, self.serve)
+        return _EntryConnection(self, reader, writer)
 
 
-class _EntryConnection:
-    """One caller's connection."""
+class _EntryConnection(CallerConnection):
+    """One caller's connection to an entry."""
 
     def __init__(
         self,
@@ -170,15 +123,13 @@
         writer: asyncio.StreamWriter,
     ) -> None:
         """Start between requests."""
+        super().__init__(writer)
         self._server = server
         self._handler = server.handler
-        self._writer = writer
         self._messages = http1.RequestReader(reader, 'caller')
         self._ends = False
-        self._is_idle = False
         self._has_read_body = True
         self._body_bytes = 0
-        self._task = asyncio.current_task()
         self._timer: asyncio.TimerHandle | None = None
 
     async def run(self) -> None:
@@ -197,15 +148,6 @@
         finally:
             self._writer.close()
 
-    def close_if_idle(self) -> None:
-        """End the connection now unless a request is in progress."""
-        if self._is_idle and self._task:
-            self._task.cancel()
-
-    def abort(self) -> None:
-        """End the connection at once."""
-        self._writer.transport.abort()
-
     async def _serve_requests(self) -> None:
         while not self._ends:
             head = await self._next_head()
--- a/filbertdrift/mesh.py
+++ b/filbertdrift/mesh.py
@@ -35,7 +35,7 @@
 from filbertdrift.membership import Membership
 from filbertdrift.metrics import Timings
 from filbertdrift.network import Network
-from filbertdrift.pause import PauseGuard
+from filbertdrift.pause import PauseGuard, paused_refusal
 from filbertdrift.profile import Profile
 from filbertdrift.request import EntryRequest
 from filbertdrift.retrybudget import RetryLimits, SharedRetryBudget
@@ -46,7 +46,6 @@
 BOOT_BACKOFF_S = 0.2
 MAX_BOOT_BACKOFF_S = 1.0
 FORGET_S = 5.0
-PAUSE_COME_BACK_MS = 300
 DRAIN_POLL_S = 0.05
 # Callers and peers need this time to notice that a node is leaving.
 LEAVING_NOTICE_S = 2.2
@@ -233,7 +232,7 @@
         self.lifecycle.is_node_leaving = True
         self.lifecycle.tell()
         self.lifecycle.close_gate()
-        self.entry.close_after_answers()
+        self.entry.is_closing = True
         await asyncio.sleep(LEAVING_NOTICE_S)
         self.entry.close_idle()
         while loop.time() < deadline and self._has_work():
@@ -389,16 +388,7 @@
     ) -> None:
         if self.pause.check():
             self.counters.refused_after_pause += 1
-            reason = 'this node was paused; the request may be old'
-            await call.send(
-                ttypes.Refusal(
-                    ttypes.RefusalKind.NOT_RUN,
-                    reason,
-                    PAUSE_COME_BACK_MS,
-                    0,
-                    reached_target=False,
-                ),
-            )
+            await call.send(paused_refusal())
             return
         await self.handover.serve(call, body)
 
--- a/filbertdrift/node.py
+++ b/filbertdrift/node.py
@@ -36,7 +36,7 @@
 from filbertdrift.membership import Membership
 from filbertdrift.metrics import Timings
 from filbertdrift.network import Network
-from filbertdrift.pause import PauseGuard
+from filbertdrift.pause import PauseGuard, paused_refusal
 from filbertdrift.profile import Profile
 from filbertdrift.publisher import Publisher
 from filbertdrift.registration import (
@@ -62,7 +62,6 @@
 LEAVE_NOTICE_S = 2.0
 DRAIN_POLL_S = 0.05
 FORGET_S = 5.0
-PAUSE_COME_BACK_MS = 500
 
 
 @dataclass(slots=True)
@@ -393,14 +392,7 @@
     ) -> None:
         if self.pause.check():
             self.counters.refused_after_pause += 1
-            await call.send(
-                ttypes.Refusal(
-                    ttypes.RefusalKind.NOT_RUN,
-                    'this node was paused; the request may be old',
-                    PAUSE_COME_BACK_MS,
-                    0,
-                ),
-            )
+            await call.send(paused_refusal())
             return
         await self.server.serve(call, body)
 
--- a/filbertdrift/pause.py
+++ b/filbertdrift/pause.py
@@ -3,9 +3,12 @@
 import asyncio
 from collections.abc import Callable
 
+from filbertdrift.gen import ttypes
+
 TICK_S = 0.25
 PAUSE_S = 2.0
 RECOVERY_S = 1.0
+COME_BACK_MS = 400
 
 
 class PauseGuard:
@@ -44,5 +47,16 @@
         return now < self._recovered_at
 
 
+def paused_refusal() -> ttypes.Refusal:
+    """Return the answer to a request that may have waited out a pause."""
+    return ttypes.Refusal(
+        ttypes.RefusalKind.NOT_RUN,
+        'this node was paused; the request may be old',
+        COME_BACK_MS,
+        0,
+        reached_target=False,
+    )
+
+
 def _ignore() -> None:
     """Do nothing."""
