Narrow links: large bodies choose by what large bodies took; patience by deadline

A request now gives a quiet way 0.35 of its time, half a second at least, and latency is kept apart for large bodies. NarrowLinkTest failed before.

--- a/filbertdrift/chooser.py
+++ b/filbertdrift/chooser.py
@@ -46,6 +46,7 @@
     load_permille: int = 0
     load_at: float = 0.0
     latency_s: float = 0.0
+    bulk_latency_s: float = 0.0
     failures: int = 0
     ejections: int = 0
     ejected_until: float = 0.0
@@ -88,6 +89,8 @@
         now: float,
         spill_permille: int = SPILL_PERMILLE,
         kind: str = '',
+        *,
+        is_bulk: bool = False,
     ) -> Member | None:
         """Return the target for a request.
 
@@ -98,6 +101,7 @@
             spill_permille: Load of the near targets from which on others get
                 the request as well.
             kind: Gates that were full for this kind just now are left out.
+            is_bulk: Its body is large, so what large bodies took counts.
 
         Returns:
             A member, or None if there is nothing left to try.
@@ -105,7 +109,7 @@
         for near in (self._is_local, self._is_in_region):
             group = [found for found in endpoints if near(found)]
             open_group = self._open(group, tried, kind, now)
-            best = self._better_of_two(open_group, now)
+            best = self._better_of_two(open_group, now, is_bulk=is_bulk)
             if best and self._score(best, now) < spill_permille:
                 return best
         candidates = self._open(endpoints, tried, kind, now)
@@ -117,7 +121,7 @@
                 if found.node not in tried
                 and not self._is_full(found, kind, now)
             ]
-        return self._better_of_two(candidates, now)
+        return self._better_of_two(candidates, now, is_bulk=is_bulk)
 
     def _open(
         self,
@@ -153,8 +157,18 @@
         load_permille: int,
         latency_s: float,
         now: float,
+        *,
+        is_bulk: bool = False,
     ) -> None:
-        """Note an answer and the load it carried."""
+        """Note an answer and the load it carried.
+
+        Args:
+            member: The target's member.
+            load_permille: The load of its gate.
+            latency_s: Time from sending the request to the answer.
+            now: The time on the event loop's clock.
+            is_bulk: The request's body was large.
+        """
         seen = self._seen(member, now)
         seen.load_permille = load_permille
         seen.load_at = now
@@ -163,9 +177,12 @@
         seen.failures = 0
         seen.ejections = 0
         seen.ejected_until = 0
-        if not seen.latency_s:
-            seen.latency_s = latency_s
-        seen.latency_s += LATENCY_WEIGHT * (latency_s - seen.latency_s)
+        if is_bulk:
+            known = seen.bulk_latency_s or latency_s
+            seen.bulk_latency_s = known + LATENCY_WEIGHT * (latency_s - known)
+            return
+        known = seen.latency_s or latency_s
+        seen.latency_s = known + LATENCY_WEIGHT * (latency_s - known)
 
     def answered_badly(self, member: Member, now: float) -> None:
         """Note an answer that says that the target failed.
@@ -256,31 +273,28 @@
         self,
         group: Sequence[Member],
         now: float,
+        *,
+        is_bulk: bool,
     ) -> Member | None:
         if not group:
             return None
         if len(group) == 1:
             return group[0]
         pair = self._rng.sample(group, 2)
-        best = min(pair, key=lambda found: self._cost(found, now))
+
+        def cost(member: Member) -> float:
+            return self._cost(member, now, is_bulk=is_bulk)
+
+        best = min(pair, key=cost)
         if not self._own or best.node == self._own:
             return best
         for member in group:
-            if member.node == self._own and self._is_own_cheaper(
-                member,
-                best,
-                now,
-            ):
+            is_own = member.node == self._own
+            has_room = is_own and self._score(member, now) < FULL_PERMILLE
+            if has_room and cost(member) * OWN_COST_SHARE <= cost(best):
                 return member
         return best
 
-    def _is_own_cheaper(self, own: Member, best: Member, now: float) -> bool:
-        """Tell whether the own target has room and does not cost much more."""
-        if self._score(own, now) >= FULL_PERMILLE:
-            return False
-        own_cost = self._cost(own, now) * OWN_COST_SHARE
-        return own_cost <= self._cost(best, now)
-
     def _score(self, member: Member, now: float) -> float:
         seen = self._observed.get(member.node)
         if seen is None or seen.generation != member.generation:
@@ -292,7 +306,13 @@
         penalty = cold * SLOW_START_PENALTY_PERMILLE
         return max(load, own) + penalty
 
-    def _cost(self, member: Member, now: float) -> float:
+    def _cost(
+        self,
+        member: Member,
+        now: float,
+        *,
+        is_bulk: bool = False,
+    ) -> float:
         """Return the load times the latency seen; unseen targets are cheap.
 
         A target that keeps requests waiting longer than it used to counts
@@ -301,7 +321,7 @@
         seen = self._observed.get(member.node)
         if seen is None:
             return 0
-        latency_s = seen.latency_s
+        latency_s = seen.bulk_latency_s if is_bulk else seen.latency_s
         if seen.in_flight:
             latency_s = max(latency_s, now - seen.heard_at)
         cost = (self._score(member, now) + IDLE_COST_PERMILLE) * latency_s
--- a/filbertdrift/dispatch.py
+++ b/filbertdrift/dispatch.py
@@ -18,7 +18,7 @@
 )
 from filbertdrift.forwarded import ForwardedAnswer
 from filbertdrift.gen import ttypes
-from filbertdrift.link import CallStream, LinkPool, PeerLink
+from filbertdrift.link import SUSPECT_S, CallStream, LinkPool, PeerLink
 from filbertdrift.members import Member
 from filbertdrift.request import EntryRequest
 from filbertdrift.retrybudget import SharedRetryBudget
@@ -37,6 +37,10 @@
 SPILL_PERMILLE = 1500
 BULK_SPILL_PERMILLE = 4000
 BULK_BYTES = 16_384
+# A repeatable request goes elsewhere once the way to its target has owed a sign
+# of life for that part of its time. Narrow links are silent for some tenths of
+# a second under load.
+GIVE_UP_SHARE = 0.35
 COME_BACK_MS = 100
 STATUS_SERVER_ERROR = 500
 COME_BACK_SPREAD_MS = 200
@@ -62,6 +66,11 @@
     objective_at: float
     version: int
 
+    @property
+    def is_bulk(self) -> bool:
+        """Tell whether its body is large."""
+        return len(self.req.first_chunk) >= BULK_BYTES
+
 
 class GradedAnswer(ForwardedAnswer):
     """An answer that may have come before its request's body was sent."""
@@ -182,15 +191,13 @@
             )
         endpoints = self._endpoints(graded.service)
         tried = graded.req.tried
-        spill = SPILL_PERMILLE
-        if len(graded.req.first_chunk) >= BULK_BYTES:
-            spill = BULK_SPILL_PERMILLE
         member = self._chooser.choose(
             endpoints,
             tried,
             now,
-            spill,
+            BULK_SPILL_PERMILLE if graded.is_bulk else SPILL_PERMILLE,
             graded.route.name,
+            is_bulk=graded.is_bulk,
         )
         if member is None:
             raise unknown or RequestNotRun(
@@ -303,7 +310,9 @@
             self._chooser.ended(self._member, loop.time())
             raise
         call = link.begin()
-        call.is_repeatable = self._graded.route.is_idempotent
+        if self._graded.route.is_idempotent:
+            left_s = self._req.deadline - started_at
+            call.give_up_s = max(SUSPECT_S, left_s * GIVE_UP_SHARE)
         try:
             answer = await self._exchange(call)
         except BaseException:
@@ -324,7 +333,13 @@
             self._chooser.answered_badly(self._member, now)
             return
         load = answer.load_permille or 0
-        self._chooser.answered(self._member, load, spent_s, now)
+        self._chooser.answered(
+            self._member,
+            load,
+            spent_s,
+            now,
+            is_bulk=self._graded.is_bulk,
+        )
 
     async def _open_link(self) -> PeerLink:
         node = self._member.node
--- a/filbertdrift/link.py
+++ b/filbertdrift/link.py
@@ -22,8 +22,7 @@
 # calls that nothing was heard of sooner. A fleet's idle connections are many.
 KEEP_ALIVE_S = 4.0
 BUSY_KEEP_ALIVE_S = 0.25
-# A connection that owes a sign of life for so long gets no new calls, and
-# repeatable ones go elsewhere.
+# A connection that owes a sign of life for so long gets no new calls.
 SUSPECT_S = 0.5
 # A connection that owes a sign of life for so long is closed.
 SILENT_S = 2.5
@@ -43,7 +42,8 @@
         window_bytes: How much this side may send before it gets credit.
 
     Attributes:
-        is_repeatable: It is given up as soon as its connection is suspect.
+        give_up_s: It is given up once its connection owes a sign of life for
+            so long.
     """
 
     def __init__(
@@ -55,7 +55,7 @@
         """Start open."""
         self.peer = conn.peer
         self.call_id = call_id
-        self.is_repeatable = False
+        self.give_up_s = float('inf')
         self._conn = conn
         self._window_bytes = window_bytes
         self._credited = asyncio.Event()
@@ -197,8 +197,7 @@
             self.close('idle')
         elif now - self.heard_at >= self._quiet_s():
             self._ask(now)
-        if self.is_suspect(now):
-            self._give_up_repeatable()
+        self._give_up_calls(self._owed_s(now))
 
     def is_suspect(self, now: float) -> bool:
         """Tell whether nothing was heard though a sign of life was due.
@@ -235,10 +234,12 @@
     def _quiet_s(self) -> float:
         return BUSY_KEEP_ALIVE_S if self._calls else KEEP_ALIVE_S
 
-    def _give_up_repeatable(self) -> None:
+    def _give_up_calls(self, owed_s: float) -> None:
+        if owed_s < SUSPECT_S:
+            return
         exc = PeerUnavailable('suspect', step='call', peer=self.peer)
         for call in list(self._calls.values()):
-            if call.is_repeatable:
+            if owed_s >= call.give_up_s:
                 call.fail(exc)
 
     async def _read(self) -> None:
--- a/tests/test_chooser.py
+++ b/tests/test_chooser.py
@@ -123,3 +123,23 @@
 
     def test_not_when_it_is_far_busier(self) -> None:
         self.assertThat(self.drawn(own_load=1400), LessThan(100))
+
+
+class NarrowLinkTest(TestCase):
+    """Pattern: large bodies fill the link of one target's instance."""
+
+    def test_large_bodies_go_where_they_are_fast(self) -> None:
+        chooser = TargetChooser('a', '', random.Random(7))
+        members = [target(number) for number in range(4)]
+        for member in members:
+            is_narrow = member.node == 'a-0:7000'
+            latency_s = 2.0 if is_narrow else 0.3
+            chooser.answered(member, 300, 0.05, 10)
+            chooser.answered(member, 300, latency_s, 10, is_bulk=True)
+        drawn = [
+            chooser.choose(members, (), 10, is_bulk=True) for _ in range(200)
+        ]
+        narrow = [member for member in drawn if member is members[0]]
+        self.assertThat(len(narrow), Equals(0))
+        small = [chooser.choose(members, (), 10) for _ in range(200)]
+        self.assertThat(small.count(members[0]), GreaterThan(30))
