--- a/standins/cutting_proxy.py
+++ b/standins/cutting_proxy.py
@@ -55,7 +55,7 @@
         """Listen."""
         self._server = await asyncio.start_server(self._serve, *self._listen)
 
-    def set_fault(self, fault: Fault) -> None:
+    def play(self, fault: Fault) -> None:
         """Change what happens from now on."""
         self._fault = fault
         if fault is Fault.SILENCE:
--- a/standins/soak.py
+++ b/standins/soak.py
@@ -325,9 +325,9 @@
         await self._break(place.store_proxy)
 
     async def _break(self, proxy: CuttingProxy) -> None:
-        proxy.set_fault(self._rng.choice(list(Fault)))
+        proxy.play(self._rng.choice(list(Fault)))
         await asyncio.sleep(self._rng.uniform(0.2, 3))
-        proxy.set_fault(Fault.NONE)
+        proxy.play(Fault.NONE)
 
     async def _replace_target(self, place: SoakInstance) -> None:
         if self._rng.random() < 0.5:
@@ -351,8 +351,8 @@
 
     async def _mend(self) -> None:
         for place in self.instances:
-            place.target_proxy.set_fault(Fault.NONE)
-            place.store_proxy.set_fault(Fault.NONE)
+            place.target_proxy.play(Fault.NONE)
+            place.store_proxy.play(Fault.NONE)
             place.signal(signal.SIGCONT)
         self._store.is_down = False
 
--- a/tests/broken_daemon.py
+++ b/tests/broken_daemon.py
@@ -41,7 +41,7 @@
     """Hand requests to a target that has said that it leaves."""
 
     def ignoring(self: object, heartbeat: object) -> None:
-        return None
+        """Do nothing."""
 
     lifecycle.TargetLifecycle._leave = ignoring  # type: ignore[method-assign]
 
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -49,8 +49,9 @@
 def request(
     path: str = '/read/x',
     body: bytes = b'',
-    *headers: str,
+    headers: tuple[str, ...] = (),
     host: str = 'desk.example',
+    *,
     keep: bool = False,
 ) -> bytes:
     """Return a request as a caller sends it."""
@@ -162,7 +163,7 @@
                 request('/other/x'): 404,
                 request(host='other.example'): 404,
                 request(body=b'x' * 101): 413,
-                request('/read/x', b'', 'x-long: ' + 'x' * 1000): 431,
+                request(headers=('x-long: ' + 'x' * 1000,)): 431,
                 b'nonsense\r\n\r\n': 400,
             }
             for raw, status in wanted.items():
@@ -184,7 +185,7 @@
     async def _headers(self) -> None:
         async with socket_mesh() as mesh:
             await mesh.send(
-                request('/read/x', b'', 'caller-service: forged', 'x-own: 1'),
+                request(headers=('caller-service: forged', 'x-own: 1')),
             )
             sent = mesh.received[0].lower()
             self.assertThat(sent, Contains(b'caller-service: desk\r\n'))
@@ -198,7 +199,7 @@
     async def _chunked(self) -> None:
         async with socket_mesh() as mesh:
             body = b'5\r\nhello\r\n0\r\n\r\n'
-            raw = request('/write/x', body, 'transfer-encoding: chunked')
+            raw = request('/write/x', body, ('transfer-encoding: chunked',))
             answer = await mesh.send(raw)
             self.assertThat(answer, StartsWith(b'HTTP/1.1 200 '))
             self.assertThat(mesh.received[0], Contains(b'\r\n\r\nhello'))
