Questions to a peer are given up as soon as its connection is suspect

Found by the trace distribution (lossy links): with idle connections asked every 4 s, a pull on a silent connection waited 2.5 s, and c-0 was in force 3.1 s after the publish instead of within 3. Failed since then, passes now.

--- a/filbertdrift/link.py
+++ b/filbertdrift/link.py
@@ -357,6 +357,8 @@
     async def _ask(self, peer: str, body: object) -> object:
         link = await self.link(peer)
         call = link.begin()
+        # What is asked of one peer can be asked of another.
+        call.give_up_s = SUSPECT_S
         try:
             await call.send(body)
             return await call.receive()
