What cannot be answered in time is refused before its deadline

A request waited in the gate's queue until its deadline, when nobody could be told any more, and the entry gave up 30 ms after the deadline. It is refused now when it could no longer be answered in time, and the entry waits 0.15 s for the gate's word. HopelessTest failed before.

--- a/filbertdrift/dispatch.py
+++ b/filbertdrift/dispatch.py
@@ -27,8 +27,9 @@
 MS_PER_S = 1000
 # Gates that may refuse one request before it goes back to its caller.
 MAX_REFUSALS = 3
-# A target ends its work at the deadline; its answer needs a moment to arrive.
-ANSWER_SLACK_S = 0.03
+# A target ends its work at the deadline, and a gate refuses what it cannot
+# serve until then; their word needs a moment to arrive over a narrow link.
+ANSWER_SLACK_S = 0.15
 # What is left of a deadline must be worth another try.
 MIN_TRY_S = 0.01
 # Load of the targets near by from which on requests go farther. Bytes between
--- a/filbertdrift/objective_gate.py
+++ b/filbertdrift/objective_gate.py
@@ -130,13 +130,15 @@
             self._take_slot(_Tier(demand.rank, is_late=False))
             return
         waiter = self._enqueue(demand, now)
+        # Later than that it could not be answered before its deadline.
+        latest_start = demand.deadline - self._kind_s[demand.kind]
         try:
-            async with asyncio.timeout_at(demand.deadline):
+            async with asyncio.timeout_at(latest_start):
                 await waiter.admitted
         except TimeoutError as exc:
             self._leave(waiter)
             self.counters.expired += 1
-            raise self._refusal('the deadline passed in the queue') from exc
+            raise self._refusal('its turn did not come in time') from exc
         except asyncio.CancelledError:
             self._leave(waiter)
             raise
--- a/tests/test_objective_gate.py
+++ b/tests/test_objective_gate.py
@@ -6,6 +6,7 @@
 
 from testtools import TestCase
 from testtools.matchers import Equals, GreaterThan, LessThan
+from testtools.testcase import ExpectedException
 
 from filbertdrift.errors import RequestNotRun
 from filbertdrift.objective_gate import Demand, ObjectiveGate
@@ -152,6 +153,29 @@
         self.assertThat(served, Equals(True))
 
 
+class HopelessTest(TestCase):
+    """What cannot be answered before its deadline is refused before it."""
+
+    def test_refused_while_the_caller_can_still_come_back(self) -> None:
+        run_virtual(self._hopeless())
+
+    async def _hopeless(self) -> None:
+        gate = ObjectiveGate(1, random.Random(7))
+        loop = asyncio.get_running_loop()
+        for _ in range(60):
+            await gate.admit(
+                Demand(1, 'read', loop.time() + 1, loop.time() + 9)
+            )
+            await asyncio.sleep(WORK_S)
+            gate.release('read', WORK_S)
+        blocking = Demand(1, 'read', loop.time() + 9, loop.time() + 9)
+        await gate.admit(blocking)
+        began = loop.time()
+        with ExpectedException(RequestNotRun):
+            await gate.admit(Demand(1, 'read', began + 1, began + 1))
+        self.assertThat(loop.time() - began, LessThan(1 - 0.9 * WORK_S))
+
+
 class ClosingTest(TestCase):
     """A gate that closes refuses what waits."""
 
