--- a/filbertdrift/entry.py
+++ b/filbertdrift/entry.py
@@ -10,7 +10,6 @@
 from filbertdrift import http1
 from filbertdrift.callerport import CallerConnection, CallerPort
 from filbertdrift.contract import HeaderContract, deadline_left_s
-from filbertdrift.dispatch import GradedAnswer, GradedRequest
 from filbertdrift.errors import (
     FilbertdriftError,
     MalformedMessage,
@@ -20,6 +19,7 @@
 from filbertdrift.http1 import BodyPart, Headers, RequestHead
 from filbertdrift.request import EntryRequest
 from filbertdrift.routing import CallerLimits, GradedRoute, bare_host
+from filbertdrift.target_attempt import GradedAnswer, GradedRequest
 
 MS_PER_S = 1000
 FIRST_CHUNK_BYTES = 65_536
--- a/filbertdrift/mesh.py
+++ b/filbertdrift/mesh.py
@@ -21,7 +21,7 @@
 from filbertdrift.crash_sync import CrashSync
 from filbertdrift.crashes import CrashLedger
 from filbertdrift.directory import Directory
-from filbertdrift.dispatch import Dispatcher, GradedAnswer, GradedRequest
+from filbertdrift.dispatch import Dispatcher
 from filbertdrift.entry import EntryServer
 from filbertdrift.errors import LogUnavailable, MalformedMessage
 from filbertdrift.gen import ttypes
@@ -41,6 +41,7 @@
 from filbertdrift.retrybudget import RetryLimits, SharedRetryBudget
 from filbertdrift.routing import CallerLimits, GradedRoute
 from filbertdrift.supervise import Supervisor
+from filbertdrift.target_attempt import GradedAnswer, GradedRequest
 
 BOOT_PEERS = 3
 BOOT_BACKOFF_S = 0.2
--- /dev/null
+++ b/filbertdrift/target_attempt.py
@@ -0,0 +1,245 @@
+"""One try of one graded request at the node beside one target."""
+
+import asyncio
+from dataclasses import dataclass
+
+from loguru import logger
+
+from filbertdrift.chooser import TargetChooser
+from filbertdrift.errors import (
+    FilbertdriftError,
+    MalformedMessage,
+    PeerUnavailable,
+    RequestNotRun,
+    RequestUnknown,
+)
+from filbertdrift.forwarded import ForwardedAnswer
+from filbertdrift.gen import ttypes
+from filbertdrift.link import SUSPECT_S, CallStream, LinkPool, PeerLink
+from filbertdrift.members import Member
+from filbertdrift.request import EntryRequest
+from filbertdrift.routing import GradedRoute
+
+MS_PER_S = 1000
+COME_BACK_MS = 100
+STATUS_SERVER_ERROR = 500
+# From that size on a body is large: it fills narrow links.
+BULK_BYTES = 16_384
+# A target ends its work at the deadline, and a gate refuses what it cannot
+# serve until then; their word needs a moment to arrive over a narrow link.
+ANSWER_SLACK_S = 0.15
+# A repeatable request goes elsewhere once the way to its target has owed a sign
+# of life for that part of its time. Narrow links are silent for some tenths of
+# a second under load.
+GIVE_UP_SHARE = 0.35
+
+
+@dataclass(slots=True)
+class GradedRequest:
+    """A request with the route and the service chosen for it.
+
+    Args:
+        req: The request as it entered.
+        route: Its route.
+        service: The service that it goes to, whatever is tried.
+        objective_at: An answer until then is worth most, on the loop's clock.
+        version: The configuration's version that it began with.
+    """
+
+    req: EntryRequest
+    route: GradedRoute
+    service: str
+    objective_at: float
+    version: int
+
+    @property
+    def is_bulk(self) -> bool:
+        """Tell whether its body is large."""
+        return len(self.req.first_chunk) >= BULK_BYTES
+
+
+class GradedAnswer(ForwardedAnswer):
+    """An answer that may have come before its request's body was sent."""
+
+    upload: asyncio.Task[None] | None = None
+
+    async def finish_upload(self) -> None:
+        """Wait until the rest of the request's body is passed on."""
+        if self.upload is not None:
+            await asyncio.wait((self.upload,))
+
+
+class TargetAttempt:
+    """One try of one request at the node beside one target.
+
+    Args:
+        links: Connections to the other nodes.
+        chooser: Is told what becomes of it.
+        member: The node beside the target.
+        graded: The request.
+
+    Attributes:
+        reached_target: The target itself refused it.
+        is_body_sent: More of its body went out than can be sent again.
+    """
+
+    def __init__(
+        self,
+        links: LinkPool,
+        chooser: TargetChooser,
+        member: Member,
+        graded: GradedRequest,
+    ) -> None:
+        """Start before anything is sent."""
+        self.reached_target = False
+        self.is_body_sent = False
+        self._links = links
+        self._chooser = chooser
+        self._member = member
+        self._graded = graded
+        self._req = graded.req
+        self._upload: asyncio.Task[None] | None = None
+
+    async def run(self) -> GradedAnswer:
+        """Send the request and return the opened answer.
+
+        Raises:
+            RequestNotRun: It was refused before work.
+            RequestUnknown: It may have run.
+        """
+        loop = asyncio.get_running_loop()
+        started_at = loop.time()
+        self._chooser.began(self._member, started_at)
+        try:
+            link = await self._open_link()
+        except BaseException:
+            self._chooser.ended(self._member, loop.time())
+            raise
+        call = link.begin()
+        if self._graded.route.is_idempotent:
+            left_s = self._req.deadline - started_at
+            call.give_up_s = max(SUSPECT_S, left_s * GIVE_UP_SHARE)
+        try:
+            answer = await self._exchange(call)
+        except BaseException:
+            self._end(link, call, cancel=True)
+            raise
+        self._note_answer(answer, loop.time() - started_at)
+        opened = GradedAnswer(
+            answer,
+            call,
+            lambda cancel: self._end(link, call, cancel=cancel),
+        )
+        opened.upload = self._upload
+        return opened
+
+    def _note_answer(self, answer: ttypes.AnswerOpen, spent_s: float) -> None:
+        now = asyncio.get_running_loop().time()
+        if answer.status >= STATUS_SERVER_ERROR:
+            self._chooser.answered_badly(self._member, now)
+            return
+        load = answer.load_permille or 0
+        self._chooser.answered(
+            self._member,
+            load,
+            spent_s,
+            now,
+            is_bulk=self._graded.is_bulk,
+        )
+
+    async def _open_link(self) -> PeerLink:
+        node = self._member.node
+        try:
+            return self._links.ready(node) or await self._links.link(node)
+        except PeerUnavailable as exc:
+            now = asyncio.get_running_loop().time()
+            self._chooser.failed(self._member, now, unreachable=True)
+            raise RequestNotRun(
+                exc.reason,
+                come_back_ms=COME_BACK_MS,
+                step=exc.step,
+                peer=exc.peer,
+            ) from exc
+
+    async def _exchange(self, call: CallStream) -> ttypes.AnswerOpen:
+        loop = asyncio.get_running_loop()
+        deadline = self._req.deadline + ANSWER_SLACK_S
+        try:
+            async with asyncio.timeout_at(deadline):
+                await call.send(self._opening())
+                if not self._req.is_whole:
+                    self._upload = loop.create_task(self._pump(call))
+                body = await call.receive()
+        except TimeoutError as exc:
+            raise self._unknown('the deadline passed') from exc
+        except (PeerUnavailable, MalformedMessage) as exc:
+            raise self._unknown(exc.reason) from exc
+        if isinstance(body, ttypes.AnswerOpen):
+            return body
+        if isinstance(body, ttypes.Refusal):
+            raise self._refused(body)
+        raise self._unknown(f'unexpected {type(body).__name__}')
+
+    async def _pump(self, call: CallStream) -> None:
+        """Pass the rest of the body on, also while the answer comes."""
+        end = False
+        try:
+            while not end:
+                await call.wait_for_credit()
+                self.is_body_sent = True
+                part = await self._req.read_body()
+                end = part.end
+                await call.send_chunk(part.chunk, end=end)
+        except FilbertdriftError as exc:
+            logger.bind(
+                event='upload_broken',
+                request=self._req.request_id,
+            ).info('{}', exc)
+            call.fail(exc)
+
+    def _opening(self) -> ttypes.RequestOpen:
+        now = asyncio.get_running_loop().time()
+        graded, req = self._graded, self._req
+        return ttypes.RequestOpen(
+            method=req.method,
+            path=req.path,
+            headers=[ttypes.Header(*header) for header in req.headers],
+            remaining_ms=max(int((req.deadline - now) * MS_PER_S), 1),
+            service_name=graded.service,
+            importance=graded.route.rank,
+            body=req.first_chunk,
+            end=req.is_whole,
+            request_id=req.request_id,
+            fingerprint=req.fingerprint,
+            generation=self._member.generation,
+            objective_ms=int((graded.objective_at - now) * MS_PER_S),
+            route_name=graded.route.name,
+            is_idempotent=graded.route.is_idempotent,
+        )
+
+    def _refused(self, body: ttypes.Refusal) -> Exception:
+        now = asyncio.get_running_loop().time()
+        self.reached_target = bool(body.reached_target)
+        if body.kind != ttypes.RefusalKind.NOT_RUN:
+            return self._unknown(body.reason or '')
+        load = body.load_permille or 0
+        kind = self._graded.route.name
+        self._chooser.refused(self._member, load, now, kind)
+        return RequestNotRun(
+            body.reason or '',
+            come_back_ms=body.come_back_ms or COME_BACK_MS,
+            step='gate',
+            peer=self._member.node,
+        )
+
+    def _unknown(self, reason: str) -> RequestUnknown:
+        now = asyncio.get_running_loop().time()
+        self._chooser.failed(self._member, now, unreachable=False)
+        return RequestUnknown(reason, step='gate', peer=self._member.node)
+
+    def _end(self, link: PeerLink, call: CallStream, *, cancel: bool) -> None:
+        if self._upload:
+            self._upload.cancel()
+        link.end(call, cancel=cancel)
+        now = asyncio.get_running_loop().time()
+        self._chooser.ended(self._member, now)
--- a/standins/mesh_fleet.py
+++ b/standins/mesh_fleet.py
@@ -9,7 +9,6 @@
 from typing import Any
 
 from filbertdrift import http1
-from filbertdrift.dispatch import GradedAnswer
 from filbertdrift.errors import LogUnavailable, PeerUnavailable
 from filbertdrift.identity import Identity
 from filbertdrift.keyedlog import (
@@ -31,6 +30,7 @@
 from filbertdrift.request import EntryRequest
 from filbertdrift.retrybudget import RetryLimits
 from filbertdrift.target import Exchange, Target, TargetRequest
+from filbertdrift.target_attempt import GradedAnswer
 
 DIRECTORY_STREAM = 'keyed.nodes'
 HOST = 'desk.example'
--- a/tests/broken_daemon.py
+++ b/tests/broken_daemon.py
@@ -6,7 +6,7 @@
 import sys
 from collections.abc import Callable, Mapping
 
-from filbertdrift import dispatch, handover, lifecycle
+from filbertdrift import dispatch, lifecycle, target_attempt, target_run
 from filbertdrift.config_holder import ConfigHolder
 from filbertdrift.errors import RequestNotRun, RequestUnknown
 from filbertdrift.platform import daemon
@@ -27,7 +27,7 @@
 
     async def lying(
         self: dispatch.Dispatcher,
-        graded: dispatch.GradedRequest,
+        graded: target_attempt.GradedRequest,
     ) -> object:
         try:
             return await tried(self, graded)
@@ -58,7 +58,7 @@
 
 def cross_answers() -> None:
     """Give a caller the body of the answer before its own."""
-    passed = handover._TargetRun._pass_answer
+    passed = target_run.TargetRun._pass_answer
     bodies = [b'']
 
     async def crossing(
@@ -72,7 +72,7 @@
             part = type(part)(before, part.end)
         await passed(self, head, part, load)
 
-    handover._TargetRun._pass_answer = crossing
+    target_run.TargetRun._pass_answer = crossing
 
 
 VARIANTS: Mapping[str, Callable[[], None]] = {
