--- a/filbertdrift/cli.py
+++ b/filbertdrift/cli.py
@@ -13,7 +13,7 @@
 from pydantic import BaseModel
 
 from filbertdrift import porcelain
-from filbertdrift.errors import EXIT_OK, FilbertdriftError
+from filbertdrift.errors import EXIT_OK, FilbertdriftError, SettingsError
 from filbertdrift.porcelain import DEFAULT_ADMIN
 
 
@@ -151,6 +151,11 @@
 
     def trace(self, *files: str, request: str = '', node: str = '') -> None:
         """Show what became of a request, or what a node believed, from logs."""
+        if isinstance(request, float):
+            raise SettingsError(
+                f'{request} was read as a number; write --request \'"ID"\'',
+                step='trace',
+            )
         for event in porcelain.trace(files, str(request), str(node)):
             self._print.show(event.text())
 
@@ -211,7 +216,8 @@
     except FilbertdriftError as exc:
         sys.stderr.write(f'filbertdrift: {exc}\n')
         return exc.exit_code
-    except KeyboardInterrupt:
+    except (KeyboardInterrupt, BrokenPipeError):
+        # The reader of the output, such as head, has what it wants.
         return EXIT_OK
     return EXIT_OK
 
