Members' lines name the member apart from the node that writes

A line on a member overwrote the writing node's name, and lines on dropped lines had neither time nor node, so filbertdrift trace could not place them.

--- a/filbertdrift/eventlog.py
+++ b/filbertdrift/eventlog.py
@@ -37,17 +37,20 @@
     """A sink for loguru.
 
     Args:
+        node: The node's name.
         descriptor: The file descriptor that lines are written to.
         lines_per_s: Rate limit for each kind of line.
     """
 
     def __init__(
         self,
+        node: str,
         descriptor: int = STDOUT,
         lines_per_s: float = KIND_LINES_PER_S,
     ) -> None:
         """Start the writing thread."""
         self.dropped: Counter[str] = Counter()
+        self._node = node
         self._descriptor = descriptor
         self._lines_per_s = lines_per_s
         self._buckets: dict[str, _Bucket] = {}
@@ -105,10 +108,15 @@
         new = self.dropped - self._reported
         if new:
             self._reported = Counter(self.dropped)
-            self._put(
-                'log_dropped',
-                _line({'event': 'log_dropped', 'lines': dict(new)}),
-            )
+            fields = {
+                'time': time.time(),
+                'level': 'WARNING',
+                'node': self._node,
+                'event': 'log_dropped',
+                'lines': dict(new),
+                'message': 'log lines were dropped',
+            }
+            self._put('log_dropped', _line(fields))
 
     def _write_lines(self) -> None:
         while True:
@@ -152,7 +160,7 @@
         level: The least level that is written.
         descriptor: The file descriptor that lines are written to.
     """
-    sink = EventLog(descriptor)
+    sink = EventLog(node, descriptor)
     logger.remove()
     logger.configure(extra={'node': node})
     logger.add(sink.write, level=level, format='{message}', catch=True)
--- a/filbertdrift/mesh.py
+++ b/filbertdrift/mesh.py
@@ -346,7 +346,7 @@
         for member in changed:
             logger.bind(
                 event='member',
-                node=member.node,
+                member=member.node,
                 generation=member.generation,
                 version=member.version,
                 service=member.service,
--- a/tests/test_eventlog.py
+++ b/tests/test_eventlog.py
@@ -48,3 +48,19 @@
         self.assertThat(len(refused), LessThan(300))
         self.assertThat(events[-1]['event'], Equals('stopped'))
         self.assertThat(events[-1]['node'], Equals('n'))
+
+    def test_dropped_lines_are_counted_in_a_line(self) -> None:
+        reading, writing = os.pipe()
+        self.addCleanup(os.close, reading)
+        sink = configure_event_log('n', descriptor=writing)
+        self.addCleanup(logger.remove)
+        sink._drops_at = 0
+        sink.dropped['refused'] = 7
+        logger.bind(event='stopped').info('stopped')
+        sink.close()
+        os.close(writing)
+        events = [
+            json.loads(line) for line in os.read(reading, 9999).splitlines()
+        ]
+        self.assertThat(events[1]['lines'], Equals({'refused': 7}))
+        self.assertThat(events[1]['node'], Equals('n'))
