A slow peer does not hold up the fetch of a configuration

One fetch at a time, given up after 0.5 s without a sign of life, over a busy link of 2.5 Mbit/s. A fetch now has 2 s, and one that takes longer than 0.4 s gets company from another peer. The test failed before.

--- a/filbertdrift/config_exchange.py
+++ b/filbertdrift/config_exchange.py
@@ -12,7 +12,12 @@
 from filbertdrift.link import LinkPool
 from filbertdrift.membership import Membership
 
-PULL_TIMEOUT_S = 1.0
+# A narrow link that is busy takes its time for a document.
+FETCH_TIMEOUT_S = 2.0
+FETCH_GIVE_UP_S = 1.0
+# A fetch that takes longer than that gets company from another peer.
+SLOW_FETCH_S = 0.4
+MAX_FETCHES = 2
 MAX_DOCUMENT_BYTES = 16_777_216
 
 
@@ -38,7 +43,8 @@
         self._holder = holder
         self._membership = membership
         self._links = links
-        self._is_fetching = False
+        # Peers that are being asked, and since when.
+        self._asked_at: dict[str, float] = {}
         self._next_sender = ''
         self._tasks: set[asyncio.Task[None]] = set()
         membership.config_digest = holder.digest
@@ -58,12 +64,11 @@
             version: The version in force there.
             digest: The digest of its document.
         """
-        if version <= self._holder.version:
+        if version <= self._holder.version or sender in self._asked_at:
             return
-        if self._is_fetching:
+        if not self._may_fetch():
             self._next_sender = sender
             return
-        self._is_fetching = True
         loop = asyncio.get_running_loop()
         task = loop.create_task(self._fetch_newer(sender))
         self._tasks.add(task)
@@ -82,21 +87,37 @@
         found = await asyncio.gather(*(self._fetch(peer) for peer in peers))
         return any(found)
 
+    def _may_fetch(self) -> bool:
+        """Tell whether another peer may be asked now."""
+        if not self._asked_at:
+            return True
+        if len(self._asked_at) >= MAX_FETCHES:
+            return False
+        now = asyncio.get_running_loop().time()
+        return now - min(self._asked_at.values()) >= SLOW_FETCH_S
+
     async def _fetch_newer(self, sender: str) -> None:
-        try:
-            while sender:
-                self._next_sender = ''
-                if await self._fetch(sender):
-                    self.notify()
-                sender = self._next_sender
-        finally:
-            self._is_fetching = False
+        while sender and sender not in self._asked_at:
+            self._next_sender = ''
+            self._asked_at[sender] = asyncio.get_running_loop().time()
+            try:
+                is_newer = await self._fetch(sender)
+            finally:
+                self._asked_at.pop(sender, None)
+            if is_newer:
+                self.notify()
+            sender = self._next_sender
 
     async def _fetch(self, peer: str) -> bool:
-        deadline = asyncio.get_running_loop().time() + PULL_TIMEOUT_S
+        deadline = asyncio.get_running_loop().time() + FETCH_TIMEOUT_S
         question = ttypes.PullConfig(self._holder.version, whole=True)
         try:
-            reply = await self._links.ask(peer, question, deadline)
+            reply = await self._links.ask(
+                peer,
+                question,
+                deadline,
+                FETCH_GIVE_UP_S,
+            )
             document = _document(reply)
         except (PeerUnavailable, MalformedMessage) as exc:
             logger.bind(event='config_fetch_failed').info('{}', exc)
--- a/filbertdrift/link.py
+++ b/filbertdrift/link.py
@@ -304,13 +304,20 @@
             return False
         return link.is_suspect(asyncio.get_running_loop().time())
 
-    async def ask(self, peer: str, body: object, deadline: float) -> object:
+    async def ask(
+        self,
+        peer: str,
+        body: object,
+        deadline: float,
+        give_up_s: float = SUSPECT_S,
+    ) -> object:
         """Make one call with a single answer.
 
         Args:
             peer: The node to ask.
             body: The question.
             deadline: When to give up, on the event loop's clock.
+            give_up_s: How long the connection may owe a sign of life.
 
         Returns:
             The answer.
@@ -320,7 +327,7 @@
         """
         try:
             async with asyncio.timeout_at(deadline):
-                return await self._ask(peer, body)
+                return await self._ask(peer, body, give_up_s)
         except TimeoutError as exc:
             raise PeerUnavailable('timeout', step='ask', peer=peer) from exc
 
@@ -354,11 +361,16 @@
             # Whoever waited has the error; nobody may be left to take it.
             task.exception()
 
-    async def _ask(self, peer: str, body: object) -> object:
+    async def _ask(
+        self,
+        peer: str,
+        body: object,
+        give_up_s: float,
+    ) -> object:
         link = await self.link(peer)
         call = link.begin()
         # What is asked of one peer can be asked of another.
-        call.give_up_s = SUSPECT_S
+        call.give_up_s = give_up_s
         try:
             await call.send(body)
             return await call.receive()
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -8,6 +8,7 @@
 
 from filbertdrift.configwatch import LONG_POLL_S
 from filbertdrift.errors import RequestNotRun, RequestUnknown
+from filbertdrift.network_memory import MemoryNetwork
 from standins.mesh_fleet import (
     MeshFleet,
     TargetScript,
@@ -32,6 +33,11 @@
     return fleet
 
 
+async def _ignore(*_: object) -> None:
+    """Serve a connection that never answers."""
+    await asyncio.sleep(3600)
+
+
 class RequestTest(TestCase):
     """What becomes of one request."""
 
@@ -283,6 +289,26 @@
         fleet.log.expire('keyed.op')
         self.assertThat(await fleet.until_in_force(3, 5), LessThan(3))
 
+    def test_slow_peer_does_not_hold_up_the_fetch(self) -> None:
+        run_virtual(self._slow_peer())
+
+    async def _slow_peer(self) -> None:
+        """Pattern: the way to the first peer that is asked is choked."""
+        fleet = await settled_fleet(seed=23, domains='ab')
+        node = fleet.places['a-0:7000'].node
+        fleet.places['a-0:7000'].log.is_cut = True
+        fleet.fabric.freeze('stuck:7000')
+        await MemoryNetwork(fleet.fabric, 'stuck:7000').start(_ignore, _ignore)
+        node.exchange.compare('stuck:7000', 7, b'')
+        await asyncio.sleep(0.1)
+        await fleet.publish(config_document(version=7))
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        while node.holder.version < 7:
+            await asyncio.sleep(0.05)
+            node.exchange.compare('b-0:7000', 7, b'')
+        self.assertThat(loop.time() - began, LessThan(0.6))
+
     def test_watchers_that_leave_are_replaced(self) -> None:
         run_virtual(self._leaving_watchers())
 
