A connection that ends as it opens is a refusal, not a lost request

Found by reading: if the connection to a node broke between its opening and the call, the error passed all handlers, the caller's connection was aborted without an answer and the target's count of requests in flight stayed up. The test failed before.

--- a/filbertdrift/target_attempt.py
+++ b/filbertdrift/target_attempt.py
@@ -111,11 +111,10 @@
         started_at = loop.time()
         self._chooser.began(self._member, started_at)
         try:
-            link = await self._open_link()
+            link, call = await self._begin_call()
         except BaseException:
             self._chooser.ended(self._member, loop.time())
             raise
-        call = link.begin()
         if self._graded.route.is_idempotent:
             left_s = self._req.deadline - started_at
             call.give_up_s = max(SUSPECT_S, left_s * GIVE_UP_SHARE)
@@ -147,10 +146,11 @@
             is_bulk=self._graded.is_bulk,
         )
 
-    async def _open_link(self) -> PeerLink:
+    async def _begin_call(self) -> tuple[PeerLink, CallStream]:
         node = self._member.node
         try:
-            return self._links.ready(node) or await self._links.link(node)
+            link = self._links.ready(node) or await self._links.link(node)
+            return link, link.begin()
         except PeerUnavailable as exc:
             now = asyncio.get_running_loop().time()
             self._chooser.failed(self._member, now, unreachable=True)
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -8,6 +8,7 @@
 
 from filbertdrift.configwatch import LONG_POLL_S
 from filbertdrift.errors import RequestNotRun, RequestUnknown
+from filbertdrift.link import PeerLink
 from filbertdrift.network_memory import MemoryNetwork
 from standins.mesh_fleet import (
     MeshFleet,
@@ -381,6 +382,25 @@
                 await asyncio.sleep(0.02)
             link.end(call)
 
+    def test_connection_that_ends_as_it_opens(self) -> None:
+        run_virtual(self._ends_at_once())
+
+    async def _ends_at_once(self) -> None:
+        fleet = await settled_fleet(seed=24, domains='aa')
+        links = fleet.places['a-0:7000'].node.links
+        opened = links.link
+
+        async def ending(peer: str) -> PeerLink:
+            link = await opened(peer)
+            link.close('ended')
+            return link
+
+        for peer in fleet.places:
+            (await opened(peer)).close('ended')
+        links.link = ending  # type: ignore[method-assign]
+        with ExpectedException(RequestNotRun):
+            await fleet.call('a-0:7000', '/write/1')
+
     def test_dead_instance_costs_one_connect(self) -> None:
         run_virtual(self._dead())
 
