The directory drops nodes that are gone for long

The first-ranked member drops entries of its own domain after three looks without their node; a domain that is cut off stays entered. EntryTest.test_nodes_that_are_gone_are_dropped failed before.

--- a/filbertdrift/directory.py
+++ b/filbertdrift/directory.py
@@ -6,13 +6,15 @@
 
 import asyncio
 import random
-from collections.abc import Sequence
+from collections import Counter
+from collections.abc import Mapping, Sequence
 
 from loguru import logger
 
 from filbertdrift.errors import LogUnavailable
 from filbertdrift.keyedlog import KeyedLog, KeyedRecord
 from filbertdrift.membership import Membership
+from filbertdrift.rendezvous import rank
 
 NEAR_PEERS = 3
 FAR_PEERS = 2
@@ -22,6 +24,8 @@
 # find each other.
 LOOK_AGAIN_S = 60.0
 MIN_SPREAD = 0.75
+# An entry is dropped after that many looks without its node.
+MISSES = 3
 
 
 class Directory:
@@ -50,6 +54,8 @@
         self._membership = membership
         self._seeds = list(seeds)
         self._rng = rng
+        # Looks in a row at which a node of this domain was missing.
+        self._missed: Counter[str] = Counter()
 
     async def enter(self) -> None:
         """Write this node's entry.
@@ -76,7 +82,38 @@
             record.key: record.payload.decode('utf-8', 'replace')
             for record in page.records
         }
-        return await self._membership.join(self._draw(entries))
+        answered = await self._membership.join(self._draw(entries))
+        await self._drop_gone(entries)
+        return answered
+
+    async def _drop_gone(self, entries: Mapping[str, str]) -> None:
+        """Drop entries of this domain whose nodes are gone for long.
+
+        Only the first-ranked member does so, for its own domain: it is on the
+        same side of every cut between domains.
+        """
+        domain = self._membership.me.domain
+        alive = {member.node for member in self._membership.table.alive()}
+        gone = [
+            node
+            for node, of_domain in entries.items()
+            if of_domain == domain and node not in alive
+        ]
+        self._missed = Counter({node: self._missed[node] + 1 for node in gone})
+        if not self._is_first():
+            return
+        for node in [found for found in gone if self._missed[found] >= MISSES]:
+            await self._log.append(self._stream, KeyedRecord(node, b''))
+            logger.bind(event='directory_dropped', member=node).info(
+                'entry of {} dropped',
+                node,
+            )
+
+    def _is_first(self) -> bool:
+        me = self._membership.me
+        members = self._membership.table.in_domain(me.domain)
+        ranked = rank(self._stream, [member.node for member in members])
+        return list(ranked[:1]) == [me.node]
 
     async def run(self) -> None:
         """Enter, join and look again until cancelled."""
