--- a/filbertdrift/directory.py
+++ b/filbertdrift/directory.py
@@ -102,13 +102,16 @@
         self._missed = Counter({node: self._missed[node] + 1 for node in gone})
         if not self._is_first():
             return
-        for node in [found for found in gone if self._missed[found] >= MISSES]:
+        for node in filter(self._is_gone, gone):
             await self._log.append(self._stream, KeyedRecord(node, b''))
             logger.bind(event='directory_dropped', member=node).info(
                 'entry of {} dropped',
                 node,
             )
 
+    def _is_gone(self, node: str) -> bool:
+        return self._missed[node] >= MISSES
+
     def _is_first(self) -> bool:
         me = self._membership.me
         members = self._membership.table.in_domain(me.domain)
