--- a/filbertdrift/objective_gate.py
+++ b/filbertdrift/objective_gate.py
@@ -27,6 +27,11 @@
 TIER_SHARE_WEIGHT = 0.02
 # The tiers before one leave at least this part of the slots in estimates.
 MIN_LEFT_SHARE = 0.1
+# Part of the slots' time that each rank gets if it has requests: the urgent
+# go first, but the others do not starve.
+GUARANTEED_SHARE = 0.15
+# Decay, for each request, of the slots' time that a rank has had.
+RANK_TIME_KEPT = 0.99
 # Part of the time to its deadline that a late request may be expected to wait.
 LATE_WAIT_SHARE = 0.5
 # A target with more waiting than this for each slot is certainly too slow.
@@ -100,6 +105,8 @@
         self._mean_s = FIRST_SERVICE_TIME_S
         # Part of the slots that each tier has taken lately.
         self._tier_share: dict[_Tier, float] = {}
+        # Time of slots that each rank has taken lately, decayed.
+        self._rank_time_s: dict[int, float] = {}
         self._kind_s: dict[str, float] = defaultdict(lambda: self._mean_s)
 
     @property
@@ -127,7 +134,7 @@
         if now >= demand.deadline:
             raise self._refusal('the deadline has passed')
         if not self._queue and self.running < self.slots:
-            self._take_slot(_Tier(demand.rank, is_late=False))
+            self._take_slot(_Tier(demand.rank, is_late=False), demand.kind)
             return
         waiter = self._enqueue(demand, now)
         # Later than that it could not be answered before its deadline.
@@ -201,8 +208,14 @@
             (waiter.tier, waiter.latest_start) <= place
             for waiter in self._queue
         )
-        wait_s = (ahead + 1) * self._mean_s / self.slots
-        return wait_s / self._left_share(tier)
+        turn_s = self._mean_s / self.slots
+        wait_s = (ahead + 1) * turn_s / self._left_share(tier)
+        ahead_in_rank = sum(
+            waiter.tier.rank == tier.rank
+            and (waiter.tier, waiter.latest_start) <= place
+            for waiter in self._queue
+        )
+        return min(wait_s, (ahead_in_rank + 1) * turn_s / GUARANTEED_SHARE)
 
     def _left_share(self, tier: _Tier) -> float:
         """Return the part of the slots that the tiers before one leave."""
@@ -221,7 +234,11 @@
         if not last.admitted.done():
             last.admitted.set_exception(self._refusal('displaced'))
 
-    def _take_slot(self, tier: _Tier) -> None:
+    def _take_slot(self, tier: _Tier, kind: str) -> None:
+        times = self._rank_time_s
+        for rank in times:
+            times[rank] *= RANK_TIME_KEPT
+        times[tier.rank] = times.get(tier.rank, 0) + self._kind_s[kind]
         shares = self._tier_share
         shares.setdefault(tier, 0)
         for other, share in shares.items():
@@ -252,7 +269,7 @@
             if self._is_too_late(waiter, now):
                 self._expire(waiter)
                 continue
-            self._take_slot(waiter.tier)
+            self._take_slot(waiter.tier, waiter.demand.kind)
             waiter.admitted.set_result(None)
         self._give_up_hopeless(now)
 
@@ -274,18 +291,41 @@
         Those of its tier that cannot are refused then: their turn would make
         others late as well.
         """
-        tier = self._queue[0].tier
-        for index, waiter in enumerate(self._queue):
+        start = self._first_owed()
+        tier = self._queue[start].tier
+        for index in range(start, len(self._queue)):
+            waiter = self._queue[index]
             if waiter.tier != tier:
                 break
             if waiter.latest_start >= now:
-                self._expire_first(index)
+                self._expire_between(start, index)
                 break
-        return self._queue.pop(0)
+        return self._queue.pop(start)
 
-    def _expire_first(self, count: int) -> None:
-        for _ in range(count):
-            self._expire(self._queue.pop(0))
+    def _first_owed(self) -> int:
+        """Return the place of the first waiter whose rank is owed a turn.
+
+        A less urgent rank that has had less than its guaranteed part of the
+        slots goes before the more urgent ones.
+        """
+        seen = self._queue[0].tier.rank
+        for index, waiter in enumerate(self._queue):
+            rank = waiter.tier.rank
+            if rank == seen:
+                continue
+            seen = rank
+            if self._rank_time_share(rank) < GUARANTEED_SHARE:
+                return index
+        return 0
+
+    def _rank_time_share(self, rank: int) -> float:
+        """Return the part of the slots' time that a rank has had lately."""
+        total_s = sum(self._rank_time_s.values())
+        return self._rank_time_s.get(rank, 0) / total_s if total_s else 0
+
+    def _expire_between(self, start: int, end: int) -> None:
+        for _ in range(end - start):
+            self._expire(self._queue.pop(start))
 
     def _expire(self, waiter: _Waiter) -> None:
         self.counters.expired += 1
--- a/tests/test_objective_gate.py
+++ b/tests/test_objective_gate.py
@@ -100,6 +100,19 @@
         self.assertThat(urgent.in_time / urgent.asked, GreaterThan(0.95))
         self.assertThat(other.in_time, GreaterThan(200))
 
+    def test_the_less_urgent_does_not_starve(self) -> None:
+        run_virtual(self._starving())
+
+    async def _starving(self) -> None:
+        """Pattern: the urgent alone are more than the target can do."""
+        rng = random.Random(8)
+        gate = ObjectiveGate(8, rng)
+        tallies = await offer(gate, {1: 120, 2: 25}, 15, rng)
+        urgent, other = tallies[1], tallies[2]
+        # A seventh of 80 a second is left for the 25 a second of the other.
+        self.assertThat(other.in_time / other.asked, GreaterThan(0.3))
+        self.assertThat(urgent.in_time / urgent.asked, GreaterThan(0.45))
+
     def test_slots_are_kept_to(self) -> None:
         run_virtual(self._slots())
 
