--- a/filbertdrift/objective_gate.py
+++ b/filbertdrift/objective_gate.py
@@ -13,6 +13,7 @@
 import random
 from collections import defaultdict
 from dataclasses import dataclass, field
+from typing import NamedTuple
 
 from filbertdrift.errors import RequestNotRun
 
@@ -55,8 +56,7 @@
     deadline: float
 
 
-@dataclass(frozen=True, order=True, slots=True)
-class _Tier:
+class _Tier(NamedTuple):
     """Requests that go before or after all others: by rank, in time first."""
 
     rank: int
@@ -203,18 +203,19 @@
 
     def _expected_wait_s(self, tier: _Tier, latest_start: float) -> float:
         """Return how long a new request would wait in a tier."""
-        place = (tier, latest_start)
-        ahead = sum(
-            (waiter.tier, waiter.latest_start) <= place
-            for waiter in self._queue
+        ahead = bisect.bisect_right(
+            self._queue,
+            (tier, latest_start),
+            key=_place_of,
+        )
+        of_other_ranks = bisect.bisect_left(
+            self._queue,
+            tier.rank,
+            key=_rank_of,
         )
         turn_s = self._mean_s / self.slots
         wait_s = (ahead + 1) * turn_s / self._left_share(tier)
-        ahead_in_rank = sum(
-            waiter.tier.rank == tier.rank
-            and (waiter.tier, waiter.latest_start) <= place
-            for waiter in self._queue
-        )
+        ahead_in_rank = ahead - of_other_ranks
         return min(wait_s, (ahead_in_rank + 1) * turn_s / GUARANTEED_SHARE)
 
     def _left_share(self, tier: _Tier) -> float:
@@ -293,13 +294,14 @@
         """
         start = self._first_owed()
         tier = self._queue[start].tier
-        for index in range(start, len(self._queue)):
-            waiter = self._queue[index]
-            if waiter.tier != tier:
-                break
-            if waiter.latest_start >= now:
-                self._expire_between(start, index)
-                break
+        in_time = bisect.bisect_left(
+            self._queue,
+            (tier, now),
+            key=_place_of,
+        )
+        is_any = in_time < len(self._queue)
+        if is_any and self._queue[in_time].tier == tier:
+            self._expire_between(start, in_time)
         return self._queue.pop(start)
 
     def _first_owed(self) -> int:
@@ -349,3 +351,11 @@
             come_back_ms=min(int(come_back_ms), MAX_COME_BACK_MS),
             step='admit',
         )
+
+
+def _place_of(waiter: _Waiter) -> tuple[_Tier, float]:
+    return waiter.tier, waiter.latest_start
+
+
+def _rank_of(waiter: _Waiter) -> int:
+    return waiter.tier.rank
