Requests are offered first where the way may be dead or the body is large

Cause: an entry put the whole request on the connection to the node beside the target at once.

Change: on a connection that was not heard of for 0.1 s, and for bodies of 16 KiB or more, only the head goes out. The gate lets the request in and asks for the rest with its first credit; until the entry has sent that, the request has certainly not run, so it may go elsewhere after 0.25 s of silence whatever its kind. The messages are those that streamed uploads use.

Ruled out: an expiry on the opening message (needs clocks that agree; they step); asking each peer for its state before each request (a round trip on busy connections too).

Five tests fail without the change.

--- a/filbertdrift/handover.py
+++ b/filbertdrift/handover.py
@@ -15,6 +15,7 @@
 from filbertdrift.crashes import CrashLedger
 from filbertdrift.errors import (
     FilbertdriftError,
+    MalformedMessage,
     PeerUnavailable,
     RequestNotRun,
     RequestUnknown,
@@ -33,6 +34,11 @@
 # A target may drop an idle connection without notice. What may run only once
 # goes on a connection that was idle for no longer, or on a new one.
 FRESH_S = 1.0
+# Any credit lets the other side send one chunk.
+FIRST_CREDIT_BYTES = 1
+# What an entry held back must come within so long, as its request occupies a
+# slot. 64 KiB take 0.2 s on a link of 2.5 Mbit/s, and others share the link.
+HELD_BACK_S = 1.5
 
 
 @dataclass(slots=True)
@@ -122,10 +128,11 @@
         self._crashes.check(req.fingerprint or '')
         demand = _demand(req, loop.time())
         await current.gate.admit(demand)
-        self._running[call] = req.fingerprint or ''
-        started_at = loop.time()
         spent_s = 0.0
         try:
+            await _fetch_held_back(call, req, demand.deadline)
+            self._running[call] = req.fingerprint or ''
+            started_at = loop.time()
             exchange = await self._connect(current, req, demand.deadline)
             with contextlib.closing(exchange):
                 run = TargetRun(call, req, exchange, self._contract, reached)
@@ -257,6 +264,41 @@
         ).info('handover {}', outcome)
 
 
+async def _fetch_held_back(
+    call: CallStream,
+    req: ttypes.RequestOpen,
+    deadline: float,
+) -> None:
+    """Ask for what an entry held back until its request was let in.
+
+    Raises:
+        RequestNotRun: It did not come.
+        MalformedMessage: Something else came.
+    """
+    if req.end or req.body:
+        return
+    await call.grant(FIRST_CREDIT_BYTES)
+    latest = asyncio.get_running_loop().time() + HELD_BACK_S
+    try:
+        async with asyncio.timeout_at(min(deadline, latest)):
+            body = await call.receive()
+    except TimeoutError as exc:
+        raise RequestNotRun(
+            'the entry did not send the rest of the request',
+            come_back_ms=COME_BACK_MS,
+            step='fetch request',
+            peer=call.peer,
+        ) from exc
+    if not isinstance(body, ttypes.BodyChunk):
+        raise MalformedMessage(
+            f'unexpected {type(body).__name__}',
+            step='fetch request',
+            peer=call.peer,
+        )
+    req.body = body.body
+    req.end = body.end
+
+
 def _demand(req: ttypes.RequestOpen, now: float) -> Demand:
     return Demand(
         rank=req.importance,
--- a/filbertdrift/link.py
+++ b/filbertdrift/link.py
@@ -15,6 +15,7 @@
 )
 from filbertdrift.gen import ttypes
 from filbertdrift.network import Network
+from filbertdrift.network_inner import InnerConnection
 
 CHUNK_BYTES = 65_536
 WINDOW_BYTES = 262_144
@@ -22,6 +23,9 @@
 # calls that nothing was heard of sooner. A fleet's idle connections are many.
 KEEP_ALIVE_S = 4.0
 BUSY_KEEP_ALIVE_S = 0.25
+# A connection that was heard of within so long is taken for alive. A round
+# trip within a region takes a few milliseconds.
+LIVELY_S = 0.1
 # A connection that owes a sign of life for so long gets no new calls.
 SUSPECT_S = 0.5
 # A connection that owes a sign of life for so long is closed.
@@ -33,7 +37,7 @@
 class CallStream:
     """One side of one call: messages in both directions with flow control.
 
-    The first chunk of a body travels with the opening message. Further
+    The first chunk of a body may travel with the opening message. Further
     chunks need credit, which the receiver grants as it consumes.
 
     Args:
@@ -161,6 +165,11 @@
         self._ids = itertools.count(1)
         self._task = loop.create_task(self._read())
 
+    @property
+    def is_within_process(self) -> bool:
+        """Tell whether both ends are in this process."""
+        return isinstance(self._conn, InnerConnection)
+
     def begin(self) -> CallStream:
         """Start a call; end must be called for it.
 
@@ -207,6 +216,23 @@
         """
         return self._owed_s(now) >= SUSPECT_S
 
+    def is_lively(self, now: float) -> bool:
+        """Tell whether the other side was heard of just now.
+
+        Args:
+            now: The time on the event loop's clock.
+        """
+        return now - self.heard_at <= LIVELY_S
+
+    def ask_for_life(self, now: float) -> None:
+        """Ask for a sign of life unless one is owed already.
+
+        Args:
+            now: The time on the event loop's clock.
+        """
+        if self._asked_at <= self.heard_at:
+            self._ask(now)
+
     def _owed_s(self, now: float) -> float:
         """Return how long a sign of life has been owed, zero if it is not."""
         is_owed = self._asked_at > self.heard_at
@@ -235,7 +261,7 @@
         return BUSY_KEEP_ALIVE_S if self._calls else KEEP_ALIVE_S
 
     def _give_up_calls(self, owed_s: float) -> None:
-        if owed_s < SUSPECT_S:
+        if not owed_s:
             return
         exc = PeerUnavailable('suspect', step='call', peer=self.peer)
         for call in list(self._calls.values()):
--- a/filbertdrift/target_attempt.py
+++ b/filbertdrift/target_attempt.py
@@ -32,6 +32,10 @@
 # of life for that part of its time. Narrow links are silent for some tenths of
 # a second under load.
 GIVE_UP_SHARE = 0.35
+# A request of which only the head went out goes elsewhere after so much
+# silence. That costs nothing, so it need not wait for certainty; a lost packet
+# is sent again within 0.2 s.
+OFFER_GIVE_UP_S = 0.25
 
 
 @dataclass(slots=True)
@@ -81,6 +85,8 @@
     Attributes:
         reached_target: The target itself refused it.
         is_body_sent: More of its body went out than can be sent again.
+        is_offer: Only the head went out; the target's node starts it once it
+            has let it in, has asked for the rest, and has got it.
     """
 
     def __init__(
@@ -93,6 +99,7 @@
         """Start before anything is sent."""
         self.reached_target = False
         self.is_body_sent = False
+        self.is_offer = False
         self._links = links
         self._chooser = chooser
         self._member = member
@@ -115,9 +122,8 @@
         except BaseException:
             self._chooser.ended(self._member, loop.time())
             raise
-        if self._graded.route.is_idempotent:
-            left_s = self._req.deadline - started_at
-            call.give_up_s = max(SUSPECT_S, left_s * GIVE_UP_SHARE)
+        self.is_offer = self._must_offer(link, started_at)
+        call.give_up_s = OFFER_GIVE_UP_S if self.is_offer else self._patience_s
         try:
             answer = await self._exchange(call)
         except BaseException:
@@ -161,19 +167,43 @@
                 peer=exc.peer,
             ) from exc
 
+    @property
+    def _patience_s(self) -> float:
+        """Return how long the way to a target at work may be silent."""
+        if not self._graded.route.is_idempotent:
+            return float('inf')
+        left_s = self._req.deadline - asyncio.get_running_loop().time()
+        return max(SUSPECT_S, left_s * GIVE_UP_SHARE)
+
+    def _must_offer(self, link: PeerLink, now: float) -> bool:
+        """Tell whether to send the head alone at first.
+
+        Until the rest is sent, the request has certainly not run. That costs a
+        round trip, so it is done where the link may be dead, or where a
+        refusal would waste a large body's bytes.
+        """
+        if link.is_within_process:
+            return False
+        if self._graded.is_bulk:
+            return True
+        if link.is_lively(now):
+            return False
+        link.ask_for_life(now)
+        return True
+
     async def _exchange(self, call: CallStream) -> ttypes.AnswerOpen:
         loop = asyncio.get_running_loop()
         deadline = self._req.deadline + ANSWER_SLACK_S
         try:
             async with asyncio.timeout_at(deadline):
                 await call.send(self._opening())
-                if not self._req.is_whole:
+                if self.is_offer or not self._req.is_whole:
                     self._upload = loop.create_task(self._pump(call))
                 body = await call.receive()
         except TimeoutError as exc:
-            raise self._unknown('the deadline passed') from exc
+            raise self._lost('the deadline passed') from exc
         except (PeerUnavailable, MalformedMessage) as exc:
-            raise self._unknown(exc.reason) from exc
+            raise self._lost(exc.reason, unreachable=True) from exc
         if isinstance(body, ttypes.AnswerOpen):
             return body
         if isinstance(body, ttypes.Refusal):
@@ -184,6 +214,9 @@
         """Pass the rest of the body on, also while the answer comes."""
         end = False
         try:
+            if self.is_offer:
+                await call.wait_for_credit()
+                end = await self._commit(call)
             while not end:
                 await call.wait_for_credit()
                 self.is_body_sent = True
@@ -191,12 +224,23 @@
                 end = part.end
                 await call.send_chunk(part.chunk, end=end)
         except FilbertdriftError as exc:
+            if self.is_offer:
+                # Whoever waits for the answer has the error already.
+                return
             logger.bind(
                 event='upload_broken',
                 request=self._req.request_id,
             ).info('{}', exc)
             call.fail(exc)
 
+    async def _commit(self, call: CallStream) -> bool:
+        """Send what was held back; tell whether the body ends with it."""
+        self.is_offer = False
+        call.give_up_s = self._patience_s
+        req = self._req
+        await call.send_chunk(req.first_chunk, end=req.is_whole)
+        return req.is_whole
+
     def _opening(self) -> ttypes.RequestOpen:
         now = asyncio.get_running_loop().time()
         graded, req = self._graded, self._req
@@ -207,8 +251,8 @@
             remaining_ms=max(int((req.deadline - now) * MS_PER_S), 1),
             service_name=graded.service,
             importance=graded.route.rank,
-            body=req.first_chunk,
-            end=req.is_whole,
+            body=b'' if self.is_offer else req.first_chunk,
+            end=req.is_whole and not self.is_offer,
             request_id=req.request_id,
             fingerprint=req.fingerprint,
             generation=self._member.generation,
@@ -232,6 +276,19 @@
             peer=self._member.node,
         )
 
+    def _lost(self, reason: str, *, unreachable: bool = False) -> Exception:
+        """Return what the end of the way to the target means."""
+        if not self.is_offer:
+            return self._unknown(reason)
+        now = asyncio.get_running_loop().time()
+        self._chooser.failed(self._member, now, unreachable=unreachable)
+        return RequestNotRun(
+            reason,
+            come_back_ms=COME_BACK_MS,
+            step='offer',
+            peer=self._member.node,
+        )
+
     def _unknown(self, reason: str) -> RequestUnknown:
         now = asyncio.get_running_loop().time()
         self._chooser.failed(self._member, now, unreachable=False)
--- /dev/null
+++ b/tests/test_target_attempt.py
@@ -0,0 +1,131 @@
+"""Tries at the node beside a target: requests offered before they are sent."""
+
+import asyncio
+
+from testtools import TestCase
+from testtools.matchers import Equals, IsInstance, LessThan
+from testtools.testcase import ExpectedException
+
+from filbertdrift.errors import RequestNotRun
+from filbertdrift.gen import ttypes
+from standins.mesh_fleet import MeshFleet, config_document, targets_of
+from tests.builders import run_virtual
+
+ENTRY = 'a-0:7000'
+NEAR = 'a-1:7000'
+FAR = 'b-0:7000'
+BODY = b'x' * 60_000
+
+
+async def entry_and_targets(seed: int) -> MeshFleet:
+    """Return an entry, a target in its domain and one in another domain."""
+    fleet = MeshFleet(seed)
+    await fleet.publish(config_document())
+    await fleet.add('a', 'other')
+    await fleet.add('a', 'desk')
+    await fleet.add('b', 'desk')
+    await fleet.until_in_force(1, 5)
+    await asyncio.sleep(3)
+    return fleet
+
+
+async def write(fleet: MeshFleet, body: bytes = b'') -> int:
+    """Send a write through the entry and return its status."""
+    answer = await fleet.call(ENTRY, '/write/1', body=body)
+    answer.close()
+    return answer.status
+
+
+class OfferTest(TestCase):
+    """Requests of which only the head is sent until they are let in."""
+
+    def test_write_leaves_a_silent_connection(self) -> None:
+        run_virtual(self._silent())
+
+    async def _silent(self) -> None:
+        fleet = await entry_and_targets(seed=41)
+        await write(fleet)
+        await asyncio.sleep(1)
+        fleet.fabric.cut([ENTRY], [NEAR])
+        statuses = await asyncio.gather(*(write(fleet) for _ in range(5)))
+        self.assertThat(statuses, Equals([200] * 5))
+        self.assertThat(set(fleet.runs().values()), Equals({1}))
+
+    def test_write_offered_to_a_frozen_node_runs_once(self) -> None:
+        run_virtual(self._frozen())
+
+    async def _frozen(self) -> None:
+        fleet = await entry_and_targets(seed=42)
+        await write(fleet)
+        await asyncio.sleep(1)
+        fleet.fabric.freeze(NEAR)
+        self.assertThat(await write(fleet), Equals(200))
+        fleet.fabric.thaw(NEAR)
+        await asyncio.sleep(3)
+        self.assertThat(set(fleet.runs().values()), Equals({1}))
+
+    def test_refused_upload_keeps_its_body(self) -> None:
+        run_virtual(self._refused_upload())
+
+    async def _refused_upload(self) -> None:
+        fleet = await entry_and_targets(seed=43)
+        near = fleet.places[NEAR].node.lifecycle
+        near.close_gate()
+        await asyncio.sleep(0.5)
+        sent = fleet.places[ENTRY].node.network.counters.sent_bytes
+        sent.clear()
+        self.assertThat(await write(fleet, BODY), Equals(200))
+        self.assertThat(sent.total(), LessThan(1.2 * len(BODY)))
+        self.assertThat(targets_of(fleet, 'desk')[0].arrivals, Equals(0))
+
+    def test_held_back_rest_that_never_comes(self) -> None:
+        run_virtual(self._never_sent())
+
+    async def _never_sent(self) -> None:
+        fleet = await entry_and_targets(seed=44)
+        place = fleet.places[NEAR]
+        entry = fleet.places[ENTRY].node
+        link = await entry.links.link(NEAR)
+        call = link.begin()
+        await call.send(_offer(place.identity.generation))
+        refusal = await call.receive()
+        self.assertThat(refusal, IsInstance(ttypes.Refusal))
+        self.assertThat(
+            refusal.kind,
+            Equals(ttypes.RefusalKind.NOT_RUN),
+        )
+        self.assertThat(place.script.arrivals, Equals(0))
+        current = place.node.lifecycle.current
+        assert current is not None
+        self.assertThat(current.gate.running, Equals(0))
+
+    def test_all_connections_silent(self) -> None:
+        run_virtual(self._all_silent())
+
+    async def _all_silent(self) -> None:
+        fleet = await entry_and_targets(seed=45)
+        await write(fleet)
+        await asyncio.sleep(1)
+        fleet.fabric.cut([ENTRY], [NEAR, FAR])
+        for _ in range(3):
+            with ExpectedException(RequestNotRun):
+                await write(fleet)
+
+
+def _offer(generation: int) -> ttypes.RequestOpen:
+    return ttypes.RequestOpen(
+        method='POST',
+        path='/write/1',
+        headers=[],
+        remaining_ms=5000,
+        service_name='desk',
+        importance=1,
+        body=b'',
+        end=False,
+        request_id='held-back',
+        fingerprint='',
+        generation=generation,
+        objective_ms=400,
+        route_name='write',
+        is_idempotent=False,
+    )
