Latency objectives count from the caller's first attempt

Cause: the gate took each attempt for a first one. A caller that came back after a refusal was queued as if its whole objective were left, was served after it, and took the slot of one that could still have been in time. Overload makes most attempts such ones.

The entry learns the common times of each route and takes a rarer one for the rest of the next longer common one; the objective is shortened by the difference. Callers without such a pattern are treated as before.

--- a/filbertdrift/entry.py
+++ b/filbertdrift/entry.py
@@ -224,7 +224,11 @@
             self._check_body(int(length))
         if http1.find_header(head.headers, b'expect'):
             self._writer.write(_CONTINUE)
-        deadline = began + self._time_limit_s(head, route)
+        stated_s = deadline_left_s(
+            head.headers,
+            self._server.contract.deadline_ms,
+        )
+        deadline = began + _time_limit_s(stated_s, route)
         try:
             first = await self._first_part(deadline)
         except TimeoutError:
@@ -233,6 +237,7 @@
             await self._plain(head, STATUS_REQUEST_TIMEOUT, reason)
             return
         req = self._entry_request(head, first, deadline)
+        req.stated_left_s = stated_s
         graded = self._handler.grade(req, route)
         try:
             answer = await self._handler.dispatch(graded)
@@ -271,14 +276,6 @@
             deadline=deadline,
         )
 
-    def _time_limit_s(self, head: RequestHead, route: GradedRoute) -> float:
-        """Return how long the caller or the route's time-out allows."""
-        name = self._server.contract.deadline_ms
-        left_s = deadline_left_s(head.headers, name)
-        if left_s is None:
-            left_s = DEFAULT_DEADLINE_S
-        return min(left_s, route.timeout_s or left_s)
-
     async def _read_body(self) -> BodyPart:
         part = await self._messages.part()
         self._note_body(part)
@@ -394,6 +391,12 @@
             await self._plain(head, status, str(exc))
 
 
+def _time_limit_s(stated_s: float | None, route: GradedRoute) -> float:
+    """Return how long the caller and the route's time-out allow."""
+    limit_s = DEFAULT_DEADLINE_S if stated_s is None else stated_s
+    return min(limit_s, route.timeout_s or limit_s)
+
+
 def _no_config() -> RequestNotRun:
     return RequestNotRun(
         'this node has no configuration yet',
--- a/filbertdrift/mesh.py
+++ b/filbertdrift/mesh.py
@@ -12,6 +12,7 @@
 
 from loguru import logger
 
+from filbertdrift.callerwait import CallerWaits
 from filbertdrift.chooser import TargetChooser
 from filbertdrift.config_exchange import ConfigExchange
 from filbertdrift.config_holder import ConfigHolder, ParseDocument
@@ -177,6 +178,7 @@
             self.budget,
             rng,
         )
+        self.caller_waits = CallerWaits()
         self.health = TargetHealth()
         self.health.probes_healthy = False
         self.lifecycle = TargetLifecycle(self.membership, open_target, rng)
@@ -306,11 +308,12 @@
     def grade(self, req: EntryRequest, route: GradedRoute) -> GradedRequest:
         """Choose the service for a request, by the weights of its route."""
         now = asyncio.get_running_loop().time()
+        elapsed_s = self.caller_waits.elapsed_s(route.name, req.stated_left_s)
         return GradedRequest(
             req=req,
             route=route,
             service=route.pick_service(self._rng),
-            objective_at=now + route.objective_s,
+            objective_at=now + route.objective_s - elapsed_s,
             version=self.holder.version,
         )
 
@@ -360,6 +363,10 @@
             known = {found.node for found in self.membership.table.alive()}
             self.chooser.forget_missing(known)
             self.membership.forget_unheard(known)
+            config = self.holder.config
+            if config is not None:
+                names = {route.name for route in config.routes}
+                self.caller_waits.keep_only(names)
 
     # Messages from other nodes
 
--- a/filbertdrift/request.py
+++ b/filbertdrift/request.py
@@ -34,6 +34,8 @@
         fingerprint: Hash of the content, the same for a repeat.
         tried: Nodes that it was sent to.
         is_body_taken: More of the body was read than its first chunk.
+        stated_left_s: How long the caller said that it will wait, None if it
+            did not say.
     """
 
     request_id: str
@@ -49,6 +51,7 @@
     fingerprint: str = ''
     tried: list[str] = field(default_factory=list)
     is_body_taken: bool = False
+    stated_left_s: float | None = None
 
 
 class Answer(ABC):
