--- a/filbertdrift/mesh.py
+++ b/filbertdrift/mesh.py
@@ -34,6 +34,7 @@
 from filbertdrift.link import CallStream, LinkPool, serve_connection
 from filbertdrift.members import Member
 from filbertdrift.membership import Membership
+from filbertdrift.metrics import Timings
 from filbertdrift.network import Network
 from filbertdrift.pause import PauseGuard, paused_refusal
 from filbertdrift.profile import Profile
@@ -42,7 +43,6 @@
 from filbertdrift.routing import CallerLimits, GradedRoute
 from filbertdrift.supervise import Supervisor
 from filbertdrift.target_attempt import GradedAnswer, GradedRequest
-from filbertdrift.timings import Timings
 
 BOOT_PEERS = 3
 BOOT_BACKOFF_S = 0.2
--- a/filbertdrift/metrics.py
+++ b/filbertdrift/metrics.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterator, Mapping
 from dataclasses import fields, is_dataclass
 
+from hdrh.histogram import HdrHistogram
 from prometheus_client import CollectorRegistry, generate_latest
 from prometheus_client.core import (
     CounterMetricFamily,
@@ -12,9 +13,11 @@
 )
 from prometheus_client.registry import Collector
 
-from filbertdrift.timings import Timings
-
 PREFIX = 'filbertdrift'
+LOWEST_US = 1
+HIGHEST_US = 3_600_000_000
+DIGITS = 3
+US_PER_S = 1_000_000
 QUANTILES: Mapping[str, float] = {
     '0.5': 50.0,
     '0.9': 90.0,
@@ -23,6 +26,55 @@
 }
 
 
+class Timings:
+    """A histogram of durations.
+
+    Args:
+        name: The metric's name without prefix.
+        text: What is measured.
+    """
+
+    def __init__(self, name: str, text: str) -> None:
+        """Start empty."""
+        self.name = name
+        self.text = text
+        self._histogram = HdrHistogram(LOWEST_US, HIGHEST_US, DIGITS)
+        self._sum_s = 0.0
+
+    def record(self, seconds: float) -> None:
+        """Add one duration."""
+        self._sum_s += seconds
+        microseconds = max(int(seconds * US_PER_S), LOWEST_US)
+        self._histogram.record_value(min(microseconds, HIGHEST_US))
+
+    def quantile_s(self, percent: float) -> float:
+        """Return a quantile in seconds.
+
+        Args:
+            percent: From 0 to 100.
+        """
+        found = self._histogram.get_value_at_percentile(percent)
+        return float(found) / US_PER_S
+
+    def count(self) -> int:
+        """Return how many durations were recorded."""
+        return int(self._histogram.get_total_count())
+
+    def family(self) -> Metric:
+        """Return the histogram as a summary with quantiles."""
+        name = f'{PREFIX}_{self.name}_seconds'
+        family = SummaryMetricFamily(name, self.text)
+        for label, percent in QUANTILES.items():
+            family.add_sample(
+                name,
+                {'quantile': label},
+                self.quantile_s(percent),
+            )
+        family.add_sample(f'{name}_count', {}, self.count())
+        family.add_sample(f'{name}_sum', {}, self._sum_s)
+        return family
+
+
 class NodeCollector(Collector):
     """Collects counters, gauges and histograms that objects keep."""
 
@@ -69,7 +121,7 @@
                 value=float(read()),  # type: ignore[operator]
             )
         for timings in self._timings:
-            yield _timings_family(timings)
+            yield timings.family()
 
 
 def expose(collector: NodeCollector) -> bytes:
@@ -88,18 +140,3 @@
             f'{name} {field.name}'.replace('_', ' '),
             value=getattr(source, field.name),
         )
-
-
-def _timings_family(timings: Timings) -> Metric:
-    """Return a histogram as a summary with quantiles."""
-    name = f'{PREFIX}_{timings.name}_seconds'
-    family = SummaryMetricFamily(name, timings.text)
-    for label, percent in QUANTILES.items():
-        family.add_sample(
-            name,
-            {'quantile': label},
-            timings.quantile_s(percent),
-        )
-    family.add_sample(f'{name}_count', {}, timings.count())
-    family.add_sample(f'{name}_sum', {}, timings.sum_s)
-    return family
--- a/filbertdrift/node.py
+++ b/filbertdrift/node.py
@@ -34,6 +34,7 @@
 from filbertdrift.logreader import LogReader
 from filbertdrift.members import Member
 from filbertdrift.membership import Membership
+from filbertdrift.metrics import Timings
 from filbertdrift.network import Network
 from filbertdrift.pause import PauseGuard, paused_refusal
 from filbertdrift.profile import Profile
@@ -53,7 +54,6 @@
     with_endpoints,
 )
 from filbertdrift.supervise import Supervisor
-from filbertdrift.timings import Timings
 from filbertdrift.tracing import Tracer
 
 BOOT_PEERS = 3
--- a/filbertdrift/platform/daemon.py
+++ b/filbertdrift/platform/daemon.py
@@ -5,8 +5,6 @@
 import random
 import signal
 import time
-from importlib import import_module
-from typing import Any
 
 import uvloop
 from loguru import logger
@@ -14,8 +12,9 @@
 from filbertdrift.errors import SettingsError
 from filbertdrift.eventlog import configure_event_log
 from filbertdrift.identity import Identity
-from filbertdrift.listener import HttpListener, Reply
+from filbertdrift.listener import HttpListener
 from filbertdrift.mesh import MeshNode, MeshSettings
+from filbertdrift.mesh_metrics import MetricsCalls, build_mesh_collector
 from filbertdrift.network import TcpNetwork, split_address
 from filbertdrift.platform.documents import (
     CONFIG_KEY,
@@ -87,34 +86,10 @@
     return HttpTarget(address, KEPT_TARGET_CONNECTIONS)
 
 
-class MetricsOnDemand:
-    """Loads the metrics library when the first scraper comes.
-
-    Loading it takes a sixth of the time in which a node starts.
-
-    Args:
-        node: The node whose metrics are served.
-    """
-
-    def __init__(self, node: MeshNode) -> None:
-        """Start without the library."""
-        self._node = node
-        self._calls: Any = None
-
-    async def serve(self, method: str, path: str, body: bytes) -> Reply:
-        """Answer one call."""
-        if self._calls is None:
-            module = import_module('filbertdrift.mesh_metrics')
-            collector = module.build_mesh_collector(self._node)
-            self._calls = module.MetricsCalls(collector)
-        reply: Reply = await self._calls.serve(method, path, body)
-        return reply
-
-
 async def _run(settings: PlatformSettings) -> None:
     node = build_node(settings)
     target_calls = TargetCalls(node.lifecycle)
-    metrics_calls = MetricsOnDemand(node)
+    metrics_calls = MetricsCalls(build_mesh_collector(node))
     ready_check = ReadyCheck(lambda: node.is_ready)
     listeners = [
         HttpListener(settings.target_calls_address, target_calls.serve),
