--- a/filbertdrift/attempt.py
+++ b/filbertdrift/attempt.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from filbertdrift.callstream import CallStream
 from filbertdrift.errors import (
     MalformedMessage,
     PeerUnavailable,
@@ -9,7 +10,7 @@
     RequestUnknown,
 )
 from filbertdrift.gen import ttypes
-from filbertdrift.link import CallStream, PeerLink
+from filbertdrift.link import PeerLink
 from filbertdrift.members import Member
 from filbertdrift.request import EntryRequest
 from filbertdrift.snapshot import Route
--- a/filbertdrift/forward.py
+++ b/filbertdrift/forward.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 
 from filbertdrift.attempt import Attempt
+from filbertdrift.callstream import CallStream
 from filbertdrift.chooser import TargetChooser
 from filbertdrift.crashes import CrashLedger, fingerprint
 from filbertdrift.errors import (
@@ -14,7 +15,7 @@
 )
 from filbertdrift.forwarded import ForwardedAnswer
 from filbertdrift.gen import ttypes
-from filbertdrift.link import CallStream, LinkPool, PeerLink
+from filbertdrift.link import LinkPool, PeerLink
 from filbertdrift.members import Member
 from filbertdrift.request import EntryRequest
 from filbertdrift.snapshot import Route, Snapshot
--- a/filbertdrift/forwarded.py
+++ b/filbertdrift/forwarded.py
@@ -4,9 +4,9 @@
 from collections.abc import Callable
 
 from filbertdrift import http1
+from filbertdrift.callstream import CallStream
 from filbertdrift.errors import PeerUnavailable, RequestUnknown
 from filbertdrift.gen import ttypes
-from filbertdrift.link import CallStream
 from filbertdrift.request import Answer
 
 
--- a/filbertdrift/handover.py
+++ b/filbertdrift/handover.py
@@ -11,6 +11,7 @@
 
 from loguru import logger
 
+from filbertdrift.callstream import CallStream
 from filbertdrift.contract import HeaderContract
 from filbertdrift.crashes import CrashLedger
 from filbertdrift.errors import (
@@ -23,7 +24,6 @@
 from filbertdrift.gen import ttypes
 from filbertdrift.health import TargetHealth
 from filbertdrift.lifecycle import Incarnation, TargetLifecycle
-from filbertdrift.link import CallStream
 from filbertdrift.objective_gate import Demand
 from filbertdrift.target import Exchange, TargetRequest
 from filbertdrift.target_run import Reached, TargetRun
--- a/filbertdrift/link.py
+++ b/filbertdrift/link.py
@@ -1,24 +1,16 @@
-"""Calls between two nodes, many at a time over one kept connection."""
+"""The calling side of connections between nodes: many calls over one."""
 
 import asyncio
 import contextlib
 import itertools
-from collections.abc import Awaitable, Callable
-
-from loguru import logger
 
+from filbertdrift.callstream import CallStream
 from filbertdrift.connection import Connection
-from filbertdrift.errors import (
-    FilbertdriftError,
-    MalformedMessage,
-    PeerUnavailable,
-)
+from filbertdrift.errors import MalformedMessage, PeerUnavailable
 from filbertdrift.gen import ttypes
 from filbertdrift.network import Network
 from filbertdrift.network_inner import InnerConnection
 
-CHUNK_BYTES = 65_536
-WINDOW_BYTES = 262_144
 # A connection without calls asks for a sign of life that often, one with
 # calls that nothing was heard of sooner. A fleet's idle connections are many.
 KEEP_ALIVE_S = 4.0
@@ -34,115 +26,6 @@
 TICK_S = 0.25
 
 
-class CallStream:
-    """One side of one call: messages in both directions with flow control.
-
-    The first chunk of a body may travel with the opening message. Further
-    chunks need credit, which the receiver grants as it consumes.
-
-    Args:
-        conn: The connection that carries the call.
-        call_id: The call's number on that connection.
-        window_bytes: How much this side may send before it gets credit.
-
-    Attributes:
-        give_up_s: It is given up once its connection owes a sign of life for
-            so long.
-    """
-
-    def __init__(
-        self,
-        conn: Connection,
-        call_id: int,
-        window_bytes: int,
-    ) -> None:
-        """Start open."""
-        self.peer = conn.peer
-        self.call_id = call_id
-        self.give_up_s = float('inf')
-        self._conn = conn
-        self._window_bytes = window_bytes
-        self._credited = asyncio.Event()
-        self._received: asyncio.Queue[object] = asyncio.Queue()
-        self._failure: FilbertdriftError | None = None
-
-    async def send(self, body: object) -> None:
-        """Send one message that needs no credit.
-
-        Raises:
-            PeerUnavailable: The connection is broken.
-        """
-        self._check()
-        await self._conn.send(self.call_id, body)
-
-    async def send_chunk(self, chunk: bytes, *, end: bool) -> None:
-        """Send a part of a body as credit allows.
-
-        Args:
-            chunk: The bytes, of any length.
-            end: True if the body ends with them.
-
-        Raises:
-            PeerUnavailable: The connection is broken.
-        """
-        rest = memoryview(chunk)
-        while True:
-            part = rest[:CHUNK_BYTES]
-            rest = rest[CHUNK_BYTES:]
-            if part:
-                await self.wait_for_credit()
-            self._window_bytes -= len(part)
-            last = end and not rest
-            await self.send(ttypes.BodyChunk(bytes(part), last))
-            if not rest:
-                return
-
-    async def receive(self) -> object:
-        """Return the next message of this call.
-
-        Raises:
-            PeerUnavailable: The connection broke before the call ended.
-        """
-        body = await self._received.get()
-        if isinstance(body, FilbertdriftError):
-            raise body
-        return body
-
-    async def grant(self, amount_bytes: int) -> None:
-        """Allow the other side to send more."""
-        if amount_bytes > 0:
-            await self.send(ttypes.Credit(amount_bytes))
-
-    def deliver(self, body: object) -> None:
-        """Take a message that arrived for this call."""
-        if isinstance(body, ttypes.Credit):
-            self._window_bytes += max(body.amount_bytes or 0, 0)
-            self._credited.set()
-        else:
-            self._received.put_nowait(body)
-
-    def fail(self, exc: FilbertdriftError) -> None:
-        """End the call because its connection broke."""
-        self._failure = exc
-        self._credited.set()
-        self._received.put_nowait(exc)
-
-    async def wait_for_credit(self) -> None:
-        """Wait until the other side allows this one to send more.
-
-        Raises:
-            PeerUnavailable: The connection is broken.
-        """
-        while self._window_bytes <= 0:
-            self._credited.clear()
-            await self._credited.wait()
-            self._check()
-
-    def _check(self) -> None:
-        if self._failure is not None:
-            raise self._failure
-
-
 class PeerLink:
     """The calling side of a connection to another node.
 
@@ -408,101 +291,3 @@
             self._links.pop(peer)
         if asyncio.get_running_loop().time() - link.heard_at > SILENT_S:
             self.silent_links += 1
-
-
-OnCall = Callable[[CallStream, object], Awaitable[None]]
-
-
-async def serve_connection(conn: Connection, on_call: OnCall) -> None:
-    """Serve the calls that another node makes over a connection.
-
-    Each call runs in a task of its own and is cancelled when the caller says
-    so or when the connection ends.
-
-    Args:
-        conn: The accepted connection.
-        on_call: Serves one call, given the message that opened it.
-    """
-    served = _ServedConnection(conn, on_call)
-    try:
-        await served.run()
-    finally:
-        served.close()
-
-
-class _ServedConnection:
-    """The serving side of a connection."""
-
-    def __init__(self, conn: Connection, on_call: OnCall) -> None:
-        """Start without calls."""
-        self._conn = conn
-        self._on_call = on_call
-        self._calls: dict[int, CallStream] = {}
-        self._tasks: dict[int, asyncio.Task[None]] = {}
-        self._last_opened = 0
-        self._loop = asyncio.get_running_loop()
-        self._heard_at = self._loop.time()
-        self._watching: asyncio.TimerHandle | None = None
-
-    async def run(self) -> None:
-        """Read until the connection ends."""
-        self._watch()
-        while True:
-            call_id, body = await self._conn.receive()
-            self._heard_at = self._loop.time()
-            self._take(call_id, body)
-
-    def _watch(self) -> None:
-        """Close the connection once nothing was heard of it for long."""
-        silent_at = self._heard_at + IDLE_CLOSE_S + SILENT_S
-        left_s = silent_at - self._loop.time()
-        if left_s < TICK_S:
-            self._conn.close()
-        else:
-            self._watching = self._loop.call_later(left_s, self._watch)
-
-    def close(self) -> None:
-        """Cancel the calls in progress."""
-        if self._watching:
-            self._watching.cancel()
-        exc = PeerUnavailable('ended', step='serve', peer=self._conn.peer)
-        for call in self._calls.values():
-            call.fail(exc)
-        for task in list(self._tasks.values()):
-            task.cancel()
-
-    def _take(self, call_id: int, body: object) -> None:
-        if isinstance(body, ttypes.KeepAlive):
-            self._conn.send_nowait(0, ttypes.KeepAlive(reply=True))
-            return
-        call = self._calls.get(call_id)
-        if isinstance(body, ttypes.Cancel):
-            self._cancel(call_id)
-        elif call is not None:
-            call.deliver(body)
-        elif call_id > self._last_opened:
-            self._last_opened = call_id
-            self._open(call_id, body)
-
-    def _open(self, call_id: int, body: object) -> None:
-        call = CallStream(self._conn, call_id, WINDOW_BYTES)
-        self._calls[call_id] = call
-        task = self._loop.create_task(self._serve(call, body))
-        self._tasks[call_id] = task
-
-    async def _serve(self, call: CallStream, body: object) -> None:
-        try:
-            await self._on_call(call, body)
-        except PeerUnavailable:
-            self._conn.close()
-        except MalformedMessage as exc:
-            logger.warning('{}', exc)
-            self._conn.close()
-        finally:
-            self._calls.pop(call.call_id, None)
-            self._tasks.pop(call.call_id, None)
-
-    def _cancel(self, call_id: int) -> None:
-        task = self._tasks.get(call_id)
-        if task:
-            task.cancel()
--- a/filbertdrift/mesh.py
+++ b/filbertdrift/mesh.py
@@ -13,6 +13,8 @@
 from loguru import logger
 
 from filbertdrift.callerwait import CallerWaits
+from filbertdrift.callserver import serve_connection
+from filbertdrift.callstream import CallStream
 from filbertdrift.chooser import TargetChooser
 from filbertdrift.config_exchange import ConfigExchange
 from filbertdrift.config_holder import ConfigHolder, ParseDocument
@@ -31,7 +33,7 @@
 from filbertdrift.identity import Identity
 from filbertdrift.keyedlog import KeyedLog
 from filbertdrift.lifecycle import OpenTarget, TargetLifecycle
-from filbertdrift.link import CallStream, LinkPool, serve_connection
+from filbertdrift.link import LinkPool
 from filbertdrift.members import Member
 from filbertdrift.membership import Membership
 from filbertdrift.metrics import Timings
--- a/filbertdrift/node.py
+++ b/filbertdrift/node.py
@@ -9,6 +9,8 @@
 from loguru import logger
 
 from filbertdrift.caller import CallerServer
+from filbertdrift.callserver import serve_connection
+from filbertdrift.callstream import CallStream
 from filbertdrift.chooser import TargetChooser
 from filbertdrift.claims import Claims
 from filbertdrift.connection import Connection
@@ -29,7 +31,7 @@
 from filbertdrift.introduction import Introducer
 from filbertdrift.keeper import ConfigKeeper
 from filbertdrift.keyed import KeyedForwarder
-from filbertdrift.link import CallStream, LinkPool, serve_connection
+from filbertdrift.link import LinkPool
 from filbertdrift.log import Log
 from filbertdrift.logreader import LogReader
 from filbertdrift.members import Member
--- a/filbertdrift/serving.py
+++ b/filbertdrift/serving.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass
 
 from filbertdrift import http1
+from filbertdrift.callstream import WINDOW_BYTES, CallStream
 from filbertdrift.crashes import CrashLedger
 from filbertdrift.errors import (
     FilbertdriftError,
@@ -22,7 +23,6 @@
 from filbertdrift.gate import Gate
 from filbertdrift.gen import ttypes
 from filbertdrift.health import TargetHealth
-from filbertdrift.link import WINDOW_BYTES, CallStream
 from filbertdrift.target import Exchange, Target, TargetRequest
 from filbertdrift.tracing import Tracer
 
--- a/filbertdrift/target_attempt.py
+++ b/filbertdrift/target_attempt.py
@@ -5,6 +5,7 @@
 
 from loguru import logger
 
+from filbertdrift.callstream import CallStream
 from filbertdrift.chooser import TargetChooser
 from filbertdrift.errors import (
     FilbertdriftError,
@@ -15,7 +16,7 @@
 )
 from filbertdrift.forwarded import ForwardedAnswer
 from filbertdrift.gen import ttypes
-from filbertdrift.link import SUSPECT_S, CallStream, LinkPool, PeerLink
+from filbertdrift.link import SUSPECT_S, LinkPool, PeerLink
 from filbertdrift.members import Member
 from filbertdrift.request import EntryRequest
 from filbertdrift.routing import GradedRoute
--- a/filbertdrift/target_run.py
+++ b/filbertdrift/target_run.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 
 from filbertdrift import http1
+from filbertdrift.callstream import WINDOW_BYTES, CallStream
 from filbertdrift.contract import HeaderContract
 from filbertdrift.errors import (
     MalformedMessage,
@@ -13,7 +14,6 @@
     RequestUnknown,
 )
 from filbertdrift.gen import ttypes
-from filbertdrift.link import WINDOW_BYTES, CallStream
 from filbertdrift.target import Exchange
 
 COME_BACK_MS = 100
