After a near refusal all targets of the region count alike

Cause: each try looked for a target in the own domain first.

Change: one near try, two for large bodies, then the whole region.

Three tests fail without the change.

--- a/filbertdrift/dispatch.py
+++ b/filbertdrift/dispatch.py
@@ -29,6 +29,9 @@
 # farther only when the gates near by refuse them.
 SPILL_PERMILLE = 1500
 BULK_SPILL_PERMILLE = 4000
+# Tries in the own domain before the rest of the region counts alike.
+NEAR_TRIES = 1
+BULK_NEAR_TRIES = 2
 COME_BACK_MS = 100
 COME_BACK_SPREAD_MS = 200
 # One in so many answered requests is logged, and all that took a second try.
@@ -143,13 +146,15 @@
             )
         endpoints = self._endpoints(graded.service)
         tried = graded.req.tried
+        is_bulk = graded.is_bulk
         member = self._chooser.choose(
             endpoints,
             tried,
             now,
-            BULK_SPILL_PERMILLE if graded.is_bulk else SPILL_PERMILLE,
+            BULK_SPILL_PERMILLE if is_bulk else SPILL_PERMILLE,
             graded.route.name,
-            is_bulk=graded.is_bulk,
+            is_bulk=is_bulk,
+            near_tries=BULK_NEAR_TRIES if is_bulk else NEAR_TRIES,
         )
         if member is None:
             raise unknown or RequestNotRun(
--- a/tests/test_chooser.py
+++ b/tests/test_chooser.py
@@ -143,3 +143,45 @@
         self.assertThat(len(narrow), Equals(0))
         small = [chooser.choose(members, (), 10) for _ in range(200)]
         self.assertThat(small.count(members[0]), GreaterThan(30))
+
+
+class FullDomainTest(TestCase):
+    """Pattern: many near targets are full, of which this node knows little."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.chooser = TargetChooser('a', '', random.Random(3))
+        near = [target(number) for number in range(20)]
+        far = [target(number, 'b') for number in range(20)]
+        self.members = [*near, *far]
+        for member in self.members:
+            load = 1000 if member.domain == 'a' else 300
+            self.chooser.answered(member, load, 0.05, 10)
+
+    def test_leaves_the_domain_after_a_refusal(self) -> None:
+        self.assertThat(self._far_share(['a-0:7000']), GreaterThan(0.5))
+
+    def test_stays_near_without_one(self) -> None:
+        self.assertThat(self._far_share([]), Equals(0))
+
+    def test_large_bodies_get_another_near_try(self) -> None:
+        tried = ['a-0:7000']
+        self.assertThat(self._far_share(tried, near_tries=2), Equals(0))
+        tried.append('a-1:7000')
+        far = self._far_share(tried, near_tries=2)
+        self.assertThat(far, GreaterThan(0.5))
+
+    def _far_share(self, tried: list[str], near_tries: int = 1) -> float:
+        far = 0
+        for _ in range(200):
+            member = self.chooser.choose(
+                self.members,
+                tried,
+                10.1,
+                1500,
+                'write',
+                near_tries=near_tries,
+            )
+            assert member is not None
+            far += member.domain == 'b'
+        return far / 200
