An offer's patience is a part of the time to the objective

Cause: a quarter of a second of silence ended an offer.

Change: 0.35 of what is left until the objective, at least 0.25 s. Objectives of 300 to 500 ms keep the least time, those above a second get 0.4 to 0.6 s.

--- a/filbertdrift/target_attempt.py
+++ b/filbertdrift/target_attempt.py
@@ -33,10 +33,11 @@
 # of life for that part of its time. Narrow links are silent for some tenths of
 # a second under load.
 GIVE_UP_SHARE = 0.35
-# A request of which only the head went out goes elsewhere after so much
-# silence. That costs nothing, so it need not wait for certainty; a lost packet
-# is sent again within 0.2 s.
-OFFER_GIVE_UP_S = 0.25
+# A request of which only the head went out goes elsewhere after silence for
+# that part of what is left until its latency objective, as nothing is lost by
+# it. A lost packet is sent again within the least time.
+OFFER_GIVE_UP_SHARE = 0.35
+MIN_OFFER_GIVE_UP_S = 0.25
 
 
 @dataclass(slots=True)
@@ -124,7 +125,7 @@
             self._chooser.ended(self._member, loop.time())
             raise
         self.is_offer = self._must_offer(link, started_at)
-        call.give_up_s = OFFER_GIVE_UP_S if self.is_offer else self._patience_s
+        call.give_up_s = self._patience_s
         try:
             answer = await self._exchange(call)
         except BaseException:
@@ -170,10 +171,14 @@
 
     @property
     def _patience_s(self) -> float:
-        """Return how long the way to a target at work may be silent."""
+        """Return how long the way to the target may be silent."""
+        now = asyncio.get_running_loop().time()
+        if self.is_offer:
+            left_s = self._graded.objective_at - now
+            return max(MIN_OFFER_GIVE_UP_S, left_s * OFFER_GIVE_UP_SHARE)
         if not self._graded.route.is_idempotent:
             return float('inf')
-        left_s = self._req.deadline - asyncio.get_running_loop().time()
+        left_s = self._req.deadline - now
         return max(SUSPECT_S, left_s * GIVE_UP_SHARE)
 
     def _must_offer(self, link: PeerLink, now: float) -> bool:
