Entries search for a free slot before a request waits for one

Cause: in a large fleet an entry sends each target little, so what it knows of loads is stale, and two choices among stale figures are close to one at random. Requests waited at busy gates while others had free slots, and a parent waits for each of its calls as well. On the grown sites 13 to 20 in 100 answers were late at about three quarters of the fleet's load.

Change: a gate that is believed to have a free slot is asked whether it does (no_wait on the opening, no_free_slot on the refusal). After two that had none the request may wait, at the target that looks best with the loads just told. Where all are known to be full, nothing is asked.

Ruled out: telling loads with heartbeats (each node hears a member of its domain once in some 20 s there).

--- a/filbertdrift/chooser.py
+++ b/filbertdrift/chooser.py
@@ -217,11 +217,35 @@
         if load_permille < FULL_PERMILLE:
             self.failed(member, now, unreachable=True)
             return
+        self.note_load(member, load_permille, now)
+        if kind:
+            self._full_until[member.node, kind] = now + FULL_S
+
+    def note_load(
+        self,
+        member: Member,
+        load_permille: int,
+        now: float,
+    ) -> None:
+        """Note the load that a gate told.
+
+        Args:
+            member: The target's member.
+            load_permille: The load of its gate.
+            now: The time on the event loop's clock.
+        """
         seen = self._seen(member, now)
         seen.load_permille = load_permille
         seen.load_at = now
-        if kind:
-            self._full_until[member.node, kind] = now + FULL_S
+
+    def seems_free(self, member: Member, now: float) -> bool:
+        """Tell whether a target is believed to have a free slot.
+
+        Args:
+            member: The target's member.
+            now: The time on the event loop's clock.
+        """
+        return self._score(member, now) < FULL_PERMILLE
 
     def failed(self, member: Member, now: float, *, unreachable: bool) -> None:
         """Note a failure.
--- a/filbertdrift/dispatch.py
+++ b/filbertdrift/dispatch.py
@@ -9,7 +9,7 @@
 
 from filbertdrift.chooser import TargetChooser
 from filbertdrift.crashes import CrashLedger, fingerprint
-from filbertdrift.errors import RequestNotRun, RequestUnknown
+from filbertdrift.errors import NoFreeSlot, RequestNotRun, RequestUnknown
 from filbertdrift.link import LinkPool
 from filbertdrift.members import Member
 from filbertdrift.retrybudget import SharedRetryBudget
@@ -20,6 +20,9 @@
 )
 
 MS_PER_S = 1000
+# Gates that are asked for a free slot before a request waits at one. Two find
+# most of the free slots at nine tenths of a fleet's load.
+MAX_SEARCHES = 2
 # Gates that may refuse one request before it goes back to its caller.
 MAX_REFUSALS = 3
 # What is left of a deadline must be worth another try.
@@ -45,11 +48,40 @@
     answered: int = 0
     not_run: int = 0
     unknown: int = 0
+    searches: int = 0
     gate_refusals: int = 0
     target_refusals: int = 0
     repeats: int = 0
 
 
+class _Search:
+    """The search of one request for a free slot before it waits for one.
+
+    What an entry knows of loads is stale in a large fleet. Gates that are
+    believed to have a free slot are asked whether they do; only after that a
+    request waits, at the one of them that it then looks best at.
+
+    Attributes:
+        excluded: Nodes that are not to be tried.
+        is_over: The request may wait now.
+    """
+
+    def __init__(self) -> None:
+        """Start without tries."""
+        self.excluded: list[str] = []
+        self.is_over = MAX_SEARCHES == 0
+        self._busy: list[str] = []
+
+    def found_busy(self) -> None:
+        """Note that the node tried last has no free slot."""
+        self._busy.append(self.excluded[-1])
+        if len(self._busy) >= MAX_SEARCHES:
+            self.is_over = True
+            self.excluded = [
+                node for node in self.excluded if node not in self._busy
+            ]
+
+
 class Dispatcher:
     """Hands requests to the nodes beside their targets.
 
@@ -116,10 +148,15 @@
         refusals = 0
         handed_over = 0
         unknown: RequestUnknown | None = None
+        search = _Search()
         while True:
-            attempt = self._next_attempt(graded, unknown)
+            attempt = self._next_attempt(graded, search, unknown)
             try:
                 return await attempt.run()
+            except NoFreeSlot:
+                self.counters.searches += 1
+                graded.req.tried.pop()
+                search.found_busy()
             except RequestNotRun as exc:
                 refusals += 1
                 handed_over += attempt.reached_target
@@ -135,6 +172,7 @@
     def _next_attempt(
         self,
         graded: GradedRequest,
+        search: '_Search',
         unknown: RequestUnknown | None,
     ) -> TargetAttempt:
         now = asyncio.get_running_loop().time()
@@ -145,11 +183,10 @@
                 step='dispatch',
             )
         endpoints = self._endpoints(graded.service)
-        tried = graded.req.tried
         is_bulk = graded.is_bulk
         member = self._chooser.choose(
             endpoints,
-            tried,
+            search.excluded,
             now,
             BULK_SPILL_PERMILLE if is_bulk else SPILL_PERMILLE,
             graded.route.name,
@@ -162,8 +199,16 @@
                 come_back_ms=self._come_back_ms(),
                 step='choose target',
             )
-        tried.append(member.node)
-        return TargetAttempt(self._links, self._chooser, member, graded)
+        graded.req.tried.append(member.node)
+        search.excluded.append(member.node)
+        return TargetAttempt(
+            self._links,
+            self._chooser,
+            member,
+            graded,
+            may_wait=search.is_over
+            or not self._chooser.seems_free(member, now),
+        )
 
     def _may_go_on(
         self,
--- a/filbertdrift/errors.py
+++ b/filbertdrift/errors.py
@@ -107,5 +107,9 @@
         self.status = status
 
 
+class NoFreeSlot(RequestNotRun):
+    """A request that was not to wait would have had to wait for a slot."""
+
+
 class RequestUnknown(FilbertdriftError):
     """A request was handed over and its outcome is not known."""
--- a/filbertdrift/gen/ttypes.py
+++ b/filbertdrift/gen/ttypes.py
@@ -2397,6 +2397,7 @@
      - objective_ms: What is left until the answer counts as slow.
      - route_name: Route, for the estimate of how long it runs.
      - is_idempotent: It may run more than once.
+     - no_wait: Refuse it rather than let it wait for a slot.
 
     """
 
@@ -2418,10 +2419,11 @@
         'objective_ms',
         'route_name',
         'is_idempotent',
+        'no_wait',
     )
 
 
-    def __init__(self, method=None, path=None, headers=None, remaining_ms=None, service_name=None, importance=None, customer=None, body=None, end=None, request_id=None, fingerprint=None, refusal_statuses=None, generation=None, stall_ms=None, objective_ms=None, route_name=None, is_idempotent=None,):
+    def __init__(self, method=None, path=None, headers=None, remaining_ms=None, service_name=None, importance=None, customer=None, body=None, end=None, request_id=None, fingerprint=None, refusal_statuses=None, generation=None, stall_ms=None, objective_ms=None, route_name=None, is_idempotent=None, no_wait=None,):
         self.method = method
         self.path = path
         self.headers = headers
@@ -2439,6 +2441,7 @@
         self.objective_ms = objective_ms
         self.route_name = route_name
         self.is_idempotent = is_idempotent
+        self.no_wait = no_wait
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2545,6 +2548,11 @@
                     self.is_idempotent = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 19:
+                if ftype == TType.BOOL:
+                    self.no_wait = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2629,6 +2637,10 @@
             oprot.writeFieldBegin('is_idempotent', TType.BOOL, 18)
             oprot.writeBool(self.is_idempotent)
             oprot.writeFieldEnd()
+        if self.no_wait is not None:
+            oprot.writeFieldBegin('no_wait', TType.BOOL, 19)
+            oprot.writeBool(self.no_wait)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2935,6 +2947,7 @@
      - come_back_ms
      - load_permille
      - reached_target: The target itself refused, so the retry budget counts the arrival.
+     - no_free_slot: It would have had to wait and was told not to.
 
     """
 
@@ -2944,15 +2957,17 @@
         'come_back_ms',
         'load_permille',
         'reached_target',
+        'no_free_slot',
     )
 
 
-    def __init__(self, kind=None, reason=None, come_back_ms=None, load_permille=None, reached_target=None,):
+    def __init__(self, kind=None, reason=None, come_back_ms=None, load_permille=None, reached_target=None, no_free_slot=None,):
         self.kind = kind
         self.reason = reason
         self.come_back_ms = come_back_ms
         self.load_permille = load_permille
         self.reached_target = reached_target
+        self.no_free_slot = no_free_slot
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2988,6 +3003,11 @@
                     self.reached_target = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.BOOL:
+                    self.no_free_slot = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3018,6 +3038,10 @@
             oprot.writeFieldBegin('reached_target', TType.BOOL, 5)
             oprot.writeBool(self.reached_target)
             oprot.writeFieldEnd()
+        if self.no_free_slot is not None:
+            oprot.writeFieldBegin('no_free_slot', TType.BOOL, 6)
+            oprot.writeBool(self.no_free_slot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4019,6 +4043,7 @@
     (16, TType.I32, 'objective_ms', None, None, ),  # 16
     (17, TType.STRING, 'route_name', 'UTF8', None, ),  # 17
     (18, TType.BOOL, 'is_idempotent', None, None, ),  # 18
+    (19, TType.BOOL, 'no_wait', None, None, ),  # 19
 )
 all_structs.append(BodyChunk)
 BodyChunk.thrift_spec = (
@@ -4048,6 +4073,7 @@
     (3, TType.I32, 'come_back_ms', None, None, ),  # 3
     (4, TType.I32, 'load_permille', None, None, ),  # 4
     (5, TType.BOOL, 'reached_target', None, None, ),  # 5
+    (6, TType.BOOL, 'no_free_slot', None, None, ),  # 6
 )
 all_structs.append(Cancel)
 Cancel.thrift_spec = (
--- a/filbertdrift/handover.py
+++ b/filbertdrift/handover.py
@@ -17,6 +17,7 @@
 from filbertdrift.errors import (
     FilbertdriftError,
     MalformedMessage,
+    NoFreeSlot,
     PeerUnavailable,
     RequestNotRun,
     RequestUnknown,
@@ -98,13 +99,7 @@
         try:
             await self._serve(call, req, reached)
         except RequestNotRun as exc:
-            self.counters.not_run += 1
-            self.counters.target_refused += reached.target
-            refusal = self._refusal(ttypes.RefusalKind.NOT_RUN, exc)
-            refusal.come_back_ms = exc.come_back_ms
-            refusal.reached_target = reached.target
-            self._log(req, 'not_run', exc)
-            await call.send(refusal)
+            await self._refuse(call, req, exc, reached)
         except RequestUnknown as exc:
             self.counters.unknown += 1
             self._log(req, 'unknown', exc)
@@ -117,6 +112,24 @@
             self.in_progress -= 1
             self._running.pop(call, None)
 
+    async def _refuse(
+        self,
+        call: CallStream,
+        req: ttypes.RequestOpen,
+        exc: RequestNotRun,
+        reached: Reached,
+    ) -> None:
+        refusal = self._refusal(ttypes.RefusalKind.NOT_RUN, exc)
+        refusal.come_back_ms = exc.come_back_ms
+        refusal.reached_target = reached.target
+        refusal.no_free_slot = isinstance(exc, NoFreeSlot)
+        if not refusal.no_free_slot:
+            # After a search the entry asks the next gate, and logs the end.
+            self.counters.not_run += 1
+            self.counters.target_refused += reached.target
+            self._log(req, 'not_run', exc)
+        await call.send(refusal)
+
     async def _serve(
         self,
         call: CallStream,
@@ -305,4 +318,5 @@
         kind=req.route_name or '',
         objective_at=now + (req.objective_ms or 0) / MS_PER_S,
         deadline=now + req.remaining_ms / MS_PER_S,
+        may_wait=not req.no_wait,
     )
--- a/filbertdrift/objective_gate.py
+++ b/filbertdrift/objective_gate.py
@@ -15,7 +15,7 @@
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
-from filbertdrift.errors import RequestNotRun
+from filbertdrift.errors import NoFreeSlot, RequestNotRun
 
 PERMILLE = 1000
 MS_PER_S = 1000
@@ -48,12 +48,14 @@
         kind: Requests of one kind take about the same time.
         objective_at: An answer until then is worth most, on the loop's clock.
         deadline: When the caller gives up, on the loop's clock.
+        may_wait: It may wait for a slot.
     """
 
     rank: int
     kind: str
     objective_at: float
     deadline: float
+    may_wait: bool = True
 
 
 class _Tier(NamedTuple):
@@ -81,6 +83,7 @@
     admitted: int = 0
     queued: int = 0
     refused: int = 0
+    not_free: int = 0
     displaced: int = 0
     expired: int = 0
 
@@ -126,6 +129,7 @@
             demand: What the request asks.
 
         Raises:
+            NoFreeSlot: It would have to wait and may not.
             RequestNotRun: It cannot be served in time; it may come back.
         """
         now = asyncio.get_running_loop().time()
@@ -136,6 +140,9 @@
         if not self._queue and self.running < self.slots:
             self._take_slot(_Tier(demand.rank, is_late=False), demand.kind)
             return
+        if not demand.may_wait:
+            self.counters.not_free += 1
+            raise NoFreeSlot('no free slot', come_back_ms=0, step='admit')
         waiter = self._enqueue(demand, now)
         # Later than that it could not be answered before its deadline.
         latest_start = demand.deadline - self._kind_s[demand.kind]
--- a/filbertdrift/request.py
+++ b/filbertdrift/request.py
@@ -32,7 +32,8 @@
         customer: Whose request it is, empty if unknown.
         is_inner: The caller is itself serving a request of this system.
         fingerprint: Hash of the content, the same for a repeat.
-        tried: Nodes that it was sent to.
+        tried: Nodes that it was sent to, without those that were only asked
+            for a free slot and had none.
         is_body_taken: More of the body was read than its first chunk.
         stated_left_s: How long the caller said that it will wait, None if it
             did not say.
--- a/filbertdrift/target_attempt.py
+++ b/filbertdrift/target_attempt.py
@@ -10,6 +10,7 @@
 from filbertdrift.errors import (
     FilbertdriftError,
     MalformedMessage,
+    NoFreeSlot,
     PeerUnavailable,
     RequestNotRun,
     RequestUnknown,
@@ -83,6 +84,7 @@
         chooser: Is told what becomes of it.
         member: The node beside the target.
         graded: The request.
+        may_wait: It may wait for a slot of the target.
 
     Attributes:
         reached_target: The target itself refused it.
@@ -97,6 +99,8 @@
         chooser: TargetChooser,
         member: Member,
         graded: GradedRequest,
+        *,
+        may_wait: bool,
     ) -> None:
         """Start before anything is sent."""
         self.reached_target = False
@@ -106,6 +110,7 @@
         self._chooser = chooser
         self._member = member
         self._graded = graded
+        self._may_wait = may_wait
         self._req = graded.req
         self._upload: asyncio.Task[None] | None = None
 
@@ -113,6 +118,7 @@
         """Send the request and return the opened answer.
 
         Raises:
+            NoFreeSlot: It was not to wait and would have had to.
             RequestNotRun: It was refused before work.
             RequestUnknown: It may have run.
         """
@@ -265,6 +271,7 @@
             objective_ms=int((graded.objective_at - now) * MS_PER_S),
             route_name=graded.route.name,
             is_idempotent=graded.route.is_idempotent,
+            no_wait=not self._may_wait,
         )
 
     def _refused(self, body: ttypes.Refusal) -> Exception:
@@ -273,6 +280,14 @@
         if body.kind != ttypes.RefusalKind.NOT_RUN:
             return self._unknown(body.reason or '')
         load = body.load_permille or 0
+        if body.no_free_slot:
+            self._chooser.note_load(self._member, load, now)
+            return NoFreeSlot(
+                body.reason or '',
+                come_back_ms=COME_BACK_MS,
+                step='gate',
+                peer=self._member.node,
+            )
         kind = self._graded.route.name
         self._chooser.refused(self._member, load, now, kind)
         return RequestNotRun(
--- a/idl/filbertdrift.thrift
+++ b/idl/filbertdrift.thrift
@@ -186,6 +186,8 @@
   17: string route_name
   /** It may run more than once. */
   18: bool is_idempotent
+  /** Refuse it rather than let it wait for a slot. */
+  19: bool no_wait
 }
 
 struct BodyChunk {
@@ -217,6 +219,8 @@
   4: i32 load_permille
   /** The target itself refused, so the retry budget counts the arrival. */
   5: bool reached_target
+  /** It would have had to wait and was told not to. */
+  6: bool no_free_slot
 }
 
 struct Cancel {
