What is on its way holds no slot, and reads are not offered

The gate took a slot before it asked for the rest of an upload; on a link of 2.5 Mbit/s 60 kB take 0.2 s and more, in which the slot did nothing, a third of an upload's own time. On quiet connections, which are nearly all of a large fleet's, every read was offered too, two more messages each.

Change: the gate says whether it would let an offer in and counts it as expected; the slot is taken when the rest is there, and the request may then wait for it. What may be repeated is not offered unless its body is large.

The test of a slow rest fails without the change.

--- a/filbertdrift/handover.py
+++ b/filbertdrift/handover.py
@@ -37,9 +37,9 @@
 FRESH_S = 1.0
 # Any credit lets the other side send one chunk.
 FIRST_CREDIT_BYTES = 1
-# What an entry held back must come within so long, as its request occupies a
-# slot. 64 KiB take 0.2 s on a link of 2.5 Mbit/s, and others share the link.
-HELD_BACK_S = 1.5
+# What an entry held back must come within so long. 64 KiB take 0.2 s on a link
+# of 2.5 Mbit/s, and others share the link.
+HELD_BACK_S = 3.0
 
 
 @dataclass(slots=True)
@@ -140,10 +140,13 @@
         current = self._matching_target(req)
         self._crashes.check(req.fingerprint or '')
         demand = _demand(req, loop.time())
+        if not req.end and not req.body:
+            with current.gate.expecting(demand):
+                await _fetch_held_back(call, req, demand.deadline)
+            demand.may_wait = True
         await current.gate.admit(demand)
         spent_s = 0.0
         try:
-            await _fetch_held_back(call, req, demand.deadline)
             self._running[call] = req.fingerprint or ''
             started_at = loop.time()
             exchange = await self._connect(current, req, demand.deadline)
@@ -282,14 +285,12 @@
     req: ttypes.RequestOpen,
     deadline: float,
 ) -> None:
-    """Ask for what an entry held back until its request was let in.
+    """Ask for what an entry held back until the gate would let it in.
 
     Raises:
         RequestNotRun: It did not come.
         MalformedMessage: Something else came.
     """
-    if req.end or req.body:
-        return
     await call.grant(FIRST_CREDIT_BYTES)
     latest = asyncio.get_running_loop().time() + HELD_BACK_S
     try:
--- a/filbertdrift/objective_gate.py
+++ b/filbertdrift/objective_gate.py
@@ -9,9 +9,11 @@
 
 import asyncio
 import bisect
+import contextlib
 import itertools
 import random
 from collections import defaultdict
+from collections.abc import Iterator
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
@@ -101,6 +103,8 @@
         self.slots = max(slots, 1)
         self.counters = ObjectiveGateCounters()
         self.running = 0
+        # Requests that were told to come, whose bodies are on their way.
+        self.expected = 0
         self.closes_at = float('inf')
         self._rng = rng
         self._queue: list[_Waiter] = []
@@ -119,8 +123,31 @@
 
     @property
     def load_permille(self) -> int:
-        """Return running and waiting requests over slots, in thousandths."""
-        return (self.running + self.waiting) * PERMILLE // self.slots
+        """Return requests here or on their way over slots, in thousandths."""
+        known = self.running + self.waiting + self.expected
+        return known * PERMILLE // self.slots
+
+    @contextlib.contextmanager
+    def expecting(self, demand: Demand) -> Iterator[None]:
+        """Expect a request that is still on its way; it holds no slot.
+
+        Args:
+            demand: What the request asks.
+
+        Raises:
+            NoFreeSlot: It would have to wait and may not.
+            RequestNotRun: It could not be served in time.
+        """
+        now = asyncio.get_running_loop().time()
+        self._check_open(demand, now)
+        if self._queue or self.running + self.expected >= self.slots:
+            self._check_may_wait(demand)
+            self._place(demand, now)
+        self.expected += 1
+        try:
+            yield
+        finally:
+            self.expected -= 1
 
     async def admit(self, demand: Demand) -> None:
         """Wait for a slot; release must be called after the request.
@@ -133,16 +160,11 @@
             RequestNotRun: It cannot be served in time; it may come back.
         """
         now = asyncio.get_running_loop().time()
-        if now >= self.closes_at:
-            raise self._refusal('the target is leaving')
-        if now >= demand.deadline:
-            raise self._refusal('the deadline has passed')
+        self._check_open(demand, now)
         if not self._queue and self.running < self.slots:
             self._take_slot(_Tier(demand.rank, is_late=False), demand.kind)
             return
-        if not demand.may_wait:
-            self.counters.not_free += 1
-            raise NoFreeSlot('no free slot', come_back_ms=0, step='admit')
+        self._check_may_wait(demand)
         waiter = self._enqueue(demand, now)
         # Later than that it could not be answered before its deadline.
         latest_start = demand.deadline - self._kind_s[demand.kind]
@@ -173,6 +195,17 @@
             self._mean_s += step * (service_time_s - self._mean_s)
         self._wake()
 
+    def _check_open(self, demand: Demand, now: float) -> None:
+        if now >= self.closes_at:
+            raise self._refusal('the target is leaving')
+        if now >= demand.deadline:
+            raise self._refusal('the deadline has passed')
+
+    def _check_may_wait(self, demand: Demand) -> None:
+        if not demand.may_wait:
+            self.counters.not_free += 1
+            raise NoFreeSlot('no free slot', come_back_ms=0, step='admit')
+
     def _enqueue(self, demand: Demand, now: float) -> _Waiter:
         tier, latest = self._place(demand, now)
         if len(self._queue) >= self.slots * QUEUE_PER_SLOT:
--- a/filbertdrift/target_attempt.py
+++ b/filbertdrift/target_attempt.py
@@ -191,14 +191,15 @@
         """Tell whether to send the head alone at first.
 
         Until the rest is sent, the request has certainly not run. That costs a
-        round trip, so it is done where the link may be dead, or where a
-        refusal would waste a large body's bytes.
+        round trip, so it is done where the link may be dead and the request
+        could not be repeated, or where a refusal would waste a large body's
+        bytes.
         """
         if link.is_within_process:
             return False
         if self._graded.is_bulk:
             return True
-        if link.is_lively(now):
+        if self._graded.route.is_idempotent or link.is_lively(now):
             return False
         link.ask_for_life(now)
         return True
--- a/tests/test_target_attempt.py
+++ b/tests/test_target_attempt.py
@@ -98,6 +98,26 @@
         current = place.node.lifecycle.current
         assert current is not None
         self.assertThat(current.gate.running, Equals(0))
+        self.assertThat(current.gate.expected, Equals(0))
+
+    def test_rest_on_its_way_holds_no_slot(self) -> None:
+        run_virtual(self._slow_rest())
+
+    async def _slow_rest(self) -> None:
+        fleet = await entry_and_targets(seed=46)
+        place = fleet.places[NEAR]
+        current = place.node.lifecycle.current
+        assert current is not None
+        link = await fleet.places[ENTRY].node.links.link(NEAR)
+        calls = [link.begin() for _ in range(current.gate.slots)]
+        for call in calls:
+            await call.send(_offer(place.identity.generation))
+        await asyncio.sleep(0.1)
+        self.assertThat(current.gate.running, Equals(0))
+        self.assertThat(current.gate.expected, Equals(len(calls)))
+        answer = await fleet.call(NEAR)
+        answer.close()
+        self.assertThat(answer.status, Equals(200))
 
     def test_all_connections_silent(self) -> None:
         run_virtual(self._all_silent())
