The line of a request tells its objective and the repeats left

Asked for with the logs: the inputs that decided, here what is left until the latency objective and of this node's share of the retry budget.

--- a/filbertdrift/dispatch.py
+++ b/filbertdrift/dispatch.py
@@ -251,10 +251,12 @@
         return COME_BACK_MS + int(COME_BACK_SPREAD_MS * self._rng.random())
 
     def _log(self, graded: GradedRequest, outcome: str, reason: str) -> None:
-        left_s = graded.req.deadline - asyncio.get_running_loop().time()
+        now = asyncio.get_running_loop().time()
         logger.bind(
             event='request',
-            left_ms=int(left_s * MS_PER_S),
+            left_ms=int((graded.req.deadline - now) * MS_PER_S),
+            objective_ms=int((graded.objective_at - now) * MS_PER_S),
+            repeats_left=int(self._budget.left(graded.service)),
             request=graded.req.request_id,
             route=graded.route.name,
             service=graded.service,
--- a/filbertdrift/retrybudget.py
+++ b/filbertdrift/retrybudget.py
@@ -71,17 +71,21 @@
 
     def spend(self, service: str) -> bool:
         """Take one repeat; False if this node's share is used up."""
-        window = self._window(service)
-        limits = self.limits
-        allowed = limits.ratio * len(window.requests)
-        allowed += limits.extra / max(self._node_count(), 1)
-        if len(window.repeats) + 1 > allowed * PLANNED_SHARE:
+        if self.left(service) < 1:
             self.denied += 1
             return False
-        window.repeats.append(_now())
+        self._windows[service].repeats.append(_now())
         self.spent += 1
         return True
 
+    def left(self, service: str) -> float:
+        """Return how many repeats this node may still allow now."""
+        window = self._window(service)
+        limits = self.limits
+        allowed = limits.ratio * len(window.requests)
+        allowed += limits.extra / max(self._node_count(), 1)
+        return allowed * PLANNED_SHARE - len(window.repeats)
+
     def _window(self, service: str) -> _Window:
         window = self._windows[service]
         window.forget_before(_now() - self.limits.window_s)
