Soak: an incarnation that begins anew is not noted as having left

Cause, by the logs: the target waited for its leaving to be acknowledged by a node that was paused; meanwhile another fault replaced it. The new incarnation's heartbeat, which says ready, was answered, and the stand-in took that for the acknowledgement of a leaving and noted it under the new name. The nodes did right: no line says that the new one left.

The stand-in stops when its incarnation changes. The check is as it was.

--- a/standins/platform_target.py
+++ b/standins/platform_target.py
@@ -89,11 +89,19 @@
             writer.transport.abort()
 
     async def leave(self) -> None:
-        """Report draining until it is acknowledged, then note when."""
+        """Report draining until it is acknowledged, then note when.
+
+        If a new incarnation begins meanwhile, the one that left is gone and
+        nothing was acknowledged for it.
+        """
+        leaving = self.instance
         self._state = 'draining'
-        while not await self._beat():
+        is_acknowledged = await self._beat()
+        while not is_acknowledged and self.instance == leaving:
             await asyncio.sleep(0.2)
-        self._log.acknowledged[self.instance] = time.monotonic()
+            is_acknowledged = await self._beat()
+        if self.instance == leaving:
+            self._log.acknowledged[leaving] = time.monotonic()
 
     async def _send_beats(self) -> None:
         while True:
