--- a/filbertdrift/cli.py
+++ b/filbertdrift/cli.py
@@ -71,6 +71,31 @@
         factors = [float(word) for word in _words(loads)]
         self._print.show(porcelain.bench_load(factors, seed))
 
+    def compare(
+        self,
+        pattern: str,
+        tree: str = '',
+        first: object = '',
+        second: object = '',
+        loads: object = (0.6, 0.9, 1.3),
+        seeds: int = 5,
+        plot: str = '',
+    ) -> None:
+        """Two versions or policies under returning-callers or stale-loads.
+
+        TREE holds the other version; FIRST and SECOND set constants, such as
+        --second=dispatch.MAX_SEARCHES=0; --plot=FILE.png draws the figures.
+        """
+        report = porcelain.bench_compare(
+            pattern,
+            (tree, ''),
+            (_constants(first), _constants(second)),
+            [float(word) for word in _words(loads)],
+            seeds,
+            plot,
+        )
+        self._print.show(report)
+
     def hop(
         self,
         direct: str,
@@ -222,6 +247,21 @@
     return EXIT_OK
 
 
+def _constants(text: object) -> dict[str, float]:
+    """Return constants written as module.NAME=number, between commas."""
+    found = {}
+    for word in _words(text) if text else ():
+        name, _, number = word.partition('=')
+        try:
+            found[name] = float(number) if '.' in number else int(number)
+        except ValueError as exc:
+            raise SettingsError(
+                f'{word}: not of the form module.NAME=number',
+                step='bench compare',
+            ) from exc
+    return found
+
+
 def _words(text: object) -> Sequence[str]:
     if isinstance(text, (list, tuple)):
         return [str(word) for word in text]
--- a/filbertdrift/porcelain.py
+++ b/filbertdrift/porcelain.py
@@ -397,6 +397,38 @@
     return bench.bench_rate(via, path, pids, connections, seconds)
 
 
+def bench_compare(
+    pattern: str,
+    trees: tuple[str, str],
+    settings: tuple[Mapping[str, float], Mapping[str, float]],
+    loads: Sequence[float],
+    seeds: int,
+    plot: str,
+) -> list[object]:
+    """Compare two versions or two policies under a pattern of load.
+
+    Args:
+        pattern: The pattern's name.
+        trees: Source trees of both variants, this one's where empty.
+        settings: Constants that they set, by module and name.
+        loads: Work that arrives over what the targets can do.
+        seeds: How many seeds.
+        plot: An image file to write, none if empty.
+    """
+    bench = _bench('experiment')
+    first, second = (
+        bench.Variant(name, tree or str(bench.OWN_TREE), constants)
+        for name, tree, constants in zip(
+            ('first', 'second'),
+            trees,
+            settings,
+            strict=True,
+        )
+    )
+    numbers = range(1, seeds + 1)
+    return list(bench.compare(pattern, first, second, loads, numbers, plot))
+
+
 def _bench(name: str) -> Any:
     try:
         return importlib.import_module(f'standins.{name}')
--- a/standins/load_patterns.py
+++ b/standins/load_patterns.py
@@ -1,18 +1,29 @@
-"""Patterns of load on one gate, without a network, on virtual time."""
+"""Patterns of load, without a network, on virtual time."""
 
 import asyncio
 import random
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
+from typing import Protocol
 
-from filbertdrift.callerwait import CallerWaits
-from filbertdrift.errors import RequestNotRun
+from filbertdrift.errors import RequestNotRun, RequestUnknown
 from filbertdrift.objective_gate import Demand, ObjectiveGate
 from standins.fleet import run_virtual
+from standins.mesh_fleet import MeshFleet, TargetScript, config_document
 
 SLOTS = 12
 RETRIES = 2
 ROUND_TRIP_S = 0.012
+FLEET_SLOTS = 2
+FLEET_WORK_S = 0.2
+FLEET_OBJECTIVE_S = 0.5
+
+
+class WaitEstimate(Protocol):
+    """What estimates how long callers have been trying."""
+
+    def elapsed_s(self, route: str, stated_left_s: float | None) -> float:
+        """Count a request and return how long its caller has been trying."""
 
 
 @dataclass(frozen=True)
@@ -47,6 +58,7 @@
     sent: int = 0
     in_time: int = 0
     served: int = 0
+    latencies_s: list[float] = field(default_factory=list)
 
     @property
     def in_time_share(self) -> float:
@@ -57,7 +69,7 @@
 def returning_callers(
     load: float,
     seed: int,
-    waits: CallerWaits | None,
+    waits: WaitEstimate | None,
     kinds: Mapping[str, Kind] = READS_AND_WRITES,
     duration_s: float = 15.0,
 ) -> dict[str, Tally]:
@@ -78,13 +90,82 @@
     return run_virtual(pattern.play(load, duration_s))  # type: ignore[no-any-return]
 
 
+def stale_loads(
+    load: float,
+    seed: int,
+    targets: int = 16,
+    calls: int = 600,
+) -> Tally:
+    """Play many entries, each of which sends each target little.
+
+    Args:
+        load: Work that arrives over what the targets can do.
+        seed: Decides all that is random.
+        targets: Targets of two slots each, all in one domain.
+        calls: Requests, one after the other at random times.
+
+    Returns:
+        What became of the requests.
+    """
+    return run_virtual(_stale_loads(load, seed, targets, calls))  # type: ignore[no-any-return]
+
+
+async def _stale_loads(
+    load: float,
+    seed: int,
+    targets: int,
+    calls: int,
+) -> Tally:
+    fleet = await _settled_fleet(targets, seed)
+    loop = asyncio.get_running_loop()
+    rng = random.Random(seed)
+    nodes = list(fleet.places)
+    tally = Tally()
+    tasks = []
+    rate = load * targets * FLEET_SLOTS / FLEET_WORK_S
+    for _ in range(calls):
+        await asyncio.sleep(rng.expovariate(rate))
+        call = _fleet_call(fleet, rng.choice(nodes), tally)
+        tasks.append(loop.create_task(call))
+    await asyncio.gather(*tasks)
+    return tally
+
+
+async def _settled_fleet(targets: int, seed: int) -> MeshFleet:
+    fleet = MeshFleet(seed)
+    await fleet.publish(
+        config_document(write={'target_latency_s': FLEET_OBJECTIVE_S}),
+    )
+    for _ in range(targets):
+        script = TargetScript(work_s=FLEET_WORK_S, slots=FLEET_SLOTS)
+        await fleet.add('a', 'desk', script)
+    await fleet.until_in_force(1, 5)
+    await asyncio.sleep(3)
+    return fleet
+
+
+async def _fleet_call(fleet: MeshFleet, node: str, tally: Tally) -> None:
+    loop = asyncio.get_running_loop()
+    began = loop.time()
+    tally.sent += 1
+    try:
+        answer = await fleet.call(node, '/write/1')
+    except (RequestNotRun, RequestUnknown):
+        return
+    answer.close()
+    spent_s = loop.time() - began
+    tally.served += 1
+    tally.in_time += spent_s <= FLEET_OBJECTIVE_S
+    tally.latencies_s.append(spent_s)
+
+
 class _Pattern:
     """One gate with its callers."""
 
     def __init__(
         self,
         rng: random.Random,
-        waits: CallerWaits | None,
+        waits: WaitEstimate | None,
         kinds: Mapping[str, Kind],
     ) -> None:
         self._rng = rng
@@ -133,6 +214,7 @@
             await self._work(gate, name, deadline)
             tally.served += clock() < deadline
             tally.in_time += clock() <= began + kind.objective_s
+            tally.latencies_s.append(clock() - began)
             return
 
     async def _work(
--- a/tests/test_callerwait.py
+++ b/tests/test_callerwait.py
@@ -6,7 +6,7 @@
 from testtools.matchers import Equals, GreaterThan
 
 from filbertdrift.callerwait import WINDOW_REQUESTS, CallerWaits
-from tests.load_patterns import returning_callers
+from standins.load_patterns import returning_callers
 
 
 def _waits(**stated_s: list[float]) -> CallerWaits:
