Fewer messages: no cancel after a refusal, no search in a full fleet

Messages between nodes for each request, pattern "stale loads" with writes only, at load 0.75 and 1.3: plain 3.3 and 5.3, with offers and search 8.3 and 10.8. Of those 2.5 and 3.3 asked for and gave signs of life, as each offer on a quiet connection did, and 0.8 and 1.5 cancelled calls that a refusal had ended.

Change: an offer is answered at once and stands for the question; a refused call is not cancelled; where seven in ten of the gates asked of late were busy, one request in ten searches.

--- a/filbertdrift/dispatch.py
+++ b/filbertdrift/dispatch.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from collections import defaultdict
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
@@ -23,6 +24,11 @@
 # Gates that are asked for a free slot before a request waits at one. Two find
 # most of the free slots at nine tenths of a fleet's load.
 MAX_SEARCHES = 2
+# Where more of the gates that were asked had no free slot, the fleet is full
+# and only some requests search, to find out when that ends.
+BUSY_SHARE_LIMIT = 0.7
+TRIAL_SHARE = 0.1
+BUSY_SHARE_WEIGHT = 0.05
 # Gates that may refuse one request before it goes back to its caller.
 MAX_REFUSALS = 3
 # What is left of a deadline must be worth another try.
@@ -67,16 +73,17 @@
         is_over: The request may wait now.
     """
 
-    def __init__(self) -> None:
-        """Start without tries."""
+    def __init__(self, most: int) -> None:
+        """Start without tries; at most so many gates are asked."""
         self.excluded: list[str] = []
-        self.is_over = MAX_SEARCHES == 0
+        self.is_over = most == 0
+        self._most = most
         self._busy: list[str] = []
 
     def found_busy(self) -> None:
         """Note that the node tried last has no free slot."""
         self._busy.append(self.excluded[-1])
-        if len(self._busy) >= MAX_SEARCHES:
+        if len(self._busy) >= self._most:
             self.is_over = True
             self.excluded = [
                 node for node in self.excluded if node not in self._busy
@@ -112,6 +119,8 @@
         self._crashes = crashes
         self._budget = budget
         self._rng = rng
+        # Part of the gates asked of late that had no free slot, by service.
+        self._busy_share: dict[str, float] = defaultdict(float)
 
     async def dispatch(self, graded: GradedRequest) -> GradedAnswer:
         """Return the answer of a target.
@@ -149,13 +158,14 @@
         refusals = 0
         handed_over = 0
         unknown: RequestUnknown | None = None
-        search = _Search()
+        search = self._search_for(graded.service)
         while True:
             attempt = self._next_attempt(graded, search, unknown)
             try:
-                return await attempt.run()
+                answer = await attempt.run()
             except NoFreeSlot:
                 self.counters.searches += 1
+                self._note_search(graded.service, is_busy=True)
                 graded.req.tried.pop()
                 search.found_busy()
             except RequestNotRun as exc:
@@ -169,6 +179,10 @@
                 handed_over += 1
                 if not self._may_repeat(graded, handed_over):
                     raise
+            else:
+                if not attempt.may_wait:
+                    self._note_search(graded.service, is_busy=False)
+                return answer
 
     def _next_attempt(
         self,
@@ -211,6 +225,17 @@
             or not self._chooser.seems_free(member, now),
         )
 
+    def _search_for(self, service: str) -> _Search:
+        """Return a search, one that is over if it is likely to be in vain."""
+        is_full = self._busy_share[service] > BUSY_SHARE_LIMIT
+        is_in_vain = is_full and self._rng.random() > TRIAL_SHARE
+        return _Search(0 if is_in_vain else MAX_SEARCHES)
+
+    def _note_search(self, service: str, *, is_busy: bool) -> None:
+        known = self._busy_share[service]
+        step = BUSY_SHARE_WEIGHT * (is_busy - known)
+        self._busy_share[service] = known + step
+
     def _may_go_on(
         self,
         graded: GradedRequest,
--- a/filbertdrift/link.py
+++ b/filbertdrift/link.py
@@ -107,14 +107,14 @@
         """
         return now - self.heard_at <= LIVELY_S
 
-    def ask_for_life(self, now: float) -> None:
-        """Ask for a sign of life unless one is owed already.
+    def expect_answer(self, now: float) -> None:
+        """Take a message that is answered at once for a question of life.
 
         Args:
             now: The time on the event loop's clock.
         """
         if self._asked_at <= self.heard_at:
-            self._ask(now)
+            self._asked_at = now
 
     def _owed_s(self, now: float) -> float:
         """Return how long a sign of life has been owed, zero if it is not."""
--- a/filbertdrift/target_attempt.py
+++ b/filbertdrift/target_attempt.py
@@ -91,6 +91,7 @@
         is_body_sent: More of its body went out than can be sent again.
         is_offer: Only the head went out; the target's node starts it once it
             has let it in, has asked for the rest, and has got it.
+        may_wait: As given.
     """
 
     def __init__(
@@ -106,11 +107,13 @@
         self.reached_target = False
         self.is_body_sent = False
         self.is_offer = False
+        # The other side has ended the call.
+        self._is_refused = False
         self._links = links
         self._chooser = chooser
         self._member = member
         self._graded = graded
-        self._may_wait = may_wait
+        self.may_wait = may_wait
         self._req = graded.req
         self._upload: asyncio.Task[None] | None = None
 
@@ -132,10 +135,12 @@
             raise
         self.is_offer = self._must_offer(link, started_at)
         call.give_up_s = self._patience_s
+        if self.is_offer:
+            link.expect_answer(started_at)
         try:
             answer = await self._exchange(call)
         except BaseException:
-            self._end(link, call, cancel=True)
+            self._end(link, call, cancel=not self._is_refused)
             raise
         self._note_answer(answer, loop.time() - started_at)
         opened = GradedAnswer(
@@ -199,10 +204,7 @@
             return False
         if self._graded.is_bulk:
             return True
-        if self._graded.route.is_idempotent or link.is_lively(now):
-            return False
-        link.ask_for_life(now)
-        return True
+        return not (self._graded.route.is_idempotent or link.is_lively(now))
 
     async def _exchange(self, call: CallStream) -> ttypes.AnswerOpen:
         loop = asyncio.get_running_loop()
@@ -272,11 +274,12 @@
             objective_ms=int((graded.objective_at - now) * MS_PER_S),
             route_name=graded.route.name,
             is_idempotent=graded.route.is_idempotent,
-            no_wait=not self._may_wait,
+            no_wait=not self.may_wait,
         )
 
     def _refused(self, body: ttypes.Refusal) -> Exception:
         now = asyncio.get_running_loop().time()
+        self._is_refused = True
         self.reached_target = bool(body.reached_target)
         if body.kind != ttypes.RefusalKind.NOT_RUN:
             return self._unknown(body.reason or '')
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -54,3 +54,33 @@
             for place in fleet.places.values()
         )
         self.assertThat(searches, GreaterThan(0))
+
+
+class SearchInVainTest(TestCase):
+    """Pattern: a fleet stays full for long."""
+
+    def test_few_requests_search_then(self) -> None:
+        with_trials = self._searches(dispatch.BUSY_SHARE_LIMIT)
+        always = self._searches(limit=1.0)
+        self.assertThat(with_trials, LessThan(always))
+
+    def _searches(self, limit: float) -> int:
+        """Return how many gates were asked in vain."""
+        self.patch(dispatch, 'BUSY_SHARE_LIMIT', limit)
+        in_vain: list[str] = []
+        original = dispatch.Dispatcher._note_search
+
+        def note(
+            found: dispatch.Dispatcher,
+            service: str,
+            *,
+            is_busy: bool,
+        ) -> None:
+            if is_busy:
+                in_vain.append(service)
+            original(found, service, is_busy=is_busy)
+
+        self.patch(dispatch.Dispatcher, '_note_search', note)
+        stale_loads(1.2, seed=64, calls=1200)
+        self.patch(dispatch.Dispatcher, '_note_search', original)
+        return len(in_vain)
