Two near tries before the rest of the region counts alike

What is gained in service is lost in bytes, which are dear there. The search asks near gates first and finds most free slots there; the third try may still go anywhere, so a domain of twenty full targets does not use up all tries.

--- a/filbertdrift/dispatch.py
+++ b/filbertdrift/dispatch.py
@@ -40,7 +40,7 @@
 BULK_SPILL_PERMILLE = 4000
 # Tries in the own domain before the rest of the region counts alike. A large
 # body leaves it only when nothing near is left to try.
-NEAR_TRIES = 1
+NEAR_TRIES = 2
 BULK_NEAR_TRIES = MAX_REFUSALS
 COME_BACK_MS = 100
 COME_BACK_SPREAD_MS = 200
