--- a/filbertdrift/dispatch.py
+++ b/filbertdrift/dispatch.py
@@ -187,7 +187,7 @@
     def _next_attempt(
         self,
         graded: GradedRequest,
-        search: '_Search',
+        search: _Search,
         unknown: RequestUnknown | None,
     ) -> TargetAttempt:
         now = asyncio.get_running_loop().time()
