Reads behind others that wait on a quiet connection are offered too

A cut connection took reads for 0.75 s; each cost a repeat, and the retry budget ran out.

Change: a read is offered if the connection was quiet for 0.1 s and another call waits there.

The test fails without the change: six reads after a cut spend one repeat.

--- a/filbertdrift/link.py
+++ b/filbertdrift/link.py
@@ -107,6 +107,10 @@
         """
         return now - self.heard_at <= LIVELY_S
 
+    def has_more_calls(self) -> bool:
+        """Tell whether more calls than one wait for their answers."""
+        return len(self._calls) > 1
+
     def expect_answer(self, now: float) -> None:
         """Take a message that is answered at once for a question of life.
 
--- a/filbertdrift/target_attempt.py
+++ b/filbertdrift/target_attempt.py
@@ -196,15 +196,17 @@
         """Tell whether to send the head alone at first.
 
         Until the rest is sent, the request has certainly not run. That costs a
-        round trip, so it is done where the link may be dead and the request
-        could not be repeated, or where a refusal would waste a large body's
-        bytes.
+        round trip, so it is done where the link may be dead, or where a refusal
+        would waste a large body's bytes. What may be repeated is offered only
+        if others wait for answers on that link already.
         """
         if link.is_within_process:
             return False
         if self._graded.is_bulk:
             return True
-        return not (self._graded.route.is_idempotent or link.is_lively(now))
+        if link.is_lively(now):
+            return False
+        return link.has_more_calls() or not self._graded.route.is_idempotent
 
     async def _exchange(self, call: CallStream) -> ttypes.AnswerOpen:
         loop = asyncio.get_running_loop()
--- a/tests/test_target_attempt.py
+++ b/tests/test_target_attempt.py
@@ -51,6 +51,23 @@
         self.assertThat(statuses, Equals([200] * 5))
         self.assertThat(set(fleet.runs().values()), Equals({1}))
 
+    def test_reads_behind_one_that_waits_cost_no_repeats(self) -> None:
+        run_virtual(self._reads())
+
+    async def _reads(self) -> None:
+        fleet = await entry_and_targets(seed=47)
+        await write(fleet)
+        await asyncio.sleep(1)
+        fleet.fabric.cut([ENTRY], [NEAR])
+        answers = await asyncio.gather(
+            *(fleet.call(ENTRY, timeout_s=4) for _ in range(6)),
+        )
+        for answer in answers:
+            answer.close()
+        self.assertThat({answer.status for answer in answers}, Equals({200}))
+        spent = fleet.places[ENTRY].node.budget.spent
+        self.assertThat(spent, LessThan(2))
+
     def test_write_offered_to_a_frozen_node_runs_once(self) -> None:
         run_virtual(self._frozen())
 
