--- a/filbertdrift/chooser.py
+++ b/filbertdrift/chooser.py
@@ -91,7 +91,6 @@
         kind: str = '',
         *,
         is_bulk: bool = False,
-        near_tries: int = 1,
     ) -> Member | None:
         """Return the target for a request.
 
@@ -103,14 +102,11 @@
                 the request as well.
             kind: Gates that were full for this kind just now are left out.
             is_bulk: Its body is large, so what large bodies took counts.
-            near_tries: After so many tries all targets of the region count
-                alike; the many near ones would refuse it one by one.
 
         Returns:
             A member, or None if there is nothing left to try.
         """
-        nearness = [self._is_local, self._is_in_region]
-        for near in nearness[len(tried) >= near_tries :]:
+        for near in (self._is_local, self._is_in_region):
             group = [found for found in endpoints if near(found)]
             open_group = self._open(group, tried, kind, now)
             best = self._better_of_two(open_group, now, is_bulk=is_bulk)
--- a/filbertdrift/dispatch.py
+++ b/filbertdrift/dispatch.py
@@ -38,10 +38,6 @@
 # farther only when the gates near by refuse them.
 SPILL_PERMILLE = 1500
 BULK_SPILL_PERMILLE = 4000
-# Tries in the own domain before the rest of the region counts alike. A large
-# body leaves it only when nothing near is left to try.
-NEAR_TRIES = 2
-BULK_NEAR_TRIES = MAX_REFUSALS
 COME_BACK_MS = 100
 COME_BACK_SPREAD_MS = 200
 # One in so many answered requests is logged, and all that took a second try.
@@ -206,7 +202,6 @@
             BULK_SPILL_PERMILLE if is_bulk else SPILL_PERMILLE,
             graded.route.name,
             is_bulk=is_bulk,
-            near_tries=BULK_NEAR_TRIES if is_bulk else NEAR_TRIES,
         )
         if member is None:
             raise unknown or RequestNotRun(
