--- a/filbertdrift/dispatch.py
+++ b/filbertdrift/dispatch.py
@@ -163,7 +163,7 @@
         refusals = 0
         handed_over = 0
         unknown: RequestUnknown | None = None
-        search = self._search_for(graded)
+        search = self._search_for(graded.service)
         while True:
             attempt = self._next_attempt(graded, search, unknown)
             try:
@@ -241,14 +241,11 @@
             is_bulk=is_bulk,
         )
 
-    def _search_for(self, graded: GradedRequest) -> _Search:
-        """Return a search, one that is over if it is likely to be in vain.
-
-        Large bodies do not search: they wait near by.
-        """
-        is_full = self._busy_share[graded.service] > BUSY_SHARE_LIMIT
+    def _search_for(self, service: str) -> _Search:
+        """Return a search, one that is over if it is likely to be in vain."""
+        is_full = self._busy_share[service] > BUSY_SHARE_LIMIT
         is_in_vain = is_full and self._rng.random() > TRIAL_SHARE
-        return _Search(0 if is_in_vain or graded.is_bulk else MAX_SEARCHES)
+        return _Search(0 if is_in_vain else MAX_SEARCHES)
 
     def _note_search(self, service: str, *, is_busy: bool) -> None:
         known = self._busy_share[service]
