A configuration whose routes point at unknown services is refused whole

Cause: the document was checked field by field only; `services_of` stood unused. The store accepts only valid documents, but a node must not rely on that.

The check is in `routing`, called before a document comes into force. Of records read at once the newest valid one counts; a refused last one hid those before it. The test fails without the change.

--- a/filbertdrift/config_holder.py
+++ b/filbertdrift/config_holder.py
@@ -7,7 +7,12 @@
 from loguru import logger
 
 from filbertdrift.errors import MalformedMessage
-from filbertdrift.routing import NO_VERSION, PrefixTable, RoutingConfig
+from filbertdrift.routing import (
+    NO_VERSION,
+    PrefixTable,
+    RoutingConfig,
+    check_references,
+)
 
 DIGEST_BYTES = 8
 
@@ -66,6 +71,7 @@
         """
         try:
             config = self._parse(document)
+            check_references(config)
         except MalformedMessage as exc:
             self.counters.malformed += 1
             logger.error('configuration from {} refused: {}', source, exc)
--- a/filbertdrift/configwatch.py
+++ b/filbertdrift/configwatch.py
@@ -160,7 +160,11 @@
             for record in records
             if record.key == self._key and record.payload
         ]
-        return bool(documents) and self._holder.offer(documents[-1], 'log')
+        # The newest that is valid counts.
+        return any(
+            self._holder.offer(document, 'log')
+            for document in reversed(documents)
+        )
 
     async def _back_off(self, exc: LogUnavailable) -> None:
         self.counters.failures += 1
--- a/filbertdrift/routing.py
+++ b/filbertdrift/routing.py
@@ -8,6 +8,8 @@
 from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass
 
+from filbertdrift.errors import MalformedMessage
+
 NO_VERSION = -1
 
 DEFAULT_HEADER_BYTES = 16_384
@@ -145,3 +147,19 @@
     """Return the services that routes go to, sorted."""
     found = {share.service for route in config.routes for share in route.shares}
     return sorted(found)
+
+
+def check_references(config: RoutingConfig) -> None:
+    """Check that every service that routes go to is part of a configuration.
+
+    Raises:
+        MalformedMessage: A route points at a service that is not.
+    """
+    dangling = [
+        found for found in services_of(config) if found not in config.services
+    ]
+    if dangling:
+        raise MalformedMessage(
+            f'routes to unknown services: {", ".join(dangling)}',
+            step='check configuration',
+        )
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -274,6 +274,19 @@
         await asyncio.sleep(2)
         self.assertThat(set(fleet.versions().values()), Equals({9}))
 
+    def test_route_to_an_unknown_service_is_refused(self) -> None:
+        run_virtual(self._dangling())
+
+    async def _dangling(self) -> None:
+        fleet = await settled_fleet(seed=14)
+        dangling = config_document(version=6, read={'service': 'nowhere'})
+        await fleet.publish(config_document(version=5))
+        await fleet.publish(dangling)
+        await fleet.until_in_force(5, 3)
+        await asyncio.sleep(2)
+        self.assertThat(set(fleet.versions().values()), Equals({5}))
+        (await fleet.call('a-0:7000')).close()
+
     def test_history_dropped(self) -> None:
         run_virtual(self._dropped())
 
