Logs and metrics that tell late configurations and late requests apart

Change: requests carry when they were sent, and the gate estimates their delay; handover lines state it and abandoned requests and cancellations are logged. Lines about configurations state how long a newer version was known. Gauges and histograms come first in a scrape, whose beginning is what a record keeps. No decision depends on any of this.

--- a/filbertdrift/callserver.py
+++ b/filbertdrift/callserver.py
@@ -10,6 +10,7 @@
 from filbertdrift.errors import MalformedMessage, PeerUnavailable
 from filbertdrift.gen import ttypes
 from filbertdrift.link import IDLE_TIMEOUT_S, KEEPALIVE_TIMEOUT_S, TICK_S
+from filbertdrift.transit import TransitEstimator
 
 OnCall = Callable[[CallStream, object], Awaitable[None]]
 
@@ -41,6 +42,7 @@
         self._calls: dict[int, CallStream] = {}
         self._tasks: dict[int, asyncio.Task[None]] = {}
         self._last_call_id = 0
+        self._transit = TransitEstimator()
         self._loop = asyncio.get_running_loop()
         self._last_received_at = self._loop.time()
         self._silence_timer: asyncio.TimerHandle | None = None
@@ -96,6 +98,10 @@
 
     def _open(self, call_id: int, body: object) -> None:
         call = CallStream(self._conn, call_id, WINDOW_BYTES)
+        if isinstance(body, ttypes.RequestOpen):
+            call.transit_s = self._transit.estimate_s(
+                body.sent_at_ms, self._conn.clock_s()
+            )
         self._calls[call_id] = call
         task = self._loop.create_task(self._serve(call, body))
         self._tasks[call_id] = task
--- a/filbertdrift/callstream.py
+++ b/filbertdrift/callstream.py
@@ -24,6 +24,8 @@
     Attributes:
         keepalive_timeout_s: The call fails once a keepalive on its connection
             has been unanswered for this long.
+        transit_s: How long the opening message was delayed in transit, known
+            at the end that serves the call.
     """
 
     def __init__(
@@ -36,12 +38,17 @@
         self.peer = conn.peer
         self.call_id = call_id
         self.keepalive_timeout_s = float('inf')
+        self.transit_s = 0.0
         self._conn = conn
         self._window_bytes = window_bytes
         self._credit_granted = asyncio.Event()
         self._received: asyncio.Queue[object] = asyncio.Queue()
         self._failure: FilbertdriftError | None = None
 
+    def clock_s(self) -> float:
+        """Return the time on the clock of the connection."""
+        return self._conn.clock_s()
+
     async def send(self, body: object) -> None:
         """Send one message that consumes no credit.
 
--- a/filbertdrift/config_exchange.py
+++ b/filbertdrift/config_exchange.py
@@ -3,6 +3,7 @@
 import asyncio
 import zlib
 from collections.abc import Sequence
+from dataclasses import dataclass
 
 from loguru import logger
 
@@ -19,6 +20,14 @@
 HEDGE_DELAY_S = 0.4
 MAX_CONCURRENT_FETCHES = 2
 MAX_DOCUMENT_BYTES = 16_777_216
+MS_PER_S = 1000
+
+
+@dataclass(slots=True)
+class ExchangeCounters:
+    """Fetches of configuration documents from peers."""
+
+    failed_fetches: int = 0
 
 
 class ConfigExchange:
@@ -40,6 +49,7 @@
         links: LinkPool,
     ) -> None:
         """Create an exchange and subscribe to digests of peers."""
+        self.counters = ExchangeCounters()
         self._holder = holder
         self._membership = membership
         self._links = links
@@ -68,6 +78,7 @@
             version: The version in force on the peer.
             digest: The digest of its document.
         """
+        self._holder.record_announcement(version)
         if version <= self._holder.version or sender in self._fetch_started_at:
             return
         if not self._may_fetch():
@@ -113,7 +124,9 @@
             sender = self._next_sender
 
     async def _fetch(self, peer: str) -> bool:
-        deadline = asyncio.get_running_loop().time() + FETCH_TIMEOUT_S
+        loop = asyncio.get_running_loop()
+        started_at = loop.time()
+        deadline = started_at + FETCH_TIMEOUT_S
         req = ttypes.PullConfig(self._holder.version, whole=True)
         try:
             reply = await self._links.ask(
@@ -124,7 +137,14 @@
             )
             document = _decode_document(reply)
         except (PeerUnavailable, MalformedMessage) as exc:
-            logger.bind(event='config_fetch_failed').info('{}', exc)
+            self.counters.failed_fetches += 1
+            logger.bind(
+                event='config_fetch_failed',
+                peer=peer,
+                version=self._holder.version,
+                announced=self._holder.announced_version,
+                waited_ms=int((loop.time() - started_at) * MS_PER_S),
+            ).info('{}', exc)
             return False
         return bool(document) and self._holder.offer(document, peer)
 
--- a/filbertdrift/config_holder.py
+++ b/filbertdrift/config_holder.py
@@ -1,5 +1,6 @@
 """The configuration document in force on a node."""
 
+import asyncio
 import hashlib
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -15,6 +16,7 @@
 )
 
 DIGEST_BYTES = 8
+MS_PER_S = 1000
 
 ParseDocument = Callable[[bytes], RoutingConfig]
 
@@ -39,6 +41,7 @@
         table: The routes of the configuration.
         document: The encoded configuration, as sent to peers.
         on_adopt: Called with each new configuration.
+        announced_version: The newest version that this node has heard of.
     """
 
     def __init__(self, parse: ParseDocument) -> None:
@@ -48,6 +51,8 @@
         self.table = PrefixTable(())
         self.document = b''
         self.on_adopt: Callable[[RoutingConfig], None] = _ignore_config
+        self.announced_version = NO_VERSION
+        self._behind_since: float | None = None
         self._parse = parse
         self._digest = b''
 
@@ -60,6 +65,18 @@
         """Return the version and the digest of the document."""
         return self.version, self._digest
 
+    def record_announcement(self, version: int) -> None:
+        """Record that a peer has a version in force."""
+        self.announced_version = max(self.announced_version, version)
+        if version > self.version and self._behind_since is None:
+            self._behind_since = asyncio.get_running_loop().time()
+
+    def behind_s(self) -> float:
+        """Return for how long this node has known of a newer version."""
+        if self._behind_since is None:
+            return 0
+        return asyncio.get_running_loop().time() - self._behind_since
+
     def offer(self, document: bytes, source: str) -> bool:
         """Adopt a document if it is well-formed, consistent and newer.
 
@@ -81,7 +98,10 @@
             self.counters.older_ignored += 1
             return False
         before = self.version
+        behind_s = self.behind_s()
         self.config = config
+        if self.version >= self.announced_version:
+            self._behind_since = None
         self.table = PrefixTable(config.routes)
         self.document = document
         self._digest = hashlib.blake2b(
@@ -94,6 +114,8 @@
             version=config.version,
             before=before,
             routes=len(config.routes),
+            size_bytes=len(document),
+            behind_ms=int(behind_s * MS_PER_S),
             source=source,
         ).info('configuration {} is in force', config.version)
         self.on_adopt(config)
--- a/filbertdrift/connection.py
+++ b/filbertdrift/connection.py
@@ -1,5 +1,6 @@
 """The interface of a connection between two nodes, and traffic counters."""
 
+import asyncio
 from abc import ABC, abstractmethod
 from collections import Counter
 
@@ -119,6 +120,10 @@
         self._counters.received(body)
         return call_id, body
 
+    def clock_s(self) -> float:
+        """Return the time on a clock that never stops or steps."""
+        return asyncio.get_running_loop().time()
+
     @abstractmethod
     def close(self) -> None:
         """Close the connection at once, without flushing the send buffer."""
--- a/filbertdrift/dispatch.py
+++ b/filbertdrift/dispatch.py
@@ -50,6 +50,7 @@
     """Outcomes, refusals and retries of this node's ingress requests."""
 
     answered: int = 0
+    abandoned: int = 0
     not_run: int = 0
     unknown: int = 0
     searches: int = 0
@@ -160,6 +161,10 @@
             self.counters.unknown += 1
             self._log(routed, 'unknown', str(exc))
             raise
+        except asyncio.CancelledError:
+            self.counters.abandoned += 1
+            self._log(routed, 'abandoned', 'the caller left')
+            raise
         self.counters.answered += 1
         if self.counters.answered % ANSWERED_LOG_INTERVAL == 0 or req.tried[1:]:
             self._log(routed, 'answered', f'status {response.status}')
--- a/filbertdrift/gen/ttypes.py
+++ b/filbertdrift/gen/ttypes.py
@@ -2399,6 +2399,7 @@
      - is_idempotent: It may run more than once.
      - no_wait: Refuse it rather than let it wait for a slot.
      - is_offer: Only the head: the first credit asks for the body, which must follow.
+     - sent_at_ms: When it was sent, on a clock of the sender that never stops.
 
     """
 
@@ -2422,10 +2423,11 @@
         'is_idempotent',
         'no_wait',
         'is_offer',
+        'sent_at_ms',
     )
 
 
-    def __init__(self, method=None, path=None, headers=None, remaining_ms=None, service_name=None, importance=None, customer=None, body=None, end=None, request_id=None, fingerprint=None, refusal_statuses=None, generation=None, stall_ms=None, objective_ms=None, route_name=None, is_idempotent=None, no_wait=None, is_offer=None,):
+    def __init__(self, method=None, path=None, headers=None, remaining_ms=None, service_name=None, importance=None, customer=None, body=None, end=None, request_id=None, fingerprint=None, refusal_statuses=None, generation=None, stall_ms=None, objective_ms=None, route_name=None, is_idempotent=None, no_wait=None, is_offer=None, sent_at_ms=None,):
         self.method = method
         self.path = path
         self.headers = headers
@@ -2445,6 +2447,7 @@
         self.is_idempotent = is_idempotent
         self.no_wait = no_wait
         self.is_offer = is_offer
+        self.sent_at_ms = sent_at_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2561,6 +2564,11 @@
                     self.is_offer = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 21:
+                if ftype == TType.I64:
+                    self.sent_at_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2653,6 +2661,10 @@
             oprot.writeFieldBegin('is_offer', TType.BOOL, 20)
             oprot.writeBool(self.is_offer)
             oprot.writeFieldEnd()
+        if self.sent_at_ms is not None:
+            oprot.writeFieldBegin('sent_at_ms', TType.I64, 21)
+            oprot.writeI64(self.sent_at_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4057,6 +4069,7 @@
     (18, TType.BOOL, 'is_idempotent', None, None, ),  # 18
     (19, TType.BOOL, 'no_wait', None, None, ),  # 19
     (20, TType.BOOL, 'is_offer', None, None, ),  # 20
+    (21, TType.I64, 'sent_at_ms', None, None, ),  # 21
 )
 all_structs.append(BodyChunk)
 BodyChunk.thrift_spec = (
--- a/filbertdrift/handover.py
+++ b/filbertdrift/handover.py
@@ -24,6 +24,7 @@
 from filbertdrift.gen import ttypes
 from filbertdrift.health import TargetHealth
 from filbertdrift.lifecycle import Incarnation, TargetLifecycle
+from filbertdrift.metrics import DurationHistogram
 from filbertdrift.objective_gate import SlotRequest
 from filbertdrift.target import Exchange, TargetRequest
 from filbertdrift.target_run import RefusedBy, TargetRun
@@ -77,6 +78,10 @@
         """Create the server without requests."""
         self.counters = HandoverCounters()
         self.in_progress = 0
+        self.transit_durations = DurationHistogram(
+            'peer_transit',
+            'Delay of requests between nodes.',
+        )
         self._lifecycle = lifecycle
         self._header_names = header_names
         self._generation = generation
@@ -94,6 +99,7 @@
             req: The opening message.
         """
         self.in_progress += 1
+        self.transit_durations.record(call.transit_s)
         refused_by = RefusedBy()
         try:
             await self._serve(call, req, refused_by)
@@ -101,13 +107,14 @@
             await self._send_refusal(call, req, exc, refused_by)
         except RequestUnknown as exc:
             self.counters.unknown += 1
-            self._log_outcome(req, 'unknown', exc)
+            self._log_outcome(call, req, 'unknown', str(exc))
             self._suspect_crash(exc)
             await call.send(
                 self._build_refusal(ttypes.RefusalKind.UNKNOWN, exc)
             )
         except asyncio.CancelledError:
             self.counters.cancelled += 1
+            self._log_outcome(call, req, 'cancelled', 'the ingress gave up')
             raise
         finally:
             self.in_progress -= 1
@@ -129,7 +136,7 @@
             # logs the outcome itself.
             self.counters.not_run += 1
             self.counters.target_refused += refused_by.target
-            self._log_outcome(req, 'not_run', exc)
+            self._log_outcome(call, req, 'not_run', str(exc))
         await call.send(refusal)
 
     async def _serve(
@@ -276,9 +283,10 @@
 
     def _log_outcome(
         self,
+        call: CallStream,
         req: ttypes.RequestOpen,
         outcome: str,
-        exc: FilbertdriftError,
+        reason: str,
     ) -> None:
         current = self._lifecycle.current
         logger.bind(
@@ -287,8 +295,9 @@
             instance=current.heartbeat.instance if current else '',
             running=current.gate.running if current else 0,
             waiting=current.gate.waiting if current else 0,
+            transit_ms=int(call.transit_s * MS_PER_S),
             outcome=outcome,
-            reason=str(exc),
+            reason=reason,
         ).info('handover {}', outcome)
 
 
--- a/filbertdrift/mesh_metrics.py
+++ b/filbertdrift/mesh_metrics.py
@@ -20,6 +20,7 @@
     """
     collector = NodeCollector()
     sources: Mapping[str, object] = {
+        'config_exchange': node.exchange.counters,
         'callers': node.entry.counters,
         'requests': node.dispatcher.counters,
         'handover': node.handover.counters,
@@ -42,8 +43,13 @@
     collector.add_labelled_counter(
         'received_messages', network.received_messages
     )
+    collector.add_histogram(node.handover.transit_durations)
     collector.add_histogram(node.request_durations)
     collector.add_gauge('config_version', lambda: node.holder.version)
+    collector.add_gauge(
+        'config_announced_version', lambda: node.holder.announced_version
+    )
+    collector.add_gauge('config_behind_seconds', node.holder.behind_s)
     collector.add_gauge('members', lambda: len(node.membership.table))
     collector.add_gauge('peer_links', lambda: len(node.links))
     collector.add_gauge('retries_spent', lambda: node.budget.spent)
--- a/filbertdrift/metrics.py
+++ b/filbertdrift/metrics.py
@@ -104,7 +104,19 @@
         self._histograms.append(histogram)
 
     def collect(self) -> Iterator[Metric]:
-        """Yield the metric families with their current values."""
+        """Yield the metric families with their current values.
+
+        Gauges and histograms are first: tools that keep only the beginning of
+        a scrape keep what tells most about the state of a node.
+        """
+        for name, read in self._gauges.items():
+            yield GaugeMetricFamily(
+                f'{PREFIX}_{name}',
+                name.replace('_', ' '),
+                value=float(read()),  # type: ignore[operator]
+            )
+        for histogram in self._histograms:
+            yield histogram.family()
         for name, source in self._counters.items():
             yield from _counter_families(name, source)
         for name, source in self._labelled_counters.items():
@@ -116,14 +128,6 @@
             for kind, count in sorted(source.items()):
                 family.add_metric([kind], count)
             yield family
-        for name, read in self._gauges.items():
-            yield GaugeMetricFamily(
-                f'{PREFIX}_{name}',
-                name.replace('_', ' '),
-                value=float(read()),  # type: ignore[operator]
-            )
-        for histogram in self._histograms:
-            yield histogram.family()
 
 
 def render_metrics(collector: NodeCollector) -> bytes:
--- a/filbertdrift/network.py
+++ b/filbertdrift/network.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import contextlib
+import time
 from abc import ABC, abstractmethod
 from collections.abc import Awaitable, Callable
 
@@ -121,6 +122,10 @@
         self._writer = writer
         self._receive_buffer = b''
 
+    def clock_s(self) -> float:
+        """Return the time since boot, which includes suspensions."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
+
     def close(self) -> None:
         """Abort the connection and drop buffered frames."""
         self._writer.transport.abort()
--- a/filbertdrift/target_attempt.py
+++ b/filbertdrift/target_attempt.py
@@ -222,7 +222,7 @@
         deadline = self._req.deadline + RESPONSE_SLACK_S
         try:
             async with asyncio.timeout_at(deadline):
-                await call.send(self._opening())
+                await call.send(self._opening(call))
                 if self.is_offer or not self._req.is_whole:
                     self._upload = loop.create_task(self._send_body(call))
                 body = await call.receive()
@@ -267,7 +267,7 @@
         await call.send_chunk(req.first_chunk, end=req.is_whole)
         return req.is_whole
 
-    def _opening(self) -> ttypes.RequestOpen:
+    def _opening(self, call: CallStream) -> ttypes.RequestOpen:
         now = asyncio.get_running_loop().time()
         routed, req = self._routed, self._req
         return ttypes.RequestOpen(
@@ -287,6 +287,7 @@
             is_idempotent=routed.route.is_idempotent,
             no_wait=not self.may_wait,
             is_offer=self.is_offer,
+            sent_at_ms=int(call.clock_s() * MS_PER_S),
         )
 
     def _refusal_error(self, body: ttypes.Refusal) -> Exception:
--- a/idl/filbertdrift.thrift
+++ b/idl/filbertdrift.thrift
@@ -190,6 +190,8 @@
   19: bool no_wait
   /** Only the head: the first credit asks for the body, which must follow. */
   20: bool is_offer
+  /** When it was sent, on a clock of the sender that never stops. */
+  21: optional i64 sent_at_ms
 }
 
 struct BodyChunk {
