--- a/filbertdrift/network_memory.py
+++ b/filbertdrift/network_memory.py
@@ -28,18 +28,46 @@
     Attributes:
         loss: The share of datagrams that are lost, from 0 to 1.
         delay_s: Returns the one-way delay between two addresses.
+        bytes_per_s: The capacity of the links to some addresses; the others
+            have no limit.
         networks: The transports of running nodes by address.
     """
 
     def __init__(self, rng: random.Random) -> None:
         """Create a network without faults."""
         self.loss = 0.0
+        self.bytes_per_s: dict[str, float] = {}
         self.delay_s: Callable[[str, str], float] = _get_default_delay_s
         self.networks: dict[str, MemoryNetwork] = {}
         self._partitions: set[frozenset[str]] = set()
         self._rng = rng
         self._paused_deliveries: dict[str, list[Callable[[], None]]] = {}
         self._last_arrival: dict[tuple[str, str], float] = {}
+        # When the link to an address has transmitted what is queued for it.
+        self._link_free_at: dict[str, float] = {}
+
+    def occupy_link(self, address: str, size_bytes: int) -> float:
+        """Queue bytes on the link to an address.
+
+        Args:
+            address: The receiving address.
+            size_bytes: How much is queued.
+
+        Returns:
+            How long it takes until the last byte is transmitted, in seconds.
+        """
+        bytes_per_s = self.bytes_per_s.get(address)
+        if bytes_per_s is None:
+            return 0
+        wait_s = self.link_wait_s(address) + size_bytes / bytes_per_s
+        now = asyncio.get_running_loop().time()
+        self._link_free_at[address] = now + wait_s
+        return wait_s
+
+    def link_wait_s(self, address: str) -> float:
+        """Return how long a message waits on the link to an address."""
+        now = asyncio.get_running_loop().time()
+        return max(self._link_free_at.get(address, 0) - now, 0)
 
     def cut(self, left: Sequence[str], right: Sequence[str]) -> None:
         """Partition two groups of addresses from each other.
@@ -87,7 +115,11 @@
         return self.loss > 0 and self._rng.random() < self.loss
 
     def schedule_delivery(
-        self, sender: str, address: str, callback: Callable[[], None]
+        self,
+        sender: str,
+        address: str,
+        callback: Callable[[], None],
+        size_bytes: int = 0,
     ) -> None:
         """Deliver a message after the delay between two addresses.
 
@@ -97,6 +129,7 @@
             sender: The sending address.
             address: The receiving address.
             callback: Delivers the message to the receiver.
+            size_bytes: The size of the message.
         """
 
         def arrive() -> None:
@@ -111,7 +144,9 @@
         loop = asyncio.get_running_loop()
         path = (sender, address)
         earliest = self._last_arrival.get(path, 0) + MIN_ARRIVAL_GAP_S
-        when = max(loop.time() + self.delay_s(sender, address), earliest)
+        link_s = self.occupy_link(address, size_bytes)
+        delay_s = self.delay_s(sender, address) + link_s
+        when = max(loop.time() + delay_s, earliest)
         self._last_arrival[path] = when
         loop.call_at(when, arrive)
 
@@ -172,6 +207,7 @@
             self._local_address,
             self.peer,
             other_end._receive_frame,  # noqa: SLF001
+            len(frame),
         )
 
     async def _drain(self) -> None:
@@ -231,7 +267,7 @@
         Raises:
             PeerUnavailable: The node is partitioned away or not running.
         """
-        await asyncio.sleep(2 * self._simulator.delay_s(self.address, address))
+        await self._shake_hands(address)
         if self._simulator.is_partitioned(self.address, address):
             await asyncio.sleep(CONNECT_TIMEOUT_S)
             raise PeerUnavailable('no answer', step='connect', peer=address)
@@ -240,6 +276,15 @@
             raise PeerUnavailable('refused', step='connect', peer=address)
         return self._open_connection(peer_network)
 
+    async def _shake_hands(self, address: str) -> None:
+        link_s = self._simulator.link_wait_s(address)
+        link_s += self._simulator.link_wait_s(self.address)
+        if link_s > CONNECT_TIMEOUT_S:
+            await asyncio.sleep(CONNECT_TIMEOUT_S)
+            raise PeerUnavailable('no answer', step='connect', peer=address)
+        delay_s = self._simulator.delay_s(self.address, address)
+        await asyncio.sleep(2 * delay_s + link_s)
+
     async def close(self) -> None:
         """Leave the simulated network and close all connections."""
         if self._simulator.networks.get(self.address) is self:
@@ -307,7 +352,9 @@
             if receiver:
                 receiver.receive(payload)
 
-        self._simulator.schedule_delivery(self.address, address, deliver)
+        self._simulator.schedule_delivery(
+            self.address, address, deliver, len(payload)
+        )
 
 
 def _get_default_delay_s(sender: str, address: str) -> float:
