--- a/filbertdrift/config_holder.py
+++ b/filbertdrift/config_holder.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import hashlib
+from collections import OrderedDict
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -17,6 +18,8 @@
 
 DIGEST_BYTES = 8
 MS_PER_S = 1000
+# Documents that are kept, to compute and to apply deltas.
+MAX_DOCUMENTS = 8
 
 ParseDocument = Callable[[bytes], RoutingConfig]
 
@@ -40,6 +43,7 @@
         config: The configuration in force, None before the first document.
         table: The routes of the configuration.
         document: The encoded configuration, as sent to peers.
+        documents: The last MAX_DOCUMENTS documents by version.
         on_adopt: Called with each new configuration.
         announced_version: The newest version that this node has heard of.
     """
@@ -50,6 +54,7 @@
         self.config: RoutingConfig | None = None
         self.table = PrefixTable(())
         self.document = b''
+        self.documents: OrderedDict[int, bytes] = OrderedDict()
         self.on_adopt: Callable[[RoutingConfig], None] = _ignore_config
         self.announced_version = NO_VERSION
         self._behind_since: float | None = None
@@ -103,7 +108,7 @@
         if self.version >= self.announced_version:
             self._behind_since = None
         self.table = PrefixTable(config.routes)
-        self.document = document
+        self._keep_document(config.version, document)
         self._digest = hashlib.blake2b(
             document,
             digest_size=DIGEST_BYTES,
@@ -121,6 +126,12 @@
         self.on_adopt(config)
         return True
 
+    def _keep_document(self, version: int, document: bytes) -> None:
+        self.document = document
+        self.documents[version] = document
+        if len(self.documents) > MAX_DOCUMENTS:
+            self.documents.popitem(last=False)
+
 
 def _ignore_config(config: RoutingConfig) -> None:
     """Do nothing."""
--- a/filbertdrift/gen/ttypes.py
+++ b/filbertdrift/gen/ttypes.py
@@ -680,7 +680,8 @@
 
 class ConfigNotice(object):
     """
-    Pushed at once when a node has adopted a newer configuration.
+    Pushed at once when a node has adopted a newer configuration. Of whole
+    documents, a record is the delta from the version that its offset names.
 
     Attributes:
      - config_offset
@@ -1758,18 +1759,21 @@
     Attributes:
      - config_offset
      - whole
+     - held_versions: Versions whose documents the sender has, so that a delta can be sent.
 
     """
 
     __slots__ = (
         'config_offset',
         'whole',
+        'held_versions',
     )
 
 
-    def __init__(self, config_offset=None, whole=None,):
+    def __init__(self, config_offset=None, whole=None, held_versions=None,):
         self.config_offset = config_offset
         self.whole = whole
+        self.held_versions = held_versions
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1790,6 +1794,16 @@
                     self.whole = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.held_versions = []
+                    (_etype59, _size56) = iprot.readListBegin()
+                    for _i60 in range(_size56):
+                        _elem61 = iprot.readI64()
+                        self.held_versions.append(_elem61)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1808,6 +1822,13 @@
             oprot.writeFieldBegin('whole', TType.BOOL, 2)
             oprot.writeBool(self.whole)
             oprot.writeFieldEnd()
+        if self.held_versions is not None:
+            oprot.writeFieldBegin('held_versions', TType.LIST, 3)
+            oprot.writeListBegin(TType.I64, len(self.held_versions))
+            for iter62 in self.held_versions:
+                oprot.writeI64(iter62)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1835,7 +1856,8 @@
 
 class ConfigDelta(object):
     """
-    Records after the asked offset, or the whole state when they are gone.
+    Records after the asked offset, or the whole state when they are gone. Of
+    whole documents, a record is the delta from the version that it names.
 
     Attributes:
      - records
@@ -1874,11 +1896,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.records = []
-                    (_etype59, _size56) = iprot.readListBegin()
-                    for _i60 in range(_size56):
-                        _elem61 = OffsetRecord()
-                        _elem61.read(iprot)
-                        self.records.append(_elem61)
+                    (_etype66, _size63) = iprot.readListBegin()
+                    for _i67 in range(_size63):
+                        _elem68 = OffsetRecord()
+                        _elem68.read(iprot)
+                        self.records.append(_elem68)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1915,8 +1937,8 @@
         if self.records is not None:
             oprot.writeFieldBegin('records', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.records))
-            for iter62 in self.records:
-                iter62.write(oprot)
+            for iter69 in self.records:
+                iter69.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.config_offset is not None:
@@ -1992,10 +2014,10 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.buckets = []
-                    (_etype66, _size63) = iprot.readListBegin()
-                    for _i67 in range(_size63):
-                        _elem68 = iprot.readI64()
-                        self.buckets.append(_elem68)
+                    (_etype73, _size70) = iprot.readListBegin()
+                    for _i74 in range(_size70):
+                        _elem75 = iprot.readI64()
+                        self.buckets.append(_elem75)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2018,8 +2040,8 @@
         if self.buckets is not None:
             oprot.writeFieldBegin('buckets', TType.LIST, 1)
             oprot.writeListBegin(TType.I64, len(self.buckets))
-            for iter69 in self.buckets:
-                oprot.writeI64(iter69)
+            for iter76 in self.buckets:
+                oprot.writeI64(iter76)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.sender is not None:
@@ -2081,11 +2103,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.entries = []
-                    (_etype73, _size70) = iprot.readListBegin()
-                    for _i74 in range(_size70):
-                        _elem75 = MemberEntry()
-                        _elem75.read(iprot)
-                        self.entries.append(_elem75)
+                    (_etype80, _size77) = iprot.readListBegin()
+                    for _i81 in range(_size77):
+                        _elem82 = MemberEntry()
+                        _elem82.read(iprot)
+                        self.entries.append(_elem82)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2107,8 +2129,8 @@
         if self.entries is not None:
             oprot.writeFieldBegin('entries', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.entries))
-            for iter76 in self.entries:
-                iter76.write(oprot)
+            for iter83 in self.entries:
+                iter83.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.come_back_ms is not None:
@@ -2169,10 +2191,10 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.known_ids = []
-                    (_etype80, _size77) = iprot.readListBegin()
-                    for _i81 in range(_size77):
-                        _elem82 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.known_ids.append(_elem82)
+                    (_etype87, _size84) = iprot.readListBegin()
+                    for _i88 in range(_size84):
+                        _elem89 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.known_ids.append(_elem89)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2189,8 +2211,8 @@
         if self.known_ids is not None:
             oprot.writeFieldBegin('known_ids', TType.LIST, 1)
             oprot.writeListBegin(TType.STRING, len(self.known_ids))
-            for iter83 in self.known_ids:
-                oprot.writeString(iter83.encode('utf-8') if sys.version_info[0] == 2 else iter83)
+            for iter90 in self.known_ids:
+                oprot.writeString(iter90.encode('utf-8') if sys.version_info[0] == 2 else iter90)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2245,11 +2267,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.notices = []
-                    (_etype87, _size84) = iprot.readListBegin()
-                    for _i88 in range(_size84):
-                        _elem89 = CrashNotice()
-                        _elem89.read(iprot)
-                        self.notices.append(_elem89)
+                    (_etype94, _size91) = iprot.readListBegin()
+                    for _i95 in range(_size91):
+                        _elem96 = CrashNotice()
+                        _elem96.read(iprot)
+                        self.notices.append(_elem96)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2266,8 +2288,8 @@
         if self.notices is not None:
             oprot.writeFieldBegin('notices', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.notices))
-            for iter90 in self.notices:
-                iter90.write(oprot)
+            for iter97 in self.notices:
+                iter97.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2471,11 +2493,11 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.headers = []
-                    (_etype94, _size91) = iprot.readListBegin()
-                    for _i95 in range(_size91):
-                        _elem96 = Header()
-                        _elem96.read(iprot)
-                        self.headers.append(_elem96)
+                    (_etype101, _size98) = iprot.readListBegin()
+                    for _i102 in range(_size98):
+                        _elem103 = Header()
+                        _elem103.read(iprot)
+                        self.headers.append(_elem103)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2522,10 +2544,10 @@
             elif fid == 12:
                 if ftype == TType.LIST:
                     self.refusal_statuses = []
-                    (_etype100, _size97) = iprot.readListBegin()
-                    for _i101 in range(_size97):
-                        _elem102 = iprot.readI32()
-                        self.refusal_statuses.append(_elem102)
+                    (_etype107, _size104) = iprot.readListBegin()
+                    for _i108 in range(_size104):
+                        _elem109 = iprot.readI32()
+                        self.refusal_statuses.append(_elem109)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2590,8 +2612,8 @@
         if self.headers is not None:
             oprot.writeFieldBegin('headers', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.headers))
-            for iter103 in self.headers:
-                iter103.write(oprot)
+            for iter110 in self.headers:
+                iter110.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.remaining_ms is not None:
@@ -2629,8 +2651,8 @@
         if self.refusal_statuses is not None:
             oprot.writeFieldBegin('refusal_statuses', TType.LIST, 12)
             oprot.writeListBegin(TType.I32, len(self.refusal_statuses))
-            for iter104 in self.refusal_statuses:
-                oprot.writeI32(iter104)
+            for iter111 in self.refusal_statuses:
+                oprot.writeI32(iter111)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.generation is not None:
@@ -2882,11 +2904,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.headers = []
-                    (_etype108, _size105) = iprot.readListBegin()
-                    for _i109 in range(_size105):
-                        _elem110 = Header()
-                        _elem110.read(iprot)
-                        self.headers.append(_elem110)
+                    (_etype115, _size112) = iprot.readListBegin()
+                    for _i116 in range(_size112):
+                        _elem117 = Header()
+                        _elem117.read(iprot)
+                        self.headers.append(_elem117)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2922,8 +2944,8 @@
         if self.headers is not None:
             oprot.writeFieldBegin('headers', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.headers))
-            for iter111 in self.headers:
-                iter111.write(oprot)
+            for iter118 in self.headers:
+                iter118.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.body is not None:
@@ -3413,11 +3435,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.entries = []
-                    (_etype115, _size112) = iprot.readListBegin()
-                    for _i116 in range(_size112):
-                        _elem117 = ClaimEntry()
-                        _elem117.read(iprot)
-                        self.entries.append(_elem117)
+                    (_etype122, _size119) = iprot.readListBegin()
+                    for _i123 in range(_size119):
+                        _elem124 = ClaimEntry()
+                        _elem124.read(iprot)
+                        self.entries.append(_elem124)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3438,8 +3460,8 @@
         if self.entries is not None:
             oprot.writeFieldBegin('entries', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.entries))
-            for iter118 in self.entries:
-                iter118.write(oprot)
+            for iter125 in self.entries:
+                iter125.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -4008,6 +4030,7 @@
     None,  # 0
     (1, TType.I64, 'config_offset', None, None, ),  # 1
     (2, TType.BOOL, 'whole', None, None, ),  # 2
+    (3, TType.LIST, 'held_versions', (TType.I64, None, False), None, ),  # 3
 )
 all_structs.append(ConfigDelta)
 ConfigDelta.thrift_spec = (
--- a/filbertdrift/membership.py
+++ b/filbertdrift/membership.py
@@ -177,13 +177,16 @@
         sampled = _sample(self._rng, own, self._profile.fanout)
         return sampled + _sample(self._rng, far, self._profile.far_fanout)
 
-    def gossip(self, body: object) -> None:
-        """Send a datagram to a random sample of members.
+    def gossip(
+        self, body: object, receivers: Sequence[str] | None = None
+    ) -> None:
+        """Send a datagram to some members.
 
         Args:
             body: The message.
+            receivers: Their addresses; None for a random sample.
         """
-        for node in self.sample_peers():
+        for node in self.sample_peers() if receivers is None else receivers:
             self._send(node, body)
 
     def prune_last_contacts(self, known: Collection[str]) -> None:
--- a/idl/filbertdrift.thrift
+++ b/idl/filbertdrift.thrift
@@ -51,7 +51,10 @@
   2: binary payload
 }
 
-/** Pushed at once when a node has adopted a newer configuration. */
+/**
+ * Pushed at once when a node has adopted a newer configuration. Of whole
+ * documents, a record is the delta from the version that its offset names.
+ */
 struct ConfigNotice {
   1: i64 config_offset
   2: binary config_digest
@@ -128,9 +131,14 @@
 struct PullConfig {
   1: i64 config_offset
   2: bool whole
+  /** Versions whose documents the sender has, so that a delta can be sent. */
+  3: optional list<i64> held_versions
 }
 
-/** Records after the asked offset, or the whole state when they are gone. */
+/**
+ * Records after the asked offset, or the whole state when they are gone. Of
+ * whole documents, a record is the delta from the version that it names.
+ */
 struct ConfigDelta {
   1: list<OffsetRecord> records
   2: i64 config_offset
