Count the time between the nodes against a request's deadline

Targets worked on requests whose callers had left up to 9 s before (GONE).

Cause: a request states how long its caller still waits, and the node that received it counted that time from the receipt. On a full link it arrived seconds late with the whole of that time, and its cancellation later still.

Evidence: of 11,658 requests that gates logged as cancelled, 7,521 had been in transit for over 0.5 s; in the users' record the target's deadline is 0.56 s after the caller's. The ingress notices that a caller left within milliseconds, and gates end what is cancelled: both were ruled out.

Change: deadline and latency objective count from when the request was sent, by the delay that the connection's stamps show; a request that was delayed by over 0.4 s is refused before it reaches the target, as not run.

Why it works: no clocks are compared, only the differences on one connection, so clocks that differ do not matter; a suspended sender or receiver counts too.

--- a/filbertdrift/handover.py
+++ b/filbertdrift/handover.py
@@ -35,6 +35,9 @@
 # A target may drop an idle connection without notice, so a non-idempotent
 # request uses a connection that was idle for at most this long, or a new one.
 NON_IDEMPOTENT_MAX_IDLE_S = 1.0
+# A request that was delayed for longer between the nodes is refused: its caller
+# may have left, and the cancellation is late as well.
+MAX_TRANSIT_S = 0.4
 # Any credit permits the peer to send one chunk.
 FIRST_CREDIT_BYTES = 1
 # Timeout for the body of an offered request, which the ingress sends on demand.
@@ -148,7 +151,8 @@
         loop = asyncio.get_running_loop()
         current = self._find_target(req)
         self._crashes.check(req.fingerprint or '')
-        slot_request = _build_slot_request(req, loop.time())
+        slot_request = _build_slot_request(req, loop.time() - call.transit_s)
+        _check_transit(call)
         if req.is_offer:
             with current.gate.track_incoming(slot_request):
                 await _fetch_offered_body(call, req, slot_request.deadline)
@@ -328,11 +332,27 @@
     req.end = body.end
 
 
-def _build_slot_request(req: ttypes.RequestOpen, now: float) -> SlotRequest:
+def _check_transit(call: CallStream) -> None:
+    if call.transit_s > MAX_TRANSIT_S:
+        raise RequestNotRun(
+            'it was late between the nodes',
+            retry_after_ms=RETRY_AFTER_MS,
+            step='receive request',
+            peer=call.peer,
+        )
+
+
+def _build_slot_request(req: ttypes.RequestOpen, sent_at: float) -> SlotRequest:
+    """Return the request for a slot, with times on the loop's clock.
+
+    Args:
+        req: The request, with durations counted from when it was sent.
+        sent_at: When it was sent, on the loop's clock.
+    """
     return SlotRequest(
         rank=req.importance,
         kind=req.route_name or '',
-        objective_at=now + (req.objective_ms or 0) / MS_PER_S,
-        deadline=now + req.remaining_ms / MS_PER_S,
+        objective_at=sent_at + (req.objective_ms or 0) / MS_PER_S,
+        deadline=sent_at + req.remaining_ms / MS_PER_S,
         may_wait=not req.no_wait,
     )
