Ask for the bodies of uploads a few chunks at a time

Cause: a gate asked for the body of each request that it had accepted at once, up to 64 KB for each of its slots and its queue and 256 KB more for the rest, on links of 5 and 6 Mbit/s.

Evidence: all nodes that were late with a configuration or a request are beside the targets that receive uploads.

Change: a node keeps as many 64 KB chunks in transit as its link, of the capacity in its settings, takes for 0.2 s, two at least. Other bodies wait at their ingress nodes; the rest of a body whose request holds a slot goes first. A slow sender passes its turn on after 0.5 s. A body whose wait would take more than half of the time left is refused at once, with that wait as retry-after.

Why it works: the throughput of the link is the same, and what is not a body waits for two chunks at most instead of for all of them.

--- a/filbertdrift/gen/ttypes.py
+++ b/filbertdrift/gen/ttypes.py
@@ -2434,6 +2434,7 @@
      - no_wait: Refuse it rather than let it wait for a slot.
      - is_offer: Only the head: the first credit asks for the body, which must follow.
      - sent_at_ms: When it was sent, on a clock of the sender that never stops.
+     - has_large_body: Its body takes a while on a narrow link.
 
     """
 
@@ -2458,10 +2459,11 @@
         'no_wait',
         'is_offer',
         'sent_at_ms',
+        'has_large_body',
     )
 
 
-    def __init__(self, method=None, path=None, headers=None, remaining_ms=None, service_name=None, importance=None, customer=None, body=None, end=None, request_id=None, fingerprint=None, refusal_statuses=None, generation=None, stall_ms=None, objective_ms=None, route_name=None, is_idempotent=None, no_wait=None, is_offer=None, sent_at_ms=None,):
+    def __init__(self, method=None, path=None, headers=None, remaining_ms=None, service_name=None, importance=None, customer=None, body=None, end=None, request_id=None, fingerprint=None, refusal_statuses=None, generation=None, stall_ms=None, objective_ms=None, route_name=None, is_idempotent=None, no_wait=None, is_offer=None, sent_at_ms=None, has_large_body=None,):
         self.method = method
         self.path = path
         self.headers = headers
@@ -2482,6 +2484,7 @@
         self.no_wait = no_wait
         self.is_offer = is_offer
         self.sent_at_ms = sent_at_ms
+        self.has_large_body = has_large_body
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2603,6 +2606,11 @@
                     self.sent_at_ms = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 22:
+                if ftype == TType.BOOL:
+                    self.has_large_body = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2699,6 +2707,10 @@
             oprot.writeFieldBegin('sent_at_ms', TType.I64, 21)
             oprot.writeI64(self.sent_at_ms)
             oprot.writeFieldEnd()
+        if self.has_large_body is not None:
+            oprot.writeFieldBegin('has_large_body', TType.BOOL, 22)
+            oprot.writeBool(self.has_large_body)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4106,6 +4118,7 @@
     (19, TType.BOOL, 'no_wait', None, None, ),  # 19
     (20, TType.BOOL, 'is_offer', None, None, ),  # 20
     (21, TType.I64, 'sent_at_ms', None, None, ),  # 21
+    (22, TType.BOOL, 'has_large_body', None, None, ),  # 22
 )
 all_structs.append(BodyChunk)
 BodyChunk.thrift_spec = (
--- a/filbertdrift/handover.py
+++ b/filbertdrift/handover.py
@@ -23,11 +23,12 @@
 )
 from filbertdrift.gen import ttypes
 from filbertdrift.health import TargetHealth
+from filbertdrift.inbound import InboundPacer
 from filbertdrift.lifecycle import Incarnation, TargetLifecycle
 from filbertdrift.metrics import DurationHistogram
 from filbertdrift.objective_gate import SlotRequest
 from filbertdrift.target import Exchange, TargetRequest
-from filbertdrift.target_run import RefusedBy, TargetRun
+from filbertdrift.target_run import FIRST_CREDIT_BYTES, RefusedBy, TargetRun
 
 MS_PER_S = 1000
 RETRY_AFTER_MS = 100
@@ -38,8 +39,6 @@
 # A request that was delayed for longer between the nodes is refused: its caller
 # may have left, and the cancellation is late as well.
 MAX_TRANSIT_S = 0.4
-# Any credit permits the peer to send one chunk.
-FIRST_CREDIT_BYTES = 1
 # Timeout for the body of an offered request, which the ingress sends on demand.
 # 64 KiB take 0.2 s on a link of 2.5 Mbit/s, and other calls share the link.
 OFFERED_BODY_TIMEOUT_S = 3.0
@@ -68,6 +67,7 @@
             another generation are refused.
         crashes: Tracks and blocks requests that crash targets.
         health: Records the outcomes of requests to the target.
+        pacer: Limits the bodies that are in transit to this node.
     """
 
     def __init__(
@@ -77,6 +77,7 @@
         generation: Callable[[], int],
         crashes: CrashLedger,
         health: TargetHealth,
+        pacer: InboundPacer,
     ) -> None:
         """Create the server without requests."""
         self.counters = HandoverCounters()
@@ -90,6 +91,7 @@
         self._generation = generation
         self._crashes = crashes
         self._health = health
+        self._pacer = pacer
         self._running: dict[CallStream, str] = {}
         self._has_crashed = False
         self._tasks: set[asyncio.Task[None]] = set()
@@ -155,7 +157,8 @@
         _check_transit(call)
         if req.is_offer:
             with current.gate.track_incoming(slot_request):
-                await _fetch_offered_body(call, req, slot_request.deadline)
+                latest_start = current.gate.latest_start(slot_request)
+                await self._receive_body(call, req, latest_start)
             slot_request.may_wait = True
         await current.gate.admit(slot_request)
         spent_s = 0.0
@@ -165,7 +168,12 @@
             exchange = await self._connect(current, req, slot_request.deadline)
             with contextlib.closing(exchange):
                 run = TargetRun(
-                    call, req, exchange, self._header_names, refused_by
+                    call,
+                    req,
+                    exchange,
+                    self._header_names,
+                    refused_by,
+                    self._pacer,
                 )
                 load = current.gate.load_permille
                 status = await run.run(slot_request.deadline, load)
@@ -175,6 +183,23 @@
             current.gate.release(slot_request.kind, spent_s)
         self._record_response(status, req)
 
+    async def _receive_body(
+        self, call: CallStream, req: ttypes.RequestOpen, deadline: float
+    ) -> None:
+        """Fetch the body of an offered request, a large one in its turn.
+
+        Args:
+            call: The call that offers the request.
+            req: The request, which receives its body.
+            deadline: When the body is of no more use, on the loop's clock.
+        """
+        if not req.has_large_body:
+            await _fetch_offered_body(call, req, deadline)
+            return
+        self._pacer.check_wait(deadline)
+        async with self._pacer.turn(deadline, is_urgent=False):
+            await _fetch_offered_body(call, req, deadline)
+
     def _record_response(self, status: int, req: ttypes.RequestOpen) -> None:
         self.counters.answered += 1
         self._has_crashed = False
--- a/filbertdrift/mesh.py
+++ b/filbertdrift/mesh.py
@@ -26,6 +26,7 @@
 from filbertdrift.handover import HandoverServer
 from filbertdrift.health import TargetHealth
 from filbertdrift.identity import Identity
+from filbertdrift.inbound import InboundPacer
 from filbertdrift.keyedlog import KeyedLog
 from filbertdrift.lifecycle import OpenTarget, TargetLifecycle
 from filbertdrift.link import LinkPool
@@ -195,6 +196,7 @@
             lambda: self.membership.local_member.generation,
             self.crashes,
             self.health,
+            InboundPacer(settings.link_mbps),
         )
         self.entry = IngressServer(self, header_names, settings.caller_service)
         self.request_durations = DurationHistogram(
--- a/filbertdrift/objective_gate.py
+++ b/filbertdrift/objective_gate.py
@@ -157,6 +157,10 @@
         finally:
             self.incoming -= 1
 
+    def latest_start(self, req: SlotRequest) -> float:
+        """Return when a request has to start to meet its deadline."""
+        return req.deadline - self._kind_mean_s[req.kind]
+
     async def admit(self, req: SlotRequest) -> None:
         """Wait for a slot; release must be called after the request.
 
@@ -176,10 +180,8 @@
             return
         self._check_may_wait(req)
         waiter = self._enqueue(req, now)
-        # A later start would miss the deadline.
-        latest_start = req.deadline - self._kind_mean_s[req.kind]
         try:
-            async with asyncio.timeout_at(latest_start):
+            async with asyncio.timeout_at(self.latest_start(req)):
                 await waiter.admitted
         except TimeoutError as exc:
             self._withdraw(waiter)
--- a/filbertdrift/target_attempt.py
+++ b/filbertdrift/target_attempt.py
@@ -287,6 +287,7 @@
             is_idempotent=routed.route.is_idempotent,
             no_wait=not self.may_wait,
             is_offer=self.is_offer,
+            has_large_body=routed.has_large_body or None,
             sent_at_ms=int(call.clock_s() * MS_PER_S),
         )
 
--- a/filbertdrift/target_run.py
+++ b/filbertdrift/target_run.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 
 from filbertdrift import http1
-from filbertdrift.callstream import WINDOW_BYTES, CallStream
+from filbertdrift.callstream import CHUNK_BYTES, CallStream
 from filbertdrift.contract import HeaderNames
 from filbertdrift.errors import (
     MalformedMessage,
@@ -14,9 +14,12 @@
     RequestUnknown,
 )
 from filbertdrift.gen import ttypes
+from filbertdrift.inbound import InboundPacer
 from filbertdrift.target import Exchange
 
 RETRY_AFTER_MS = 100
+# Any credit permits the peer to send one chunk.
+FIRST_CREDIT_BYTES = 1
 FIRST_SUCCESS_STATUS = 200
 FIRST_REDIRECT_STATUS = 300
 STATUS_MISDIRECTED = 421
@@ -49,6 +52,7 @@
         exchange: Exchange with the target.
         header_names: Names of the platform's headers.
         refused_by: Set if the target refuses the request.
+        pacer: Limits the bodies that are in transit to this node.
 
     Attributes:
         stray_answers: Number of responses of other requests that were
@@ -62,6 +66,7 @@
         exchange: Exchange,
         header_names: HeaderNames,
         refused_by: RefusedBy,
+        pacer: InboundPacer,
     ) -> None:
         """Create the run; nothing is sent yet."""
         self.stray_answers = 0
@@ -70,6 +75,7 @@
         self._exchange = exchange
         self._header_names = header_names
         self._refused_by = refused_by
+        self._pacer = pacer
         self._upload_task: asyncio.Task[None] | None = None
 
     async def run(self, deadline: float, load_permille: int) -> int:
@@ -202,10 +208,18 @@
             await self._call.send_chunk(part.chunk, end=part.end)
 
     async def _forward_body(self) -> None:
-        await self._call.grant_credit(WINDOW_BYTES)
+        """Receive the rest of the body, about a chunk a turn."""
+        # What the peer may still send; it may exceed the last of its credit.
+        window_bytes = 0
+        if self._req.is_offer:
+            window_bytes = FIRST_CREDIT_BYTES - len(self._req.body or b'')
         end = False
         while not end:
-            body = await self._call.receive_chunk()
-            end = bool(body.end)
-            await self._exchange.send_body(body.body or b'', end=end)
-            await self._call.grant_credit(len(body.body or b''))
+            async with self._pacer.turn(float('inf'), is_urgent=True):
+                await self._call.grant_credit(CHUNK_BYTES - window_bytes)
+                window_bytes = CHUNK_BYTES
+                while window_bytes > 0 and not end:
+                    body = await self._call.receive_chunk()
+                    window_bytes -= len(body.body or b'')
+                    end = bool(body.end)
+                    await self._exchange.send_body(body.body or b'', end=end)
--- a/idl/filbertdrift.thrift
+++ b/idl/filbertdrift.thrift
@@ -202,6 +202,8 @@
   20: bool is_offer
   /** When it was sent, on a clock of the sender that never stops. */
   21: optional i64 sent_at_ms
+  /** Its body takes a while on a narrow link. */
+  22: optional bool has_large_body
 }
 
 struct BodyChunk {
