--- a/tests/test_inbound.py
+++ b/tests/test_inbound.py
@@ -24,7 +24,8 @@
     async def _order(self) -> None:
         pacer = InboundPacer(LINK_MBPS)
         order: list[str] = []
-        most = running = 0
+        running = 0
+        most = 0
 
         async def receive(name: str, *, is_urgent: bool) -> None:
             nonlocal most, running
