Refuse late requests beside announced targets too

Cause: the nodes with their own configuration files counted a request's time from its receipt as well; found when looking for the cause of GONE elsewhere.

Change: they use the same check and the same deadline. The check moves to transit.py, which both import.

--- a/filbertdrift/forward.py
+++ b/filbertdrift/forward.py
@@ -181,7 +181,9 @@
             raise self._not_run(exc) from exc
         attempt = Attempt(link, call, member, route, req)
         try:
-            response = await attempt.run(self._request_open(member, route, req))
+            response = await attempt.run(
+                self._request_open(call, member, route, req)
+            )
         except BaseException as exc:
             link.end(call, cancel=True)
             self._chooser.ended(member, loop.time())
@@ -225,6 +227,7 @@
 
     def _request_open(
         self,
+        call: CallStream,
         member: Member,
         route: Route,
         req: IngressRequest,
@@ -246,6 +249,7 @@
             refusal_statuses=list(route.targets.refusal_statuses),
             generation=member.generation,
             stall_ms=int(policy.stall_s * MS_PER_S),
+            sent_at_ms=int(call.clock_s() * MS_PER_S),
         )
 
     def _record_failure(
--- a/filbertdrift/handover.py
+++ b/filbertdrift/handover.py
@@ -29,6 +29,7 @@
 from filbertdrift.objective_gate import SlotRequest
 from filbertdrift.target import Exchange, TargetRequest
 from filbertdrift.target_run import FIRST_CREDIT_BYTES, RefusedBy, TargetRun
+from filbertdrift.transit import check_transit
 
 MS_PER_S = 1000
 RETRY_AFTER_MS = 100
@@ -36,9 +37,6 @@
 # A target may drop an idle connection without notice, so a non-idempotent
 # request uses a connection that was idle for at most this long, or a new one.
 NON_IDEMPOTENT_MAX_IDLE_S = 1.0
-# A request that was delayed for longer between the nodes is refused: its caller
-# may have left, and the cancellation is late as well.
-MAX_TRANSIT_S = 0.4
 # Timeout for the body of an offered request, which the ingress sends on demand.
 # 64 KiB take 0.2 s on a link of 2.5 Mbit/s, and other calls share the link.
 OFFERED_BODY_TIMEOUT_S = 3.0
@@ -154,7 +152,7 @@
         current = self._find_target(req)
         self._crashes.check(req.fingerprint or '')
         slot_request = _build_slot_request(req, loop.time() - call.transit_s)
-        _check_transit(call)
+        check_transit(call.transit_s, call.peer)
         if req.is_offer:
             with current.gate.track_incoming(slot_request):
                 latest_start = current.gate.latest_start(slot_request)
@@ -357,16 +355,6 @@
     req.end = body.end
 
 
-def _check_transit(call: CallStream) -> None:
-    if call.transit_s > MAX_TRANSIT_S:
-        raise RequestNotRun(
-            'it was late between the nodes',
-            retry_after_ms=RETRY_AFTER_MS,
-            step='receive request',
-            peer=call.peer,
-        )
-
-
 def _build_slot_request(req: ttypes.RequestOpen, sent_at: float) -> SlotRequest:
     """Return the request for a slot, with times on the loop's clock.
 
--- a/filbertdrift/serving.py
+++ b/filbertdrift/serving.py
@@ -25,6 +25,7 @@
 from filbertdrift.health import TargetHealth
 from filbertdrift.target import Exchange, Target, TargetRequest
 from filbertdrift.tracing import Tracer
+from filbertdrift.transit import check_transit
 
 MS_PER_S = 1000
 RETRY_AFTER_MS = 200
@@ -133,7 +134,9 @@
         loop = asyncio.get_running_loop()
         announced = self._find_target(req)
         self._crashes.check(req.fingerprint or '')
-        deadline = loop.time() + req.remaining_ms / MS_PER_S
+        check_transit(call.transit_s, call.peer)
+        sent_at = loop.time() - call.transit_s
+        deadline = sent_at + req.remaining_ms / MS_PER_S
         gate = announced.gate
         await gate.admit(req.importance, req.customer or '', deadline)
         started_at = loop.time()
--- a/filbertdrift/transit.py
+++ b/filbertdrift/transit.py
@@ -6,7 +6,13 @@
 exceeds it is time in queues: of the sender, of the links and of the receiver.
 """
 
+from filbertdrift.errors import RequestNotRun
+
 MS_PER_S = 1000
+RETRY_AFTER_MS = 100
+# A request that was delayed for longer is refused: its caller may have left,
+# and the cancellation is late as well.
+MAX_TRANSIT_S = 0.4
 
 
 class TransitEstimator:
@@ -29,3 +35,22 @@
         offset_ms = received_at_s * MS_PER_S - sent_at_ms
         self._least_offset_ms = min(self._least_offset_ms, offset_ms)
         return (offset_ms - self._least_offset_ms) / MS_PER_S
+
+
+def check_transit(transit_s: float, peer: str) -> None:
+    """Check that a request was not late between the nodes.
+
+    Args:
+        transit_s: How long it was delayed.
+        peer: The node that sent it.
+
+    Raises:
+        RequestNotRun: It was late, and its caller may have left.
+    """
+    if transit_s > MAX_TRANSIT_S:
+        raise RequestNotRun(
+            'it was late between the nodes',
+            retry_after_ms=RETRY_AFTER_MS,
+            step='receive request',
+            peer=peer,
+        )
--- a/tests/test_full_links.py
+++ b/tests/test_full_links.py
@@ -8,7 +8,7 @@
 
 from filbertdrift.errors import RequestNotRun, RequestUnknown
 from standins.mesh_fleet import MeshFleet, config_document, target_scripts
-from tests.builders import run_virtual
+from tests.builders import run_virtual, small_fleet
 
 # Six megabits a second.
 LINK_BYTES_PER_S = 750_000
@@ -113,6 +113,29 @@
         script = target_scripts(fleet, 'desk')[0]
         self.assertThat(script.deadlines_ms[-1], LessThan(720))
 
+    # GONE: the same fault in the nodes with their own configuration files.
+    def test_late_request_is_not_run_beside_announced_targets(self) -> None:
+        run_virtual(self._late_beside_announced())
+
+    async def _late_beside_announced(self) -> None:
+        fleet = await small_fleet()
+        ingress, target = fleet.address('b', 0), fleet.address('a', 3)
+        for _ in range(20):
+            await fleet.call(ingress, '/ledger/1')
+        fleet.simulator.bytes_per_s[target] = LINK_BYTES_PER_S
+        fleet.simulator.occupy_link(target, 2 * LINK_BYTES_PER_S)
+        call = asyncio.ensure_future(
+            _outcome(
+                lambda: fleet.call(ingress, '/ledger/1', request_id='late')
+            )
+        )
+        await asyncio.sleep(0.3)
+        fleet.simulator.occupy_link(target, LINK_BYTES_PER_S)
+        call.cancel()
+        await asyncio.sleep(5)
+        runs = [run for run in fleet.executions() if 'late' in str(run)]
+        self.assertThat(runs, Equals([]))
+
     # GONE, CONFIG: the bodies of uploads filled the link to a node, so that
     # cancellations and configurations were late.
     def test_uploads_do_not_fill_the_link(self) -> None:
