Soak: kept connections, clients that leave, planned stops and changes in series

Cause: the soak opened a connection for each request and no client left, so it could not see work for callers that had left, a response cut on a kept connection, or a change that is late on one node.

Change: clients keep their connections open until they end, one in ten leaves early. Stops and changes also come in series. Checked in addition: no request ends without a response on a node that is not killed or paused, no target gets requests of clients that left over 0.5 s before, and a change is in force on undisturbed nodes 2.5 s after it was published, also amid the faults. Checks are in soak_history, clients in soak_client.

--- a/standins/platform_target.py
+++ b/standins/platform_target.py
@@ -17,19 +17,36 @@
 QUEUE_LIMIT = 16
 
 
+@dataclass(frozen=True, slots=True)
+class Arrival:
+    """A request that a target received.
+
+    Args:
+        instance: Id of the target's incarnation.
+        owner: Name of the target, the same for all its incarnations.
+        request_id: Id of the request.
+        at: Monotonic time.
+    """
+
+    instance: str
+    owner: str
+    request_id: str
+    at: float
+
+
 @dataclass
 class RunLog:
     """Requests and departures of all targets of a fleet.
 
     Args:
         runs: Number of executions by request id.
-        arrivals: Instance and monotonic time of each request received.
+        arrivals: The requests received.
         acknowledged: Monotonic time at which the node acknowledged that an
             instance leaves.
     """
 
     runs: Counter[str] = field(default_factory=Counter)
-    arrivals: list[tuple[str, float]] = field(default_factory=list)
+    arrivals: list[Arrival] = field(default_factory=list)
     acknowledged: dict[str, float] = field(default_factory=dict)
 
 
@@ -48,6 +65,7 @@
         control_address: Host and port of the node's control API.
         service: Service of the target.
         log: Record of requests and departures.
+        name: Name of the target, the same for all its incarnations.
 
     Attributes:
         work_s: Time that a request takes.
@@ -63,6 +81,7 @@
         control_address: tuple[str, int],
         service: str,
         log: RunLog,
+        name: str = '',
     ) -> None:
         self.work_s = 0.02
         self.slots = 8
@@ -72,6 +91,7 @@
         self._control_address = control_address
         self._service = service
         self._log = log
+        self._name = name
         self._born_ms = 0
         self._sequence = 0
         self._state = 'ready'
@@ -185,7 +205,9 @@
             _write_response(writer, 421, [request_id_header], b'')
             return
         if not head.path.startswith('/health'):
-            self._log.arrivals.append((self.instance, time.monotonic()))
+            self._log.arrivals.append(
+                Arrival(self.instance, self._name, request_id, time.monotonic())
+            )
         if self._running >= self.slots + QUEUE_LIMIT:
             _write_response(
                 writer, 503, [request_id_header, (HEADERS.not_run, b'1')], b''
--- a/standins/soak.py
+++ b/standins/soak.py
@@ -2,9 +2,11 @@
 
 Each instance has its own loopback address, with a node process, a target and
 fault proxies in front of the target and the store. A seed determines the
-faults, which follow each other and overlap. The soak test checks that callers
-and targets observe what nodes guarantee: correct responses, at most one
-execution of unsafe requests, no work after a departure, and recovery.
+faults, which follow each other and overlap. Clients keep their connections
+open, and some leave early. The soak test checks that callers and targets
+observe what nodes guarantee: correct responses, at most one execution of unsafe
+requests, no work after a departure of a target or of a client, changes in force
+in time, and recovery.
 """
 
 import asyncio
@@ -15,32 +17,24 @@
 import tempfile
 import time
 from collections import Counter
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
 from dataclasses import dataclass, field
 from pathlib import Path
 
-from filbertdrift import http1
-from filbertdrift.errors import FilbertdriftError
-from filbertdrift.platform.headers import HEADERS
 from standins.cutting_proxy import Fault, FaultProxy
 from standins.mesh_fleet import config_document
 from standins.platform_store import PlatformStore
 from standins.platform_target import RunLog, response_body
-from standins.soak_instance import (
-    CALLER_PORT,
-    GRACE_S,
-    NETWORK,
-    SoakInstance,
-)
-
-HOST = 'desk.example'
+from standins.soak_client import ClientRequest, ClientResult, Ending
+from standins.soak_history import DRAIN_S, Departure, SoakHistory
+from standins.soak_instance import GRACE_S, NETWORK, SoakInstance
+
 STORE_PORT = 7407
 
 STORE_HOST = f'{NETWORK}.250'
 
 SETTLE_S = 4.0
 RECOVERY_S = 8.0
-DRAIN_S = 2.0
 # Departing targets keep serving for longer than they must.
 EXTRA_SERVING_S = 2.0
 DEADLINE_S = 2.0
@@ -49,6 +43,12 @@
 UPLOAD_BYTES = 200_000
 MIN_SERVED_SHARE = 0.9
 FINAL_READS = 60
+# Share of the clients that leave before the response, and when they do.
+LEAVING_SHARE = 0.1
+MAX_STAY_S = 0.3
+# A change is in force on undisturbed nodes this long after it was published.
+CONFIG_APPLY_S = 2.5
+SERIES = 4
 
 
 @dataclass
@@ -96,8 +96,7 @@
         self._version = 1
         self._calls = 0
         self._background_tasks: set[asyncio.Task[None]] = set()
-        self._refused: set[str] = set()
-        self._versions: dict[str, int] = {}
+        self._history = SoakHistory()
         self.instances = [
             SoakInstance(
                 number,
@@ -152,29 +151,56 @@
             await asyncio.sleep(self._rng.expovariate(self._per_s))
 
     async def _send_and_count(self, instance: SoakInstance, kind: str) -> None:
-        status = await self._send_request(instance, kind)
-        self.verdict.outcomes[status] += 1
-
-    async def _send_request(self, instance: SoakInstance, kind: str) -> str:
-        """Send one request, check its response and return the status."""
+        result = await self._send_request(instance, kind)
+        name = result.ending.value
+        if result.ending is Ending.ANSWERED:
+            name = str(result.status)
+        self.verdict.outcomes[name] += 1
+
+    async def _send_request(
+        self, instance: SoakInstance, kind: str
+    ) -> ClientResult:
+        """Send one request and check its end."""
         self._calls += 1
-        request_id = f'{kind}-{self._calls}'
-        path = '/read/x' if kind == 'read' else '/write/x'
-        body = b'u' * UPLOAD_BYTES if kind == 'upload' else b''
-        try:
-            async with asyncio.timeout(DEADLINE_S + CLIENT_SLACK_S):
-                status, resp_body = await _exchange(
-                    instance.ip, request_id, path, body
-                )
-        except (OSError, FilbertdriftError):
-            return 'broken'
-        except TimeoutError:
-            return 'no answer'
-        if status == 200 and resp_body != response_body(request_id, body):
+        is_leaving = self._rng.random() < LEAVING_SHARE
+        request = ClientRequest(
+            request_id=f'{kind}-{self._calls}',
+            path='/read/x' if kind == 'read' else '/write/x',
+            body=b'u' * UPLOAD_BYTES if kind == 'upload' else b'',
+            deadline_s=DEADLINE_S,
+            wait_s=DEADLINE_S + CLIENT_SLACK_S,
+            leaves_after_s=(
+                self._rng.uniform(0, MAX_STAY_S) if is_leaving else None
+            ),
+        )
+        sent_at = time.monotonic()
+        result = await instance.client.send(request)
+        self._check_result(instance, request, result, sent_at)
+        return result
+
+    def _check_result(
+        self,
+        instance: SoakInstance,
+        request: ClientRequest,
+        result: ClientResult,
+        sent_at: float,
+    ) -> None:
+        now = time.monotonic()
+        request_id = request.request_id
+        if result.status in {429, 503}:
+            self._history.refused.add(request_id)
+        if result.status == 200 and (
+            result.body != response_body(request_id, request.body)
+        ):
             self._add_violation(f'{request_id}: not its own whole answer')
-        if status in {429, 503}:
-            self._refused.add(request_id)
-        return str(status)
+        if result.ending is Ending.LEFT:
+            self._history.departures[request_id] = Departure(instance.name, now)
+        elif result.ending is Ending.CUT:
+            self._history.cut[request_id] = (instance.name, sent_at, now)
+        elif result.ending is Ending.NO_ANSWER and not (
+            self._history.is_disturbed(instance.name, sent_at, now)
+        ):
+            self._add_violation(f'{request_id}: no answer by its deadline')
 
     # Faults
 
@@ -188,6 +214,8 @@
             self._replace_target,
             self._store_outage,
             self._change_config,
+            self._change_config_in_series,
+            self._terminate_in_series,
         ]
         ends_at = time.monotonic() + seconds
         while time.monotonic() < ends_at:
@@ -199,32 +227,48 @@
             await asyncio.sleep(self._rng.uniform(0.1, 1.5))
 
     async def _kill(self, instance: SoakInstance) -> None:
-        instance.signal(signal.SIGKILL)
-        await self._restart(instance)
+        with self._disturbance(instance):
+            instance.signal(signal.SIGKILL)
+            await self._restart(instance)
 
     async def _terminate(self, instance: SoakInstance) -> None:
+        """Stop an instance as planned: what it has accepted is completed."""
         instance.signal(signal.SIGTERM)
         if not await instance.wait(GRACE_S + 1):
             instance.signal(signal.SIGKILL)
+            with self._disturbance(instance):
+                await instance.wait(GRACE_S)
         await self._restart(instance)
 
+    async def _terminate_in_series(self, instance: SoakInstance) -> None:
+        start = self.instances.index(instance)
+        for number in range(start, start + SERIES):
+            following = self.instances[number % len(self.instances)]
+            self._run_in_background(self._terminate(following))
+            await asyncio.sleep(self._rng.uniform(0.3, 1.5))
+
     async def _restart(self, instance: SoakInstance) -> None:
         ended = instance.process
         await instance.wait(GRACE_S)
         await asyncio.sleep(self._rng.uniform(0.1, 1))
         if instance.process is ended:
+            now = time.monotonic()
+            self._history.disturb(instance.name, now, now)
             await instance.start_node()
 
     async def _pause(self, instance: SoakInstance) -> None:
-        instance.signal(signal.SIGSTOP)
-        await asyncio.sleep(self._rng.uniform(0.3, 3.5))
-        instance.signal(signal.SIGCONT)
+        with self._disturbance(instance):
+            instance.signal(signal.SIGSTOP)
+            await asyncio.sleep(self._rng.uniform(0.3, 3.5))
+            instance.signal(signal.SIGCONT)
 
     async def _break_target(self, instance: SoakInstance) -> None:
-        await self._inject_proxy_fault(instance.target_proxy)
+        with self._disturbance(instance):
+            await self._inject_proxy_fault(instance.target_proxy)
 
     async def _break_store(self, instance: SoakInstance) -> None:
-        await self._inject_proxy_fault(instance.store_proxy)
+        with self._disturbance(instance):
+            await self._inject_proxy_fault(instance.store_proxy)
 
     async def _inject_proxy_fault(self, proxy: FaultProxy) -> None:
         proxy.play(self._rng.choice(list(Fault)))
@@ -240,16 +284,44 @@
         await instance.target.start()
 
     async def _store_outage(self, instance: SoakInstance) -> None:
-        self._store.is_down = True
-        await asyncio.sleep(self._rng.uniform(0.5, 4))
-        self._store.is_down = False
+        with contextlib.ExitStack() as disturbances:
+            for each in self.instances:
+                disturbances.enter_context(self._disturbance(each))
+            self._store.is_down = True
+            await asyncio.sleep(self._rng.uniform(0.5, 4))
+            self._store.is_down = False
 
     async def _change_config(self, instance: SoakInstance) -> None:
         self._version += self._rng.randint(1, 5)
-        name = f'/v{self._version}/'
-        route = {'path_prefix': name, 'kind': 'idempotent'}
-        document = config_document(self._version, newest=route)
+        version = self._version
+        route = {'path_prefix': f'/v{version}/', 'kind': 'idempotent'}
+        document = config_document(version, newest=route)
         await self._store.publish(document)
+        published_at = time.monotonic()
+        await asyncio.sleep(CONFIG_APPLY_S)
+        await asyncio.gather(
+            *(
+                self._check_in_force(each, version, published_at)
+                for each in self.instances
+            )
+        )
+
+    async def _change_config_in_series(self, instance: SoakInstance) -> None:
+        for _ in range(SERIES):
+            self._run_in_background(self._change_config(instance))
+            await asyncio.sleep(self._rng.uniform(0, 0.4))
+
+    @contextlib.contextmanager
+    def _disturbance(self, instance: SoakInstance) -> Iterator[None]:
+        """Record that an instance is disturbed meanwhile."""
+        since = time.monotonic()
+        spans = self._history.disturbed.setdefault(instance.name, [])
+        spans.append((since, float('inf')))
+        try:
+            yield
+        finally:
+            spans.remove((since, float('inf')))
+            spans.append((since, time.monotonic()))
 
     async def _clear_faults(self) -> None:
         for instance in self.instances:
@@ -265,37 +337,43 @@
         served = 0
         for number in range(FINAL_READS):
             instance = self.instances[number % len(self.instances)]
-            served += await self._send_request(instance, 'read') == '200'
+            result = await self._send_request(instance, 'read')
+            served += result.status == 200 or result.ending is Ending.LEFT
         if served < MIN_SERVED_SHARE * FINAL_READS:
             self._add_violation(
                 f'only {served} of {FINAL_READS} served at the end'
             )
-        path = f'/v{self._version}/x'
-        if self._version == 1:
-            return
+        now = time.monotonic()
         for instance in self.instances:
-            with contextlib.suppress(OSError, FilbertdriftError, TimeoutError):
-                async with asyncio.timeout(DEADLINE_S):
-                    status, _ = await _exchange(instance.ip, 'probe', path, b'')
-                if status == 404:
-                    self._add_violation(
-                        f'{instance.name} has an old configuration'
-                    )
+            await self._check_in_force(instance, self._version, now)
+
+    async def _check_in_force(
+        self, instance: SoakInstance, version: int, published_at: float
+    ) -> None:
+        """Check that an undisturbed instance serves the route of a version."""
+        if version == 1:
+            return
+        self._calls += 1
+        request = ClientRequest(
+            request_id=f'probe-{self._calls}',
+            path=f'/v{version}/x',
+            body=b'',
+            deadline_s=DEADLINE_S,
+            wait_s=DEADLINE_S,
+        )
+        result = await instance.client.send(request)
+        is_newest = version == self._version
+        is_disturbed = self._history.is_disturbed(
+            instance.name, published_at, time.monotonic()
+        )
+        if result.status == 404 and is_newest and not is_disturbed:
+            self._add_violation(
+                f'{instance.name} has an older configuration than {version}'
+            )
 
     def _check_runs(self) -> None:
-        runs = self.run_log.runs
-        for request_id, count in runs.items():
-            if count > 1 and not request_id.startswith(('read', 'probe')):
-                self._add_violation(f'{request_id} ran {count} times')
-        for request_id in self._refused:
-            if runs[request_id] and not request_id.startswith('read'):
-                self._add_violation(
-                    f'{request_id} was refused as not run and ran'
-                )
-        for instance, at in self.run_log.arrivals:
-            left_at = self.run_log.acknowledged.get(instance)
-            if left_at is not None and at > left_at + DRAIN_S:
-                self._add_violation(f'{instance} got work after it had left')
+        for violation in self._history.violations(self.run_log):
+            self._add_violation(violation)
 
     def _add_violation(self, text: str) -> None:
         if text not in self.verdict.violations:
@@ -307,35 +385,6 @@
         task.add_done_callback(self._background_tasks.discard)
 
 
-async def _exchange(
-    host: str,
-    request_id: str,
-    path: str,
-    body: bytes,
-) -> tuple[int, bytes]:
-    reader, writer = await asyncio.open_connection(host, CALLER_PORT)
-    try:
-        headers = [
-            (b'host', HOST.encode()),
-            (HEADERS.request_id, request_id.encode()),
-            (HEADERS.deadline_ms, b'%d' % (DEADLINE_S * 1000)),
-            (b'content-length', b'%d' % len(body)),
-        ]
-        method = 'POST' if body else 'GET'
-        writer.write(http1.encode_request_head(method, path, headers) + body)
-        resp_reader = http1.ResponseReader(reader, host)
-        head = await resp_reader.head()
-        chunks = []
-        end = False
-        while not end:
-            part = await resp_reader.part()
-            chunks.append(part.chunk)
-            end = part.end
-        return head.status, b''.join(chunks)
-    finally:
-        writer.close()
-
-
 def run_soak(
     seed: int,
     seconds: float = 20,
--- /dev/null
+++ b/standins/soak_client.py
@@ -0,0 +1,165 @@
+"""Clients of a soak test, which keep their connections open and may leave."""
+
+import asyncio
+from dataclasses import dataclass
+from enum import Enum
+
+from filbertdrift import http1
+from filbertdrift.errors import FilbertdriftError
+from filbertdrift.platform.headers import HEADERS
+
+HOST = 'desk.example'
+CONNECT_TIMEOUT_S = 1.0
+
+
+class Ending(Enum):
+    """How a request ended for its client."""
+
+    ANSWERED = 'answered'
+    # The client closed the connection before the response.
+    LEFT = 'left'
+    NO_CONNECTION = 'no connection'
+    # The connection ended without a complete response.
+    CUT = 'cut'
+    # There was no response by the client's deadline.
+    NO_ANSWER = 'no answer'
+
+
+@dataclass(frozen=True, slots=True)
+class ClientResult:
+    """The end of one request.
+
+    Args:
+        ending: How it ended.
+        status: Status of the response, 0 if there is none.
+        body: Body of the response.
+    """
+
+    ending: Ending
+    status: int = 0
+    body: bytes = b''
+
+
+@dataclass(frozen=True, slots=True)
+class ClientRequest:
+    """A request to send.
+
+    Args:
+        request_id: Its id.
+        path: Its path.
+        body: Its body, empty for a GET.
+        deadline_s: Its deadline, from when it is sent.
+        wait_s: How long the client waits for the response.
+        leaves_after_s: When the client closes the connection, None to wait.
+    """
+
+    request_id: str
+    path: str
+    body: bytes
+    deadline_s: float
+    wait_s: float
+    leaves_after_s: float | None = None
+
+    def encode(self) -> bytes:
+        """Return the request as HTTP/1.1."""
+        headers = [
+            (b'host', HOST.encode()),
+            (HEADERS.request_id, self.request_id.encode()),
+            (HEADERS.deadline_ms, b'%d' % (self.deadline_s * 1000)),
+            (b'content-length', b'%d' % len(self.body)),
+        ]
+        method = 'POST' if self.body else 'GET'
+        head = http1.encode_request_head(method, self.path, headers)
+        return head + self.body
+
+
+class _Connection:
+    """A connection of a client that carries one request at a time."""
+
+    def __init__(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self.is_reusable = True
+        self._reader = reader
+        self._writer = writer
+        self._responses = http1.ResponseReader(reader, 'node')
+
+    @property
+    def is_usable(self) -> bool:
+        """Return whether another request can be sent."""
+        is_open = not self._reader.at_eof() and not self._writer.is_closing()
+        return self.is_reusable and is_open
+
+    async def exchange(self, request: ClientRequest) -> ClientResult:
+        """Send a request and read its response."""
+        self._writer.write(request.encode())
+        head = await self._responses.head()
+        chunks = []
+        end = False
+        while not end:
+            part = await self._responses.part()
+            chunks.append(part.chunk)
+            end = part.end
+        self.is_reusable = head.keep_alive
+        return ClientResult(Ending.ANSWERED, head.status, b''.join(chunks))
+
+    def close(self) -> None:
+        """Close the connection."""
+        self._writer.close()
+
+
+class SoakClient:
+    """The clients of one instance; they share its open connections.
+
+    Args:
+        address: Host and port of the node.
+    """
+
+    def __init__(self, address: tuple[str, int]) -> None:
+        self._address = address
+        self._idle: list[_Connection] = []
+
+    async def send(self, request: ClientRequest) -> ClientResult:
+        """Send a request on an open connection, or on a new one."""
+        conn = self._pop_usable()
+        if conn is None:
+            try:
+                async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                    streams = await asyncio.open_connection(*self._address)
+            except (OSError, TimeoutError):
+                return ClientResult(Ending.NO_CONNECTION)
+            conn = _Connection(*streams)
+        result = await self._exchange(conn, request)
+        if result.ending is Ending.ANSWERED and conn.is_usable:
+            self._idle.append(conn)
+        else:
+            conn.close()
+        return result
+
+    def close(self) -> None:
+        """Close the open connections."""
+        for conn in self._idle:
+            conn.close()
+        self._idle.clear()
+
+    async def _exchange(
+        self, conn: _Connection, request: ClientRequest
+    ) -> ClientResult:
+        leaves = request.leaves_after_s
+        limit_s = request.wait_s if leaves is None else leaves
+        try:
+            async with asyncio.timeout(limit_s):
+                return await conn.exchange(request)
+        except TimeoutError:
+            ending = Ending.NO_ANSWER if leaves is None else Ending.LEFT
+            return ClientResult(ending)
+        except (OSError, FilbertdriftError):
+            return ClientResult(Ending.CUT)
+
+    def _pop_usable(self) -> _Connection | None:
+        while self._idle:
+            conn = self._idle.pop()
+            if conn.is_usable:
+                return conn
+            conn.close()
+        return None
--- /dev/null
+++ b/standins/soak_history.py
@@ -0,0 +1,120 @@
+"""What happened in a soak test, and which of it breaks a guarantee.
+
+Bounds in time hold for an instance only while it is undisturbed: no fault was
+injected into it within the last STABILITY_S.
+"""
+
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+
+from standins.platform_target import RunLog
+
+STABILITY_S = 3.0
+# How long after its caller has left a request may reach a target.
+LEAVE_S = 0.5
+# More requests than these must not.
+MAX_LATE_ARRIVALS = 3
+# A target may get requests for this long after its acknowledged departure.
+DRAIN_S = 2.0
+
+
+@dataclass(frozen=True, slots=True)
+class Departure:
+    """A client that closed its connection before the response.
+
+    Args:
+        ingress: Name of the instance that it was connected to.
+        at: When it left, in monotonic time.
+    """
+
+    ingress: str
+    at: float
+
+
+@dataclass
+class SoakHistory:
+    """Faults by instance, and how requests ended for their clients.
+
+    Args:
+        disturbed: Begin and end of the faults of each instance.
+        departures: Clients that left, by request id.
+        cut: Instances by the id of requests whose connection ended without a
+            response, and when the request was sent and cut.
+        refused: Ids of requests that were refused as not run.
+    """
+
+    disturbed: dict[str, list[tuple[float, float]]] = field(
+        default_factory=dict
+    )
+    departures: dict[str, Departure] = field(default_factory=dict)
+    cut: dict[str, tuple[str, float, float]] = field(default_factory=dict)
+    refused: set[str] = field(default_factory=set)
+
+    def disturb(self, instance: str, since: float, until: float) -> None:
+        """Record a fault of an instance."""
+        self.disturbed.setdefault(instance, []).append((since, until))
+
+    def is_disturbed(self, instance: str, since: float, until: float) -> bool:
+        """Return whether an instance had a fault in a span of time.
+
+        Args:
+            instance: Its name.
+            since: Begin of the span; STABILITY_S before it count too.
+            until: End of the span.
+        """
+        return any(
+            begin <= until and end >= since - STABILITY_S
+            for begin, end in self.disturbed.get(instance, ())
+        )
+
+    def violations(self, log: RunLog) -> Iterator[str]:
+        """Yield what broke a guarantee.
+
+        Args:
+            log: What the targets received and ran.
+        """
+        yield from _repeated(log)
+        yield from self._refused_and_run(log)
+        yield from self._cut_and_run(log)
+        yield from self._late_arrivals(log)
+        yield from _after_departure(log)
+
+    def _refused_and_run(self, log: RunLog) -> Iterator[str]:
+        for request_id in sorted(self.refused):
+            if log.runs[request_id] and not request_id.startswith('read'):
+                yield f'{request_id} was refused as not run and ran'
+
+    def _cut_and_run(self, log: RunLog) -> Iterator[str]:
+        """Yield requests that ran and got no response from a healthy node."""
+        for request_id, (instance, sent_at, cut_at) in self.cut.items():
+            is_excused = self.is_disturbed(instance, sent_at, cut_at)
+            if log.runs[request_id] and not is_excused:
+                yield f'{request_id} ran and {instance} cut its connection'
+
+    def _late_arrivals(self, log: RunLog) -> Iterator[str]:
+        late = []
+        for arrival in log.arrivals:
+            left = self.departures.get(arrival.request_id)
+            if left is None or arrival.at <= left.at + LEAVE_S:
+                continue
+            span = (left.at, arrival.at)
+            if not (
+                self.is_disturbed(left.ingress, *span)
+                or self.is_disturbed(arrival.owner, *span)
+            ):
+                late.append(arrival.request_id)
+        if len(late) > MAX_LATE_ARRIVALS:
+            yield f'{len(late)} requests arrived after their clients had left'
+
+
+def _repeated(log: RunLog) -> Iterator[str]:
+    for request_id, count in log.runs.items():
+        if count > 1 and not request_id.startswith(('read', 'probe')):
+            yield f'{request_id} ran {count} times'
+
+
+def _after_departure(log: RunLog) -> Iterator[str]:
+    for arrival in log.arrivals:
+        left_at = log.acknowledged.get(arrival.instance)
+        if left_at is not None and arrival.at > left_at + DRAIN_S:
+            yield f'{arrival.instance} got work after it had left'
--- a/standins/soak_instance.py
+++ b/standins/soak_instance.py
@@ -9,6 +9,7 @@
 
 from standins.cutting_proxy import FaultProxy
 from standins.platform_target import PlatformTarget, RunLog
+from standins.soak_client import SoakClient
 
 SERVICE = 'desk'
 PEER_PORT = 7380
@@ -62,7 +63,9 @@
             (self.ip, CONTROL_PORT),
             SERVICE,
             log,
+            self.name,
         )
+        self.client = SoakClient((self.ip, CALLER_PORT))
         self._daemon = daemon
         self._settings = folder / f'{self.name}.toml'
         self._log_path = folder / f'{self.name}.log'
@@ -119,6 +122,7 @@
         self.signal(signal.SIGCONT)
         self.signal(signal.SIGKILL)
         await self.wait(5)
+        self.client.close()
         self.target.crash()
         self.target_proxy.close()
         self.store_proxy.close()
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -15,7 +15,7 @@
     # departed.
     411,
 )
-SOAK_S = 6
+SOAK_S = 10
 INSTANCES = 3
 MIN_SERVED = 100
 
@@ -24,7 +24,7 @@
     """Guarantees hold while processes, targets and the store fail."""
 
     def test_short(self) -> None:
-        for seed in (1, *REGRESSION_SEEDS):
+        for seed in (1, 2, *REGRESSION_SEEDS):
             verdict = run_soak(seed, SOAK_S, INSTANCES)
             self.assertThat(verdict.violations, Equals([]))
             self.assertThat(verdict.outcomes['200'], GreaterThan(MIN_SERVED))
