A node that stops responds to the requests that still wait

Cause: at the end of its drain a node closes the connections of requests that are in progress, also of those that no target has.

Change: 0.2 s before the end of the drain, requests that wait get a final response: 503 if they have certainly not run, 502 otherwise. Requests that arrive during the drain have its end as their deadline, so gates refuse at once what would not end in time.

Also: settings may state a link capacity of zero for none; the digest of a document is computed in one place; nodes of the soak pace bodies.

Result: the tests of StoppingTest fail without the change and pass with it.

--- a/filbertdrift/callerport.py
+++ b/filbertdrift/callerport.py
@@ -91,12 +91,14 @@
     Attributes:
         in_progress: Number of requests in progress.
         is_closing: Connections close after their next response.
+        closes_by: When requests have to end, on the loop's clock.
     """
 
     def __init__(self) -> None:
         """Create the listener without connections."""
         self.in_progress = 0
         self.is_closing = False
+        self.closes_by = float('inf')
         self._server: asyncio.Server | None = None
         self._connections: set[CallerConnection] = set()
 
--- a/filbertdrift/config_holder.py
+++ b/filbertdrift/config_holder.py
@@ -1,13 +1,13 @@
 """The configuration document in force on a node."""
 
 import asyncio
-import hashlib
 from collections import OrderedDict
 from collections.abc import Callable
 from dataclasses import dataclass
 
 from loguru import logger
 
+from filbertdrift.document_delta import document_digest
 from filbertdrift.errors import MalformedMessage
 from filbertdrift.routing import (
     NO_VERSION,
@@ -16,7 +16,6 @@
     check_references,
 )
 
-DIGEST_BYTES = 8
 MS_PER_S = 1000
 # Documents that are kept, to compute and to apply deltas.
 MAX_DOCUMENTS = 8
@@ -109,10 +108,7 @@
             self._behind_since = None
         self.table = PrefixTable(config.routes)
         self._keep_document(config.version, document)
-        self._digest = hashlib.blake2b(
-            document,
-            digest_size=DIGEST_BYTES,
-        ).digest()
+        self._digest = document_digest(document)
         self.counters.adopted += 1
         logger.bind(
             event='config_adopted',
--- a/filbertdrift/dispatch.py
+++ b/filbertdrift/dispatch.py
@@ -163,7 +163,9 @@
             raise
         except asyncio.CancelledError:
             self.counters.abandoned += 1
-            self._log(routed, 'abandoned', 'the caller left')
+            self._log(
+                routed, 'abandoned', 'the caller left, or this node stops'
+            )
             raise
         self.counters.answered += 1
         if self.counters.answered % ANSWERED_LOG_INTERVAL == 0 or req.tried[1:]:
--- a/filbertdrift/document_delta.py
+++ b/filbertdrift/document_delta.py
@@ -32,7 +32,7 @@
         _EDIT.pack(start, length, len(inserted)) + inserted
         for start, length, inserted in _compare(old, new)
     )
-    return _digest(new) + zlib.compress(edits)
+    return document_digest(new) + zlib.compress(edits)
 
 
 def apply_delta(old: bytes, delta: bytes) -> bytes:
@@ -49,11 +49,16 @@
         new = _apply_edits(old, _decompress(delta[DIGEST_BYTES:]))
     except (zlib.error, struct.error) as exc:
         raise MalformedMessage(str(exc), step='apply delta') from exc
-    if _digest(new) != delta[:DIGEST_BYTES]:
+    if document_digest(new) != delta[:DIGEST_BYTES]:
         raise MalformedMessage('of another document', step='apply delta')
     return new
 
 
+def document_digest(document: bytes) -> bytes:
+    """Return the digest of a document, of DIGEST_BYTES bytes."""
+    return hashlib.blake2b(document, digest_size=DIGEST_BYTES).digest()
+
+
 def _compare(old: bytes, new: bytes) -> Iterator[tuple[int, int, bytes]]:
     """Yield ranges of the old document and what is inserted after each.
 
@@ -101,7 +106,3 @@
     if not decompressor.eof:
         raise MalformedMessage('too large', step='apply delta')
     return edits
-
-
-def _digest(document: bytes) -> bytes:
-    return hashlib.blake2b(document, digest_size=DIGEST_BYTES).digest()
--- a/filbertdrift/entry.py
+++ b/filbertdrift/entry.py
@@ -28,6 +28,8 @@
 # A response that makes no progress for this long is aborted.
 RESPONSE_STALL_TIMEOUT_S = 10.0
 NO_CONFIG_RETRY_AFTER_MS = 300
+# Other nodes are there for the caller at once.
+STOP_RETRY_AFTER_MS = 100
 
 STATUS_BAD_REQUEST = 400
 STATUS_NOT_FOUND = 404
@@ -112,6 +114,12 @@
         self.header_names = header_names
         self.caller_service = caller_service.encode()
 
+    def interrupt(self) -> None:
+        """End the requests that wait for a response with a final one."""
+        for conn in list(self._connections):
+            if isinstance(conn, _IngressConnection):
+                conn.interrupt()
+
     def _new_connection(
         self,
         reader: asyncio.StreamReader,
@@ -139,6 +147,14 @@
         self._has_read_body = True
         self._body_bytes = 0
         self._timer: asyncio.TimerHandle | None = None
+        self._is_dispatching = False
+        self._is_interrupted = False
+
+    def interrupt(self) -> None:
+        """Respond at once to a request that waits for its response."""
+        if self._is_dispatching and self._task:
+            self._is_interrupted = True
+            self._task.cancel()
 
     async def run(self) -> None:
         """Serve requests until the caller or the node closes."""
@@ -238,7 +254,10 @@
             head.headers,
             self._server.header_names.deadline_ms,
         )
-        deadline = started_at + _effective_timeout_s(stated_timeout_s, route)
+        deadline = min(
+            started_at + _effective_timeout_s(stated_timeout_s, route),
+            self._server.closes_by,
+        )
         try:
             first = await self._read_first_part(deadline)
         except TimeoutError:
@@ -250,7 +269,7 @@
         req.caller_timeout_s = stated_timeout_s
         routed = self._handler.route_request(req, route)
         try:
-            response = await self._handler.dispatch(routed)
+            response = await self._dispatch(routed)
         except (RequestNotRun, RequestUnknown) as exc:
             await self._send_error(head, exc)
             return
@@ -261,6 +280,20 @@
             response.close()
         self._must_close = self._must_close or not self._has_read_body
 
+    async def _dispatch(self, routed: RoutedRequest) -> RoutedResponse:
+        """Dispatch a request, until the caller leaves or the node stops."""
+        self._is_dispatching = True
+        try:
+            return await self._handler.dispatch(routed)
+        except asyncio.CancelledError as exc:
+            task = asyncio.current_task()
+            if task is None or not self._is_interrupted:
+                raise
+            task.uncancel()
+            raise _stop_error(routed.req) from exc
+        finally:
+            self._is_dispatching = False
+
     def _build_request(
         self,
         head: RequestHead,
@@ -432,6 +465,17 @@
     )
 
 
+def _stop_error(req: IngressRequest) -> RequestNotRun | RequestUnknown:
+    """Return the outcome of a request that the node's stop has ended."""
+    if req.may_have_run:
+        return RequestUnknown('this node stops', step='dispatch')
+    return RequestNotRun(
+        'this node stops',
+        retry_after_ms=STOP_RETRY_AFTER_MS,
+        step='dispatch',
+    )
+
+
 def _head_size_bytes(head: RequestHead) -> int:
     return len(head.path) + sum(
         len(name) + len(text) for name, text in head.headers
--- a/filbertdrift/mesh.py
+++ b/filbertdrift/mesh.py
@@ -52,6 +52,8 @@
 LEAVE_PROPAGATION_S = 2.2
 # Part of the termination grace period reserved for stop, after drain.
 SHUTDOWN_RESERVE_S = 0.6
+# Part of the drain in which unfinished requests get their final response.
+FINAL_RESPONSE_S = 0.2
 
 
 @dataclass(frozen=True, slots=True)
@@ -265,10 +267,13 @@
         self.lifecycle.announce_status()
         self.lifecycle.close_gate()
         self.entry.is_closing = True
+        self.entry.closes_by = deadline - FINAL_RESPONSE_S
         await asyncio.sleep(LEAVE_PROPAGATION_S)
         self.entry.close_idle()
-        while loop.time() < deadline and self._has_requests_in_progress():
-            await asyncio.sleep(DRAIN_POLL_S)
+        await self._wait_for_requests(self.entry.closes_by)
+        # Better a final response than a connection that ends without one.
+        self.entry.interrupt()
+        await self._wait_for_requests(deadline)
         logger.bind(
             event='drained',
             unfinished=self.entry.in_progress + self.handover.in_progress,
@@ -286,6 +291,11 @@
         await self.network.close()
         await self.log.close()
 
+    async def _wait_for_requests(self, deadline: float) -> None:
+        loop = asyncio.get_running_loop()
+        while loop.time() < deadline and self._has_requests_in_progress():
+            await asyncio.sleep(DRAIN_POLL_S)
+
     def _has_requests_in_progress(self) -> bool:
         return bool(self.entry.in_progress or self.handover.in_progress)
 
--- a/filbertdrift/platform/settings.py
+++ b/filbertdrift/platform/settings.py
@@ -35,7 +35,8 @@
 
 
 class _Limits(_Table):
-    link_mbps: float | None = Field(default=None, gt=0)
+    # Zero states no limit.
+    link_mbps: float = Field(default=0, ge=0)
 
 
 class _Settings(_Table):
@@ -142,7 +143,7 @@
             window_s=bounds.get('budget_window_s', defaults.window_s),
         ),
         termination_grace_s=bounds.get('grace_s', DEFAULT_TERMINATION_GRACE_S),
-        link_mbps=model.limits.link_mbps,
+        link_mbps=model.limits.link_mbps or None,
     )
 
 
--- a/filbertdrift/request.py
+++ b/filbertdrift/request.py
@@ -35,6 +35,7 @@
         tried: Nodes that it was sent to, without those that refused it only
             because no slot was free.
         is_body_consumed: Body beyond the first chunk was read.
+        may_have_run: Some target may have run it, as far as this node knows.
         caller_timeout_s: The timeout in the caller's deadline header, None if
             absent.
     """
@@ -52,6 +53,7 @@
     fingerprint: str = ''
     tried: list[str] = field(default_factory=list)
     is_body_consumed: bool = False
+    may_have_run: bool = False
     caller_timeout_s: float | None = None
 
 
--- a/filbertdrift/target_attempt.py
+++ b/filbertdrift/target_attempt.py
@@ -119,6 +119,7 @@
         self._routed = routed
         self.may_wait = may_wait
         self._req = routed.req
+        self._may_have_run_before = routed.req.may_have_run
         self._upload: asyncio.Task[None] | None = None
 
     async def run(self) -> RoutedResponse:
@@ -222,6 +223,7 @@
         deadline = self._req.deadline + RESPONSE_SLACK_S
         try:
             async with asyncio.timeout_at(deadline):
+                self._req.may_have_run |= not self.is_offer
                 await call.send(self._opening(call))
                 if self.is_offer or not self._req.is_whole:
                     self._upload = loop.create_task(self._send_body(call))
@@ -262,6 +264,7 @@
     async def _send_held_back(self, call: CallStream) -> bool:
         """Send the first chunk of an offer; return whether the body ends."""
         self.is_offer = False
+        self._req.may_have_run = True
         call.keepalive_timeout_s = self._keepalive_timeout_s
         req = self._req
         await call.send_chunk(req.first_chunk, end=req.is_whole)
@@ -297,6 +300,7 @@
         self.reached_target = bool(body.reached_target)
         if body.kind != ttypes.RefusalKind.NOT_RUN:
             return self._unknown_error(body.reason or '')
+        self._req.may_have_run = self._may_have_run_before
         load = body.load_permille or 0
         if body.no_free_slot:
             self._chooser.record_load(self._member, load, now)
--- a/standins/soak_instance.py
+++ b/standins/soak_instance.py
@@ -20,6 +20,8 @@
 TARGET_PROXY_PORT = 7405
 STORE_PROXY_PORT = 7406
 GRACE_S = 6.0
+# Narrow enough for nodes to pace the bodies of uploads.
+LINK_MBPS = 6
 
 # Concurrent soak tests use separate loopback networks, from 127.10.0 up.
 FIRST_NETWORK = 10
@@ -141,6 +143,8 @@
 outbound = "{self.ip}:{CALLER_PORT}"
 ready = "{self.ip}:{READY_PORT}"
 control = "{self.ip}:{CONTROL_PORT}"
+[limits]
+link_mbps = {LINK_MBPS}
 [platform]
 address = "{self.ip}:{STORE_PROXY_PORT}"
 """
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -20,6 +20,7 @@
 from filbertdrift.profile import PROFILES
 from filbertdrift.retrybudget import RetryLimits
 from filbertdrift.target import HttpTarget
+from filbertdrift.target_attempt import RoutedRequest, RoutedResponse
 from standins.mesh_fleet import config_document
 from tests.sockets import free_port
 
@@ -251,3 +252,53 @@
                 self.assertThat(response, StartsWith(b'HTTP/1.1 200 '))
                 self.assertThat(response, Contains(b'connection: close'))
             await draining
+
+
+class StoppingTest(TestCase):
+    """Responses to the requests that are in progress when a node stops."""
+
+    # LOST: a node that stopped closed the connections of requests that waited.
+    def test_waiting_request_is_refused(self) -> None:
+        response = asyncio.run(self._interrupted(may_have_run=False))
+        self.assertThat(response, StartsWith(b'HTTP/1.1 503 '))
+        self.assertThat(response, Contains(b'retry-after: 0.1'))
+
+    def test_request_that_may_have_run_is_not_refused(self) -> None:
+        response = asyncio.run(self._interrupted(may_have_run=True))
+        self.assertThat(response, StartsWith(b'HTTP/1.1 502 '))
+
+    async def _interrupted(self, *, may_have_run: bool) -> bytes:
+        async with socket_mesh() as mesh:
+
+            async def wait(routed: RoutedRequest) -> RoutedResponse:
+                routed.req.may_have_run = may_have_run
+                return await asyncio.get_running_loop().create_future()
+
+            mesh.node.dispatcher.dispatch = wait  # type: ignore[method-assign]
+            sending = asyncio.ensure_future(mesh.send(request()))
+            await asyncio.sleep(0.1)
+            mesh.node.entry.interrupt()
+            return await asyncio.wait_for(sending, 1)
+
+    def test_request_that_runs_may_have_run(self) -> None:
+        response = asyncio.run(self._running())
+        self.assertThat(response, StartsWith(b'HTTP/1.1 502 '))
+
+    async def _running(self) -> bytes:
+        async with socket_mesh() as mesh:
+            sending = asyncio.ensure_future(mesh.send(request()))
+            await asyncio.sleep(TARGET_WORK_S / 2)
+            mesh.node.entry.interrupt()
+            return await asyncio.wait_for(sending, 1)
+
+    def test_new_requests_end_before_the_node(self) -> None:
+        response, elapsed_s = asyncio.run(self._limited())
+        self.assertThat(response, StartsWith(b'HTTP/1.1 50'))
+        self.assertThat(elapsed_s, LessThan(TARGET_WORK_S))
+
+    async def _limited(self) -> tuple[bytes, float]:
+        async with socket_mesh() as mesh:
+            started_at = asyncio.get_running_loop().time()
+            mesh.node.entry.closes_by = started_at + TARGET_WORK_S / 3
+            response = await mesh.send(request())
+            return response, asyncio.get_running_loop().time() - started_at
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -136,6 +136,15 @@
         self.assertThat(found.retry_limits.extra, Equals(20))
         self.assertThat(found.termination_grace_s, Equals(6))
 
+    def test_link_capacity(self) -> None:
+        for text, expected in (
+            ('', None),
+            ('[limits]\nlink_mbps = 0', None),
+            ('[limits]\nlink_mbps = 2.5\nnew = 1', 2.5),
+        ):
+            found = self.load(f'{SETTINGS}\n{text}\n')
+            self.assertThat(found.link_mbps, Equals(expected))
+
     def test_every_error_is_named(self) -> None:
         text = SETTINGS.replace('zone = "a"', '').replace(
             'ready = "10.1.0.38:8141"',
