Pages of keyed streams name the era of their offsets

A store that comes back from an older copy gives the same offsets out again. Readers need to tell the offsets before and after apart. The field has no effect yet.

--- a/filbertdrift/keyedlog.py
+++ b/filbertdrift/keyedlog.py
@@ -13,6 +13,8 @@
 # Bounds the records of one read. A reader that is further behind reads the
 # newest record of each key instead.
 MAX_READ_BYTES = 65_536
+# The era of a log that does not state one.
+NO_ERA = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -31,11 +33,14 @@
         records: Records from the requested offset on, in order.
         next_offset: The offset to read from next.
         has_more: Whether there are records at next_offset or later.
+        era: Rises each time the log comes back from an older copy; offsets of
+            different eras are not comparable.
     """
 
     records: Sequence[KeyedRecord]
     next_offset: int
     has_more: bool = False
+    era: int = NO_ERA
 
 
 @dataclass(slots=True)
