--- a/filbertdrift/config_holder.py
+++ b/filbertdrift/config_holder.py
@@ -96,7 +96,12 @@
             check_references(config)
         except MalformedMessage as exc:
             self.counters.malformed += 1
-            logger.error('configuration from {} refused: {}', source, exc)
+            logger.bind(
+                event='config_refused',
+                version=self.version,
+                size_bytes=len(document),
+                source=source,
+            ).error('configuration from {} refused: {}', source, exc)
             return False
         if config.version <= self.version:
             self.counters.older_ignored += 1
--- a/filbertdrift/configwatch.py
+++ b/filbertdrift/configwatch.py
@@ -30,6 +30,7 @@
 MAX_BACKOFF_S = 1.0
 # The next read fetches the newest records instead of reading from an offset.
 UNKNOWN_OFFSET = -1
+MS_PER_S = 1000
 
 
 @dataclass(slots=True)
@@ -67,6 +68,8 @@
         """Create a watch at an unknown offset."""
         self.counters = WatchCounters()
         self.is_log_reachable = True
+        # When this node last read the log up to its end.
+        self.read_at: float | None = None
         self._log = log
         self._stream = stream
         self._key = key
@@ -98,8 +101,14 @@
 
     async def run(self) -> None:
         """Follow the log until cancelled."""
+        was_watcher = False
         while True:
-            if not self.is_watcher():
+            is_watcher = self.is_watcher()
+            if is_watcher != was_watcher:
+                was_watcher = is_watcher
+                event = 'watch_started' if is_watcher else 'watch_ended'
+                logger.bind(event=event).info(event)
+            if not is_watcher:
                 self._offset = UNKNOWN_OFFSET
                 await asyncio.sleep(WATCHER_CHECK_INTERVAL_S)
                 continue
@@ -107,11 +116,14 @@
 
     async def poll_once(self) -> None:
         """Read once and adopt the newest configuration received."""
+        loop = asyncio.get_running_loop()
+        started_at = loop.time()
         try:
             records = await self._read()
         except LogUnavailable as exc:
-            await self._wait_after_failure(exc)
+            await self._wait_after_failure(exc, started_at)
             return
+        self.read_at = loop.time()
         self._set_reachable(is_reachable=True)
         self._backoff_s = INITIAL_BACKOFF_S
         if self._adopt(records):
@@ -168,15 +180,29 @@
             for document in reversed(documents)
         )
 
-    async def _wait_after_failure(self, exc: LogUnavailable) -> None:
+    async def _wait_after_failure(
+        self, exc: LogUnavailable, started_at: float
+    ) -> None:
         self.counters.failures += 1
-        self._set_reachable(is_reachable=False, reason=str(exc))
+        waited_s = asyncio.get_running_loop().time() - started_at
+        self._set_reachable(
+            is_reachable=False,
+            reason=str(exc),
+            waited_ms=int(waited_s * MS_PER_S),
+        )
         await asyncio.sleep(self._backoff_s * (0.5 + self._rng.random()))
         self._backoff_s = min(self._backoff_s * 2, MAX_BACKOFF_S)
 
-    def _set_reachable(self, *, is_reachable: bool, reason: str = '') -> None:
+    def _set_reachable(
+        self, *, is_reachable: bool, reason: str = '', waited_ms: int = 0
+    ) -> None:
         if is_reachable == self.is_log_reachable:
             return
         self.is_log_reachable = is_reachable
         event = 'store_regained' if is_reachable else 'store_lost'
-        logger.bind(event=event, reason=reason).warning(event)
+        logger.bind(
+            event=event,
+            reason=reason,
+            waited_ms=waited_ms,
+            offset=self._offset,
+        ).warning(event)
--- a/filbertdrift/entry.py
+++ b/filbertdrift/entry.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -30,6 +31,7 @@
 NO_CONFIG_RETRY_AFTER_MS = 300
 # Other nodes are there for the caller at once.
 STOP_RETRY_AFTER_MS = 100
+MAX_LOGGED_PATH_CHARS = 200
 
 STATUS_BAD_REQUEST = 400
 STATUS_NOT_FOUND = 404
@@ -58,6 +60,9 @@
     def has_config(self) -> bool:
         """Return whether a configuration is in force."""
 
+    def config_evidence(self) -> Mapping[str, int]:
+        """Return log fields that tell how current the configuration is."""
+
     def match(self, host: str, path: str) -> PrefixRoute | None:
         """Return the route of a request, None if no route matches."""
 
@@ -227,19 +232,20 @@
             await self._send_error(head, _no_config_error())
             return
         if _head_size_bytes(head) > handler.limits.header_bytes:
-            await self._send_text(head, STATUS_HEAD_TOO_LARGE, 'head too large')
+            reason = f'head over {handler.limits.header_bytes} bytes'
+            await self._reject(head, STATUS_HEAD_TOO_LARGE, reason)
             return
         host = http1.find_header(head.headers, b'host')
         route = handler.match(host, head.path)
         if route is None:
             self._server.counters.unmatched += 1
             reason = f'no route for {normalize_host(host)} {head.path}'
-            await self._send_text(head, STATUS_NOT_FOUND, reason)
+            await self._reject(head, STATUS_NOT_FOUND, reason)
             return
         try:
             await self._proxy_request(head, route)
         except BodyTooLarge as exc:
-            await self._send_text(head, STATUS_TOO_LARGE, str(exc))
+            await self._reject(head, STATUS_TOO_LARGE, str(exc))
 
     async def _proxy_request(
         self, head: RequestHead, route: PrefixRoute
@@ -263,7 +269,7 @@
         except TimeoutError:
             self._must_close = True
             reason = 'the body did not come in time'
-            await self._send_text(head, STATUS_REQUEST_TIMEOUT, reason)
+            await self._reject(head, STATUS_REQUEST_TIMEOUT, reason)
             return
         req = self._build_request(head, first, deadline)
         req.caller_timeout_s = stated_timeout_s
@@ -436,6 +442,21 @@
         self._writer.write(http1.encode_response_head(status, headers) + body)
         await self._drain()
 
+    async def _reject(
+        self, head: RequestHead, status: int, reason: str
+    ) -> None:
+        """Refuse a request that the configuration does not allow."""
+        request_id = self._server.header_names.request_id
+        logger.bind(
+            event='rejected',
+            status=status,
+            request=http1.find_header(head.headers, request_id),
+            host=http1.find_header(head.headers, b'host'),
+            path=head.path[:MAX_LOGGED_PATH_CHARS],
+            **self._handler.config_evidence(),
+        ).info('{}', reason[:MAX_LOGGED_PATH_CHARS])
+        await self._send_text(head, status, reason)
+
     async def _reject_malformed(
         self, status: int, exc: FilbertdriftError
     ) -> None:
--- a/filbertdrift/mesh.py
+++ b/filbertdrift/mesh.py
@@ -6,7 +6,7 @@
 
 import asyncio
 import random
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 
 from loguru import logger
@@ -54,6 +54,9 @@
 SHUTDOWN_RESERVE_S = 0.6
 # Part of the drain in which unfinished requests get their final response.
 FINAL_RESPONSE_S = 0.2
+# In log lines, in place of the time since an event that did not happen yet.
+NEVER = -1
+MS_PER_S = 1000
 
 
 @dataclass(frozen=True, slots=True)
@@ -335,6 +338,24 @@
         """Return whether a configuration is in force."""
         return self.holder.config is not None
 
+    def config_evidence(self) -> Mapping[str, int]:
+        """Return log fields that tell how current the configuration is.
+
+        Returns:
+            The version in force, the newest version that this node has heard
+            of, and the milliseconds since it last read the log itself and
+            since it last heard from a peer, NEVER if it has not.
+        """
+        now = asyncio.get_running_loop().time()
+        contacts = self.membership.last_contacts.values()
+        heard_at = max((contact.at for contact in contacts), default=None)
+        return {
+            'version': self.holder.version,
+            'announced': self.holder.announced_version,
+            'read_ms': _elapsed_ms(self.watch.read_at, now),
+            'heard_ms': _elapsed_ms(heard_at, now),
+        }
+
     def match(self, host: str, path: str) -> PrefixRoute | None:
         """Return the route of a request, None if none matches."""
         return self.holder.table.match(host, path)
@@ -426,3 +447,7 @@
             if config is not None:
                 route_names = {route.name for route in config.routes}
                 self.wait_estimator.retain_routes(route_names)
+
+
+def _elapsed_ms(since: float | None, now: float) -> int:
+    return NEVER if since is None else int((now - since) * MS_PER_S)
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -7,6 +7,7 @@
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
 
+from loguru import logger
 from testtools import TestCase
 from testtools.matchers import Contains, Equals, LessThan, StartsWith
 
@@ -185,6 +186,24 @@
             self.assertThat(response, StartsWith(b'HTTP/1.1 503 '))
             self.assertThat(response, Contains(b'retry-after: 0.'))
 
+    # DENIED: refusals left no line, so nothing told which version decided.
+    def test_refusals_are_logged_with_the_version(self) -> None:
+        asyncio.run(self._refusal_lines())
+
+    async def _refusal_lines(self) -> None:
+        lines: list[dict[str, object]] = []
+        sink = logger.add(lambda message: lines.append(message.record['extra']))
+        self.addCleanup(logger.remove, sink)
+        async with socket_mesh(max_body_bytes=100) as mesh:
+            await mesh.send(request('/other/x'))
+            await mesh.send(request(body=b'x' * 101))
+        found = [line for line in lines if line.get('event') == 'rejected']
+        self.assertThat([line['status'] for line in found], Equals([404, 413]))
+        for line in found:
+            self.assertThat(line['request'], Equals('r1'))
+            self.assertThat(line['version'], Equals(1))
+            self.assertThat(line['heard_ms'], Equals(-1))
+
     def test_headers_set_by_nodes(self) -> None:
         asyncio.run(self._headers())
 
