Failing tests: changes that nodes miss while the log can be reached

Nodes that are cut from their peers, or that hear nobody, and all nodes when the connections of the readers go silent or the log turns the readers away, refuse requests on routes that were added meanwhile.

PartitionableLog plays a pending read that never gets its response.

--- a/standins/mesh_fleet.py
+++ b/standins/mesh_fleet.py
@@ -35,6 +35,8 @@
 DIRECTORY_STREAM = 'keyed.nodes'
 HOST = 'desk.example'
 HEARTBEAT_INTERVAL_S = 1.5
+# How long a client waits for the log beyond the wait that it asked for.
+READ_TIMEOUT_S = 1.0
 
 
 class PartitionableLog(KeyedLog):
@@ -51,6 +53,12 @@
         super().__init__()
         self.is_partitioned = False
         self._shared = shared
+        self._pending_reads: set[asyncio.Task[KeyedPage]] = set()
+
+    def silence(self) -> None:
+        """Let pending reads time out as on a connection gone silent."""
+        for task in self._pending_reads:
+            task.cancel()
 
     async def newest(self, stream: str) -> KeyedPage:
         """Return the newest record of each key."""
@@ -60,7 +68,21 @@
     async def read(self, stream: str, offset: int, wait_s: float) -> KeyedPage:
         """Return the records from an offset on."""
         await self._check_partition()
-        page = await self._shared.read(stream, offset, wait_s)
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + wait_s + READ_TIMEOUT_S
+        task = loop.create_task(self._shared.read(stream, offset, wait_s))
+        self._pending_reads.add(task)
+        try:
+            page = await task
+        except asyncio.CancelledError as exc:
+            if not task.cancelled() or _is_cancelling():
+                raise
+            await asyncio.sleep(deadline - loop.time())
+            raise LogUnavailable(
+                'no response', step='read log', peer='memory'
+            ) from exc
+        finally:
+            self._pending_reads.discard(task)
         await self._check_partition()
         return page
 
@@ -301,6 +323,11 @@
             await asyncio.sleep(HEARTBEAT_INTERVAL_S)
 
 
+def _is_cancelling() -> bool:
+    task = asyncio.current_task()
+    return task is not None and bool(task.cancelling())
+
+
 def heartbeat(
     instance: MeshInstance, *, is_draining: bool = False
 ) -> Heartbeat:
--- /dev/null
+++ b/tests/test_outdated_config.py
@@ -0,0 +1,114 @@
+"""Nodes must not act on an outdated configuration unnoticed."""
+
+import asyncio
+
+from testtools import TestCase
+from testtools.matchers import Equals, LessThan
+
+from standins.mesh_fleet import MeshFleet, config_document
+from tests.builders import run_virtual
+
+# A change must be in force this long after it was acknowledged.
+CONFIG_APPLY_S = 2.0
+# One-way delay between two nodes, and one that no test waits for.
+DELAY_S = 0.0005
+NEVER_S = 600.0
+
+
+async def settled_fleet(seed: int, domains: str) -> MeshFleet:
+    """Return a fleet of nodes with the first configuration in force.
+
+    Args:
+        seed: Seed of all random choices.
+        domains: The failure domain of each node, one letter per node.
+    """
+    fleet = MeshFleet(seed)
+    await fleet.publish(config_document())
+    for domain in domains:
+        await fleet.add(domain, 'desk')
+    await fleet.wait_until_in_force(1, 5)
+    # Ends the long polls of nodes that knew no others when they started.
+    await asyncio.sleep(20)
+    return fleet
+
+
+def address_of_no_reader(fleet: MeshFleet) -> str:
+    """Return the address of a node that does not read the log."""
+    return next(
+        address
+        for address, instance in fleet.instances.items()
+        if not instance.node.watch.is_watcher()
+    )
+
+
+def cut_from_peers(fleet: MeshFleet, address: str) -> None:
+    """Cut a node from all others, but not from the log."""
+    others = [other for other in fleet.instances if other != address]
+    fleet.simulator.cut([address], others)
+
+
+class IsolatedNodeTest(TestCase):
+    """A node without peers still follows the log."""
+
+    # DENIED: nodes cut from all others, and not from the store, refused
+    # requests on routes that were added meanwhile.
+    def test_node_cut_from_its_peers_follows_the_log(self) -> None:
+        run_virtual(self._isolated())
+
+    async def _isolated(self) -> None:
+        fleet = await settled_fleet(51, 'aaaabbbb')
+        cut_from_peers(fleet, address_of_no_reader(fleet))
+        for version in (2, 3, 4):
+            await asyncio.sleep(0.1)
+            await fleet.publish(config_document(version))
+            took_s = await fleet.wait_until_in_force(version, 30)
+            self.assertThat(took_s, LessThan(CONFIG_APPLY_S))
+
+    # DENIED: as above, where the node is heard but hears nobody.
+    def test_node_that_hears_nobody_follows_the_log(self) -> None:
+        run_virtual(self._deaf())
+
+    async def _deaf(self) -> None:
+        fleet = await settled_fleet(52, 'aaaabbbb')
+        deaf = address_of_no_reader(fleet)
+        fleet.simulator.delay_s = lambda sender, address: (
+            NEVER_S if address == deaf else DELAY_S
+        )
+        await asyncio.sleep(0.1)
+        await fleet.publish(config_document(2))
+        took_s = await fleet.wait_until_in_force(2, 30)
+        self.assertThat(took_s, LessThan(CONFIG_APPLY_S))
+
+
+class SilentReadersTest(TestCase):
+    """The readers' connections to the log go silent."""
+
+    # DENIED: all nodes were as old as readers that waited on silent
+    # connections to the store, for up to 17 s.
+    def test_silent_reads_do_not_hold_up_changes(self) -> None:
+        run_virtual(self._silent_reads())
+
+    async def _silent_reads(self) -> None:
+        for seed in (53, 54, 55):
+            fleet = await settled_fleet(seed, 'aaaabbbbcccc')
+            for instance in fleet.instances.values():
+                instance.log.silence()
+            await asyncio.sleep(0.1)
+            await fleet.publish(config_document(2))
+            took_s = await fleet.wait_until_in_force(2, 30)
+            self.assertThat(took_s, LessThan(CONFIG_APPLY_S))
+
+    # DENIED: the readers were turned away by the store, which served others.
+    def test_readers_that_are_turned_away_are_replaced(self) -> None:
+        run_virtual(self._turned_away())
+
+    async def _turned_away(self) -> None:
+        fleet = await settled_fleet(56, 'aaaabbbb')
+        for instance in fleet.instances.values():
+            instance.log.is_partitioned = instance.node.watch.is_watcher()
+            instance.log.silence()
+        await asyncio.sleep(0.1)
+        await fleet.publish(config_document(2))
+        took_s = await fleet.wait_until_in_force(2, 30)
+        self.assertThat(took_s, LessThan(CONFIG_APPLY_S))
+        self.assertThat(set(fleet.versions().values()), Equals({2}))
