Nodes know how current their configuration is, and act on it

Callers got 404 for routes that had been added seconds before (DENIED). A node took its configuration for current without evidence: it waited for others to tell it of a change, and the two readers of each domain waited on long polls of 15 s, with a limit of 17 s, on connections that may have gone silent. A node that was cut from the readers began to read only once it had suspected all that rank before it.

- freshness: a read up to the end of the log is evidence that the version in force was the newest one then.
Readers pass it on with the gossip, with its age, which includes the time in transit.
- configwatch: a node that gets no evidence of another reader for 1.5 s reads the log itself, at once if it hears no peer, else after a random delay.
Polls take 1 to 2 s.
Positions carry the era of the log and come with the evidence, so a new reader continues where another one was.
- entry: a node whose evidence is older than the time that a change may take answers 503 with retry-after instead of 404, 413 or 431, which callers do not retry, unless the request was handed over.
A node that is sure answers as before, so no refusal for good is older than that time.
- After a pause all evidence is dropped.

--- a/filbertdrift/config_exchange.py
+++ b/filbertdrift/config_exchange.py
@@ -2,7 +2,8 @@
 
 A document is large and a change of it small, so nodes send deltas: with the
 announcement of a change if it fits a datagram, else when a peer asks. A whole
-document is sent only to a node that has none in common with its peer.
+document is sent only to a node that has none in common with its peer. Notices
+also carry the evidence that the sender's version is the newest one.
 """
 
 import asyncio
@@ -19,6 +20,7 @@
     encode_delta,
 )
 from filbertdrift.errors import MalformedMessage, PeerUnavailable
+from filbertdrift.freshness import Freshness
 from filbertdrift.gen import ttypes
 from filbertdrift.link import KEEPALIVE_TIMEOUT_S, LinkPool
 from filbertdrift.membership import Membership
@@ -32,7 +34,7 @@
 HEDGE_DELAY_S = 0.4
 MAX_CONCURRENT_FETCHES = 4
 # What a datagram takes beside the delta.
-NOTICE_OVERHEAD_BYTES = 200
+NOTICE_OVERHEAD_BYTES = 250
 MAX_PUSH_BYTES = MAX_DATAGRAM_BYTES - NOTICE_OVERHEAD_BYTES
 # Between two pushes to a peer that is found to lag behind.
 MIN_PUSH_INTERVAL_S = 0.3
@@ -49,6 +51,7 @@
     sent_deltas: int = 0
     sent_documents: int = 0
     pushes: int = 0
+    confirmations: int = 0
 
 
 class ConfigExchange:
@@ -59,6 +62,7 @@
 
     Args:
         holder: Holds the document of this node.
+        freshness: Evidence that the document is the newest one.
         membership: The other nodes.
         links: Connections to the other nodes.
     """
@@ -66,12 +70,14 @@
     def __init__(
         self,
         holder: ConfigHolder,
+        freshness: Freshness,
         membership: Membership,
         links: LinkPool,
     ) -> None:
         """Create an exchange and subscribe to digests of peers."""
         self.counters = ExchangeCounters()
         self._holder = holder
+        self._freshness = freshness
         self._membership = membership
         self._links = links
         self._fetch_started_at: dict[str, float] = {}
@@ -92,14 +98,26 @@
         previous = list(self._holder.documents)[-2:-1]
         self._membership.gossip(self._build_notice(previous))
 
+    def send_confirmation(self) -> None:
+        """Send the newest evidence to a sample of members."""
+        self.counters.confirmations += 1
+        self._membership.gossip(self._build_notice(()))
+
     def on_notice(self, sender: str, notice: ttypes.ConfigNotice) -> None:
         """Adopt the announced document, or fetch it if that is not possible."""
         version = notice.config_offset
         self._holder.record_announcement(version)
-        if version > self._holder.version and self._adopt_delta(
+        is_adopted = version > self._holder.version and self._adopt_delta(
             notice.records or (), sender
-        ):
+        )
+        is_confirmed = (
+            notice.confirmation is not None
+            and self._freshness.record_from_peer(sender, notice.confirmation)
+        )
+        if is_adopted:
             self.notify()
+        elif is_confirmed:
+            self.send_confirmation()
         self.compare(sender, version, notice.config_digest or b'')
 
     def compare(self, sender: str, version: int, digest: bytes) -> None:
@@ -291,7 +309,9 @@
             for record in self._build_records(versions)
             if len(record.payload) <= MAX_PUSH_BYTES
         ]
-        return ttypes.ConfigNotice(version, digest, records)
+        return ttypes.ConfigNotice(
+            version, digest, records, self._freshness.to_message()
+        )
 
     def _build_records(
         self, versions: Sequence[int]
--- a/filbertdrift/configwatch.py
+++ b/filbertdrift/configwatch.py
@@ -1,13 +1,16 @@
 """Follows the configuration in the platform's log.
 
 The members that rank first in each failure domain long-poll the log; the
-others get the configuration from them. The load on the log therefore depends
-only on the number of domains. Those with the fastest links rank first, since
-the log sends whole documents.
+others get the configuration from them, with the evidence that it is current.
+The load on the log therefore depends only on the number of domains. Those with
+the fastest links rank first, since the log sends whole documents. A node that
+gets no such evidence reads the log itself: it may be cut off, or the readers
+may be.
 """
 
 import asyncio
 import random
+from collections.abc import Sequence
 from dataclasses import dataclass
 
 from loguru import logger
@@ -15,22 +18,35 @@
 from filbertdrift.config_exchange import ConfigExchange
 from filbertdrift.config_holder import ConfigHolder
 from filbertdrift.errors import LogGap, LogUnavailable
-from filbertdrift.keyedlog import KeyedLog, KeyedRecord
+from filbertdrift.freshness import Confirmation, Freshness, LogPosition
+from filbertdrift.keyedlog import KeyedLog, KeyedPage, KeyedRecord
 from filbertdrift.members import MemberStatus
 from filbertdrift.membership import Membership
 from filbertdrift.rendezvous import rank
 
 WATCHERS_PER_DOMAIN = 2
 WATCHER_CHECK_INTERVAL_S = 0.5
-# The log responds to a long poll after this time even without records.
-LONG_POLL_S = 15.0
+FRESHNESS_CHECK_INTERVAL_S = 0.1
+# The log responds to a long poll after this time even without records. Polls
+# of several readers that start together are spread by MIN_POLL_JITTER.
+LONG_POLL_S = 2.0
+MIN_POLL_JITTER = 0.5
 # Delay after a change, so that changes in quick succession are read together.
 BATCH_DELAY_S = 0.25
 INITIAL_BACKOFF_S = 0.2
 MAX_BACKOFF_S = 1.0
-# The next read fetches the newest records instead of reading from an offset.
-UNKNOWN_OFFSET = -1
+# Without evidence from peers for this long, a node reads the log itself: at
+# once if it hears from no peer at all, else after a random delay, as one
+# reader among its peers is enough.
+STALE_AFTER_S = 1.5
+ISOLATED_AFTER_S = 1.0
+MAX_TAKEOVER_DELAY_S = 0.5
+# How long a node goes on reading that has taken over.
+TAKEOVER_S = 4.0
+MAX_TAKEOVER_BACKOFF_S = 2.0
 MS_PER_S = 1000
+# In log lines, in place of the age of evidence that does not exist.
+NEVER = -1
 
 
 @dataclass(slots=True)
@@ -40,16 +56,19 @@
     polls: int = 0
     whole_reads: int = 0
     failures: int = 0
+    takeovers: int = 0
+    era_changes: int = 0
 
 
 class ConfigWatch:
-    """Follows the configuration stream while this node is a watcher.
+    """Follows the configuration stream while this node is a reader.
 
     Args:
         log: The platform's log.
         stream: The stream of the operator's records.
         key: The key of the configuration in the stream.
         holder: Holds the configuration in force.
+        freshness: Evidence that the configuration in force is the newest.
         exchange: Announces new configurations to the other nodes.
         membership: The members that are ranked.
         rng: Source of jitter.
@@ -61,24 +80,31 @@
         stream: str,
         key: str,
         holder: ConfigHolder,
+        freshness: Freshness,
         exchange: ConfigExchange,
         membership: Membership,
         rng: random.Random,
     ) -> None:
-        """Create a watch at an unknown offset."""
+        """Create a watch at an unknown position."""
         self.counters = WatchCounters()
         self.is_log_reachable = True
-        # When this node last read the log up to its end.
-        self.read_at: float | None = None
         self._log = log
         self._stream = stream
         self._key = key
         self._holder = holder
+        self._freshness = freshness
         self._exchange = exchange
         self._membership = membership
         self._rng = rng
-        self._offset = UNKNOWN_OFFSET
+        # Where to read on; None to read the newest records.
+        self._position: LogPosition | None = None
         self._backoff_s = INITIAL_BACKOFF_S
+        self._is_reader = False
+        self._is_watcher = False
+        self._check_watcher_at = 0.0
+        # The start of a takeover if no evidence arrives, and its end.
+        self._takeover_at: float | None = None
+        self._takeover_until = 0.0
 
     def is_watcher(self) -> bool:
         """Return whether this node follows the log for its domain.
@@ -101,32 +127,27 @@
 
     async def run(self) -> None:
         """Follow the log until cancelled."""
-        was_watcher = False
+        now = asyncio.get_running_loop().time()
+        self._takeover_at = now + STALE_AFTER_S + self._takeover_delay_s(now)
         while True:
-            is_watcher = self.is_watcher()
-            if is_watcher != was_watcher:
-                was_watcher = is_watcher
-                event = 'watch_started' if is_watcher else 'watch_ended'
-                logger.bind(event=event).info(event)
-            if not is_watcher:
-                self._offset = UNKNOWN_OFFSET
-                await asyncio.sleep(WATCHER_CHECK_INTERVAL_S)
-                continue
-            await self.poll_once()
+            self._set_reader(is_reader=self._should_read())
+            if self._is_reader:
+                await self.poll_once()
+            else:
+                await asyncio.sleep(FRESHNESS_CHECK_INTERVAL_S)
 
     async def poll_once(self) -> None:
         """Read once and adopt the newest configuration received."""
         loop = asyncio.get_running_loop()
         started_at = loop.time()
         try:
-            records = await self._read()
+            is_adopted = await self._read()
         except LogUnavailable as exc:
             await self._wait_after_failure(exc, started_at)
             return
-        self.read_at = loop.time()
         self._set_reachable(is_reachable=True)
         self._backoff_s = INITIAL_BACKOFF_S
-        if self._adopt(records):
+        if is_adopted:
             self._exchange.notify()
             await asyncio.sleep(BATCH_DELAY_S)
 
@@ -137,38 +158,115 @@
             LogUnavailable: The log cannot be reached.
         """
         self.counters.whole_reads += 1
+        as_of = asyncio.get_running_loop().time()
         page = await self._log.newest(self._stream)
-        self._offset = page.next_offset
-        return self._adopt(list(page.records))
-
-    async def _read(self) -> list[KeyedRecord]:
-        if self._offset == UNKNOWN_OFFSET:
-            self.counters.whole_reads += 1
-            page = await self._log.newest(self._stream)
-        else:
-            self.counters.polls += 1
-            try:
-                page = await self._log.read(
-                    self._stream,
-                    self._offset,
-                    LONG_POLL_S,
-                )
-            except LogGap:
-                self._offset = UNKNOWN_OFFSET
-                return await self._read()
-        is_known = self._offset != UNKNOWN_OFFSET
-        if is_known and not page.records and page.next_offset != self._offset:
-            # The stream was truncated, or its history was dropped.
-            self._offset = UNKNOWN_OFFSET
-            return await self._read()
-        if page.has_more:
-            # Only the newest document matters, and connections may be narrow.
-            self._offset = UNKNOWN_OFFSET
-            return await self._read()
-        self._offset = page.next_offset
-        return list(page.records)
-
-    def _adopt(self, records: list[KeyedRecord]) -> bool:
+        return self._accept(page, as_of)
+
+    # Who reads
+
+    def _should_read(self) -> bool:
+        now = asyncio.get_running_loop().time()
+        if now >= self._check_watcher_at:
+            self._check_watcher_at = now + WATCHER_CHECK_INTERVAL_S
+            self._is_watcher = self.is_watcher()
+        if self._is_watcher or now < self._takeover_until:
+            return True
+        if now - self._freshness.peers_as_of <= STALE_AFTER_S:
+            self._takeover_at = None
+            return False
+        if self._takeover_at is None:
+            self._takeover_at = now + self._takeover_delay_s(now)
+        if now < self._takeover_at:
+            return False
+        self._takeover_at = None
+        self._takeover_until = now + TAKEOVER_S * (0.5 + self._rng.random())
+        self.counters.takeovers += 1
+        return True
+
+    def _takeover_delay_s(self, now: float) -> float:
+        if self._is_reader:
+            return 0
+        contacts = self._membership.last_contacts.values()
+        is_isolated = all(
+            now - contact.at > ISOLATED_AFTER_S for contact in contacts
+        )
+        if is_isolated and contacts:
+            return 0
+        return MAX_TAKEOVER_DELAY_S * self._rng.random()
+
+    def _set_reader(self, *, is_reader: bool) -> None:
+        if is_reader == self._is_reader:
+            return
+        self._is_reader = is_reader
+        if is_reader:
+            self._position = self._freshness.position()
+        event = 'watch_started' if is_reader else 'watch_ended'
+        logger.bind(
+            event=event,
+            is_takeover=is_reader and not self._is_watcher,
+            confirmed_ms=age_ms(self._freshness),
+        ).info(event)
+
+    # Reads
+
+    async def _read(self) -> bool:
+        """Read once; return whether a document was adopted."""
+        position = self._position
+        if position is None:
+            return await self.load_newest()
+        self.counters.polls += 1
+        loop = asyncio.get_running_loop()
+        jitter = self._rng.uniform(MIN_POLL_JITTER, 1)
+        sent_at = loop.time()
+        answer_at = sent_at + LONG_POLL_S * jitter
+        try:
+            page = await self._log.read(
+                self._stream, position.next_offset, LONG_POLL_S * jitter
+            )
+        except LogGap:
+            return await self.load_newest()
+        if self._is_discontinuous(page, position) or page.has_more:
+            # Of several documents only the newest matters, and connections may
+            # be narrow.
+            return await self.load_newest()
+        # The log responds without records only at the end of the wait.
+        as_of = sent_at if page.records else min(answer_at, loop.time())
+        return self._accept(page, as_of)
+
+    def _is_discontinuous(self, page: KeyedPage, position: LogPosition) -> bool:
+        """Return whether a page does not continue what was read before.
+
+        The log lost records: it came back from an older copy, or its history
+        was dropped.
+        """
+        if page.era != position.era:
+            self.counters.era_changes += 1
+            logger.bind(
+                event='store_era_changed',
+                before=position.era,
+                era=page.era,
+                offset=position.next_offset,
+            ).warning('the log came back from an older copy')
+            return True
+        return not page.records and page.next_offset != position.next_offset
+
+    def _accept(self, page: KeyedPage, as_of: float) -> bool:
+        """Adopt what a page holds; return whether a document was adopted."""
+        is_adopted = self._adopt(page.records)
+        self._position = LogPosition(page.era, page.next_offset)
+        is_gain = self._freshness.record(
+            Confirmation(
+                version=self._holder.version,
+                position=self._position,
+                as_of=as_of,
+                reader=self._membership.local_member.node,
+            )
+        )
+        if is_gain and not is_adopted:
+            self._exchange.send_confirmation()
+        return is_adopted
+
+    def _adopt(self, records: Sequence[KeyedRecord]) -> bool:
         """Adopt the newest valid document; return whether one was adopted."""
         documents = [
             record.payload
@@ -191,7 +289,8 @@
             waited_ms=int(waited_s * MS_PER_S),
         )
         await asyncio.sleep(self._backoff_s * (0.5 + self._rng.random()))
-        self._backoff_s = min(self._backoff_s * 2, MAX_BACKOFF_S)
+        limit_s = MAX_BACKOFF_S if self._is_watcher else MAX_TAKEOVER_BACKOFF_S
+        self._backoff_s = min(self._backoff_s * 2, limit_s)
 
     def _set_reachable(
         self, *, is_reachable: bool, reason: str = '', waited_ms: int = 0
@@ -204,5 +303,11 @@
             event=event,
             reason=reason,
             waited_ms=waited_ms,
-            offset=self._offset,
+            confirmed_ms=age_ms(self._freshness),
         ).warning(event)
+
+
+def age_ms(freshness: Freshness) -> int:
+    """Return the age of the evidence in milliseconds, NEVER for none."""
+    age_s = freshness.age_s()
+    return NEVER if age_s == float('inf') else int(age_s * MS_PER_S)
--- a/filbertdrift/entry.py
+++ b/filbertdrift/entry.py
@@ -12,6 +12,7 @@
 from filbertdrift.callerport import CallerConnection, CallerListener
 from filbertdrift.contract import HeaderNames, parse_timeout_s
 from filbertdrift.errors import (
+    STATUS_UNAVAILABLE,
     FilbertdriftError,
     MalformedMessage,
     RequestNotRun,
@@ -29,6 +30,8 @@
 # A response that makes no progress for this long is aborted.
 RESPONSE_STALL_TIMEOUT_S = 10.0
 NO_CONFIG_RETRY_AFTER_MS = 300
+# A node without evidence for its configuration reads the log meanwhile.
+OUTDATED_RETRY_AFTER_MS = 300
 # Other nodes are there for the caller at once.
 STOP_RETRY_AFTER_MS = 100
 MAX_LOGGED_PATH_CHARS = 200
@@ -60,6 +63,10 @@
     def has_config(self) -> bool:
         """Return whether a configuration is in force."""
 
+    @property
+    def may_be_outdated(self) -> bool:
+        """Return whether a change may be in force that this node lacks."""
+
     def config_evidence(self) -> Mapping[str, int]:
         """Return log fields that tell how current the configuration is."""
 
@@ -91,6 +98,7 @@
     connections: int = 0
     requests: int = 0
     unmatched: int = 0
+    unconfirmed: int = 0
     rejected: int = 0
     aborted_answers: int = 0
     left: int = 0
@@ -153,6 +161,8 @@
         self._body_bytes = 0
         self._timer: asyncio.TimerHandle | None = None
         self._is_dispatching = False
+        # The request was handed over, so a target may run it.
+        self._is_dispatched = False
         self._is_interrupted = False
 
     def interrupt(self) -> None:
@@ -227,6 +237,7 @@
         self._server.counters.requests += 1
         self._has_read_body = False
         self._body_bytes = 0
+        self._is_dispatched = False
         handler = self._handler
         if not handler.has_config:
             await self._send_error(head, _no_config_error())
@@ -269,7 +280,8 @@
         except TimeoutError:
             self._must_close = True
             reason = 'the body did not come in time'
-            await self._reject(head, STATUS_REQUEST_TIMEOUT, reason)
+            self._log_rejection(head, STATUS_REQUEST_TIMEOUT, reason)
+            await self._send_text(head, STATUS_REQUEST_TIMEOUT, reason)
             return
         req = self._build_request(head, first, deadline)
         req.caller_timeout_s = stated_timeout_s
@@ -288,6 +300,7 @@
 
     async def _dispatch(self, routed: RoutedRequest) -> RoutedResponse:
         """Dispatch a request, until the caller leaves or the node stops."""
+        self._is_dispatched = True
         self._is_dispatching = True
         try:
             return await self._handler.dispatch(routed)
@@ -445,7 +458,22 @@
     async def _reject(
         self, head: RequestHead, status: int, reason: str
     ) -> None:
-        """Refuse a request that the configuration does not allow."""
+        """Refuse a request that the configuration does not allow.
+
+        A caller does not come back after such a refusal, so a node that may
+        have missed a change tells it to try again instead.
+        """
+        if self._is_dispatched or not self._handler.may_be_outdated:
+            self._log_rejection(head, status, reason)
+            await self._send_text(head, status, reason)
+            return
+        self._server.counters.unconfirmed += 1
+        self._log_rejection(head, STATUS_UNAVAILABLE, reason)
+        await self._send_error(head, _outdated_error(reason))
+
+    def _log_rejection(
+        self, head: RequestHead, status: int, reason: str
+    ) -> None:
         request_id = self._server.header_names.request_id
         logger.bind(
             event='rejected',
@@ -455,7 +483,6 @@
             path=head.path[:MAX_LOGGED_PATH_CHARS],
             **self._handler.config_evidence(),
         ).info('{}', reason[:MAX_LOGGED_PATH_CHARS])
-        await self._send_text(head, status, reason)
 
     async def _reject_malformed(
         self, status: int, exc: FilbertdriftError
@@ -486,6 +513,14 @@
     )
 
 
+def _outdated_error(reason: str) -> RequestNotRun:
+    return RequestNotRun(
+        f'{reason}, but the configuration here may be outdated',
+        retry_after_ms=OUTDATED_RETRY_AFTER_MS,
+        step='route',
+    )
+
+
 def _stop_error(req: IngressRequest) -> RequestNotRun | RequestUnknown:
     """Return the outcome of a request that the node's stop has ended."""
     if req.may_have_run:
--- a/filbertdrift/gen/ttypes.py
+++ b/filbertdrift/gen/ttypes.py
@@ -690,15 +690,147 @@
         return not (self == other)
 
 
+class LogConfirmation(object):
+    """
+    Evidence of a reader of the log that a version was the newest one.
+
+    Attributes:
+     - version
+     - era: Where a reader continues: the era of the log and an offset in it.
+     - next_offset
+     - age_ms: Age of the evidence when this message was sent.
+     - sent_at_ms: When this message was sent, on the clock of its sender.
+     - reader: The node that read the log.
+
+    """
+
+    __slots__ = (
+        'version',
+        'era',
+        'next_offset',
+        'age_ms',
+        'sent_at_ms',
+        'reader',
+    )
+
+
+    def __init__(self, version=None, era=None, next_offset=None, age_ms=None, sent_at_ms=None, reader=None,):
+        self.version = version
+        self.era = era
+        self.next_offset = next_offset
+        self.age_ms = age_ms
+        self.sent_at_ms = sent_at_ms
+        self.reader = reader
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.era = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.next_offset = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.age_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.sent_at_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.STRING:
+                    self.reader = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('LogConfirmation')
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.I64, 1)
+            oprot.writeI64(self.version)
+            oprot.writeFieldEnd()
+        if self.era is not None:
+            oprot.writeFieldBegin('era', TType.I64, 2)
+            oprot.writeI64(self.era)
+            oprot.writeFieldEnd()
+        if self.next_offset is not None:
+            oprot.writeFieldBegin('next_offset', TType.I64, 3)
+            oprot.writeI64(self.next_offset)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I64, 4)
+            oprot.writeI64(self.age_ms)
+            oprot.writeFieldEnd()
+        if self.sent_at_ms is not None:
+            oprot.writeFieldBegin('sent_at_ms', TType.I64, 5)
+            oprot.writeI64(self.sent_at_ms)
+            oprot.writeFieldEnd()
+        if self.reader is not None:
+            oprot.writeFieldBegin('reader', TType.STRING, 6)
+            oprot.writeString(self.reader.encode('utf-8') if sys.version_info[0] == 2 else self.reader)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class ConfigNotice(object):
     """
-    Pushed at once when a node has adopted a newer configuration. Of whole
-    documents, a record is the delta from the version that its offset names.
+    Pushed at once when a node has adopted a newer configuration, or evidence
+    that its configuration is the newest. Of whole documents, a record is the
+    delta from the version that its offset names.
 
     Attributes:
      - config_offset
      - config_digest
      - records
+     - confirmation
 
     """
 
@@ -706,13 +838,15 @@
         'config_offset',
         'config_digest',
         'records',
+        'confirmation',
     )
 
 
-    def __init__(self, config_offset=None, config_digest=None, records=None,):
+    def __init__(self, config_offset=None, config_digest=None, records=None, confirmation=None,):
         self.config_offset = config_offset
         self.config_digest = config_digest
         self.records = records
+        self.confirmation = confirmation
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -744,6 +878,12 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRUCT:
+                    self.confirmation = LogConfirmation()
+                    self.confirmation.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -769,6 +909,10 @@
                 iter13.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.confirmation is not None:
+            oprot.writeFieldBegin('confirmation', TType.STRUCT, 4)
+            self.confirmation.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3974,12 +4118,23 @@
     (1, TType.I64, 'offset', None, None, ),  # 1
     (2, TType.STRING, 'payload', 'BINARY', None, ),  # 2
 )
+all_structs.append(LogConfirmation)
+LogConfirmation.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'version', None, None, ),  # 1
+    (2, TType.I64, 'era', None, None, ),  # 2
+    (3, TType.I64, 'next_offset', None, None, ),  # 3
+    (4, TType.I64, 'age_ms', None, None, ),  # 4
+    (5, TType.I64, 'sent_at_ms', None, None, ),  # 5
+    (6, TType.STRING, 'reader', 'UTF8', None, ),  # 6
+)
 all_structs.append(ConfigNotice)
 ConfigNotice.thrift_spec = (
     None,  # 0
     (1, TType.I64, 'config_offset', None, None, ),  # 1
     (2, TType.STRING, 'config_digest', 'BINARY', None, ),  # 2
     (3, TType.LIST, 'records', (TType.STRUCT, [OffsetRecord, None], False), None, ),  # 3
+    (4, TType.STRUCT, 'confirmation', [LogConfirmation, None], None, ),  # 4
 )
 all_structs.append(MemberNotice)
 MemberNotice.thrift_spec = (
--- a/filbertdrift/mesh.py
+++ b/filbertdrift/mesh.py
@@ -15,7 +15,7 @@
 from filbertdrift.chooser import TargetChooser
 from filbertdrift.config_exchange import ConfigExchange
 from filbertdrift.config_holder import ConfigHolder, ParseDocument
-from filbertdrift.configwatch import ConfigWatch
+from filbertdrift.configwatch import NEVER, ConfigWatch, age_ms
 from filbertdrift.contract import HeaderNames
 from filbertdrift.crash_sync import CrashSync
 from filbertdrift.crashes import CrashLedger
@@ -23,6 +23,7 @@
 from filbertdrift.dispatch import Dispatcher
 from filbertdrift.entry import IngressServer
 from filbertdrift.errors import LogUnavailable
+from filbertdrift.freshness import Freshness
 from filbertdrift.handover import HandoverServer
 from filbertdrift.health import TargetHealth
 from filbertdrift.identity import Identity
@@ -47,6 +48,7 @@
 BOOT_BACKOFF_S = 0.2
 MAX_BOOT_BACKOFF_S = 1.0
 EXPIRY_INTERVAL_S = 5.0
+DEFAULT_CONFIG_APPLY_S = 2.0
 DRAIN_POLL_S = 0.05
 # Callers and peers need this time to detect that a node is leaving.
 LEAVE_PROPAGATION_S = 2.2
@@ -54,8 +56,6 @@
 SHUTDOWN_RESERVE_S = 0.6
 # Part of the drain in which unfinished requests get their final response.
 FINAL_RESPONSE_S = 0.2
-# In log lines, in place of the time since an event that did not happen yet.
-NEVER = -1
 MS_PER_S = 1000
 
 
@@ -73,6 +73,8 @@
         directory_stream: The log stream with the addresses of nodes.
         retry_limits: Limits of the retry budget that all nodes share.
         termination_grace_s: Time between SIGTERM and SIGKILL.
+        config_apply_s: How long after its acknowledgement a change may take to
+            be in force everywhere.
         link_mbps: Capacity of this node's link in Mbit/s, None if unknown.
     """
 
@@ -84,6 +86,7 @@
     directory_stream: str
     retry_limits: RetryLimits
     termination_grace_s: float
+    config_apply_s: float = DEFAULT_CONFIG_APPLY_S
     link_mbps: float | None = None
 
 
@@ -144,8 +147,10 @@
         )
         self.membership.on_change = self._on_members_changed
         self.holder = ConfigHolder(parse)
+        self.freshness = Freshness(identity.address, self.holder)
         self.exchange = ConfigExchange(
             self.holder,
+            self.freshness,
             self.membership,
             self.links,
         )
@@ -154,6 +159,7 @@
             settings.config_stream,
             settings.config_key,
             self.holder,
+            self.freshness,
             self.exchange,
             self.membership,
             rng,
@@ -210,7 +216,7 @@
         )
         self.supervisor = Supervisor()
         self.pause = PauseDetector()
-        self.pause.on_pause = self.membership.suspicions.clear
+        self.pause.on_pause = self._on_pause
         self.peer_server = PeerServer(
             PeerHandlers(
                 membership=self.membership,
@@ -338,13 +344,18 @@
         """Return whether a configuration is in force."""
         return self.holder.config is not None
 
+    @property
+    def may_be_outdated(self) -> bool:
+        """Return whether a change may be in force that this node lacks."""
+        return self.freshness.age_s() > self.settings.config_apply_s
+
     def config_evidence(self) -> Mapping[str, int]:
         """Return log fields that tell how current the configuration is.
 
         Returns:
             The version in force, the newest version that this node has heard
-            of, and the milliseconds since it last read the log itself and
-            since it last heard from a peer, NEVER if it has not.
+            of, the age of the evidence that the former is the newest, and the
+            time since a peer was heard; in milliseconds, NEVER for none.
         """
         now = asyncio.get_running_loop().time()
         contacts = self.membership.last_contacts.values()
@@ -352,8 +363,10 @@
         return {
             'version': self.holder.version,
             'announced': self.holder.announced_version,
-            'read_ms': _elapsed_ms(self.watch.read_at, now),
-            'heard_ms': _elapsed_ms(heard_at, now),
+            'confirmed_ms': age_ms(self.freshness),
+            'heard_ms': (
+                NEVER if heard_at is None else int((now - heard_at) * MS_PER_S)
+            ),
         }
 
     def match(self, host: str, path: str) -> PrefixRoute | None:
@@ -420,6 +433,10 @@
     def _on_health_changed(self, is_healthy: bool) -> None:
         self.lifecycle.set_health(is_healthy=is_healthy)
 
+    def _on_pause(self) -> None:
+        self.membership.suspicions.clear()
+        self.freshness.forget()
+
     # Members and expiry
 
     def _on_members_changed(self, changed: Sequence[Member]) -> None:
@@ -443,11 +460,8 @@
             }
             self.chooser.remove_missing(alive_nodes)
             self.membership.prune_last_contacts(alive_nodes)
+            self.freshness.prune_senders(alive_nodes)
             config = self.holder.config
             if config is not None:
                 route_names = {route.name for route in config.routes}
                 self.wait_estimator.retain_routes(route_names)
-
-
-def _elapsed_ms(since: float | None, now: float) -> int:
-    return NEVER if since is None else int((now - since) * MS_PER_S)
--- a/filbertdrift/mesh_metrics.py
+++ b/filbertdrift/mesh_metrics.py
@@ -51,13 +51,14 @@
     )
     collector.add_gauge('config_behind_seconds', node.holder.behind_s)
     collector.add_gauge(
-        'config_read_milliseconds',
-        lambda: node.config_evidence()['read_ms'],
+        'config_confirmed_milliseconds',
+        lambda: node.config_evidence()['confirmed_ms'],
     )
     collector.add_gauge(
         'config_heard_milliseconds',
         lambda: node.config_evidence()['heard_ms'],
     )
+    collector.add_gauge('store_era', lambda: node.freshness.era)
     collector.add_gauge('members', lambda: len(node.membership.table))
     collector.add_gauge('peer_links', lambda: len(node.links))
     collector.add_gauge('retries_spent', lambda: node.budget.spent)
--- a/filbertdrift/platform/daemon.py
+++ b/filbertdrift/platform/daemon.py
@@ -71,6 +71,7 @@
             directory_stream=DIRECTORY_STREAM,
             retry_limits=settings.retry_limits,
             termination_grace_s=settings.termination_grace_s,
+            config_apply_s=settings.config_apply_s,
             link_mbps=settings.link_mbps,
         ),
         network=TcpNetwork(identity.address),
--- a/filbertdrift/platform/settings.py
+++ b/filbertdrift/platform/settings.py
@@ -8,6 +8,7 @@
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
 from filbertdrift.errors import SettingsError
+from filbertdrift.mesh import DEFAULT_CONFIG_APPLY_S
 from filbertdrift.retrybudget import RetryLimits
 
 SETTINGS_VARIABLE = 'FILBERTDRIFT_NODE_FILE'
@@ -80,6 +81,7 @@
         store_address: Address of the metadata store.
         retry_limits: The retry budget of all nodes together.
         termination_grace_s: Time between SIGTERM and SIGKILL.
+        config_apply_s: How long a change may take to be in force everywhere.
         link_mbps: Capacity of the node's link, None if not stated.
     """
 
@@ -98,6 +100,7 @@
     store_address: str
     retry_limits: RetryLimits
     termination_grace_s: float
+    config_apply_s: float
     link_mbps: float | None
 
 
@@ -143,6 +146,7 @@
             window_s=bounds.get('budget_window_s', defaults.window_s),
         ),
         termination_grace_s=bounds.get('grace_s', DEFAULT_TERMINATION_GRACE_S),
+        config_apply_s=bounds.get('config_apply_s', DEFAULT_CONFIG_APPLY_S),
         link_mbps=model.limits.link_mbps or None,
     )
 
--- a/idl/filbertdrift.thrift
+++ b/idl/filbertdrift.thrift
@@ -53,14 +53,30 @@
   2: binary payload
 }
 
+/** Evidence of a reader of the log that a version was the newest one. */
+struct LogConfirmation {
+  1: i64 version
+  /** Where a reader continues: the era of the log and an offset in it. */
+  2: i64 era
+  3: i64 next_offset
+  /** Age of the evidence when this message was sent. */
+  4: i64 age_ms
+  /** When this message was sent, on the clock of its sender. */
+  5: i64 sent_at_ms
+  /** The node that read the log. */
+  6: string reader
+}
+
 /**
- * Pushed at once when a node has adopted a newer configuration. Of whole
- * documents, a record is the delta from the version that its offset names.
+ * Pushed at once when a node has adopted a newer configuration, or evidence
+ * that its configuration is the newest. Of whole documents, a record is the
+ * delta from the version that its offset names.
  */
 struct ConfigNotice {
   1: i64 config_offset
   2: binary config_digest
   3: list<OffsetRecord> records
+  4: optional LogConfirmation confirmation
 }
 
 /** Pushed at once when a node has learned membership changes. */
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -11,6 +11,7 @@
 from testtools import TestCase
 from testtools.matchers import Contains, Equals, LessThan, StartsWith
 
+from filbertdrift.configwatch import LONG_POLL_S
 from filbertdrift.identity import Identity
 from filbertdrift.keyedlog import KeyedRecord, MemoryKeyedLog
 from filbertdrift.lifecycle import Heartbeat
@@ -27,6 +28,8 @@
 
 HOST = '127.0.0.1'
 TARGET_WORK_S = 0.3
+# How long a change may take to be in force.
+CONFIG_APPLY_S = 2.0
 
 
 @dataclass
@@ -39,6 +42,7 @@
     """
 
     node: MeshNode
+    log: MemoryKeyedLog
     caller_port: int
     received: list[bytes]
     closed: list[float]
@@ -143,7 +147,7 @@
     )
     await asyncio.sleep(0.3)
     try:
-        yield SocketMesh(node, caller_port, received, closed)
+        yield SocketMesh(node, log, caller_port, received, closed)
     finally:
         await node.stop()
         server.close()
@@ -186,6 +190,28 @@
             self.assertThat(response, StartsWith(b'HTTP/1.1 503 '))
             self.assertThat(response, Contains(b'retry-after: 0.'))
 
+    # DENIED: a node without evidence that its configuration is the newest
+    # refused requests with 404 and 413, after which callers do not come back.
+    def test_outdated_node_refuses_nothing_for_good(self) -> None:
+        asyncio.run(self._outdated())
+
+    async def _outdated(self) -> None:
+        async with socket_mesh(max_body_bytes=100) as mesh:
+            mesh.log.is_down = True
+            await asyncio.sleep(CONFIG_APPLY_S + LONG_POLL_S)
+            for raw in (request('/other/x'), request(body=b'x' * 101)):
+                response = await mesh.send(raw)
+                self.assertThat(response, StartsWith(b'HTTP/1.1 503 '))
+                self.assertThat(response, Contains(b'retry-after: 0.'))
+            # What the configuration allows is served.
+            self.assertThat(
+                await mesh.send(request()), StartsWith(b'HTTP/1.1 200 ')
+            )
+            mesh.log.is_down = False
+            await asyncio.sleep(CONFIG_APPLY_S)
+            response = await mesh.send(request('/other/x'))
+            self.assertThat(response, StartsWith(b'HTTP/1.1 404 '))
+
     # DENIED: refusals left no line, so nothing told which version decided.
     def test_refusals_are_logged_with_the_version(self) -> None:
         asyncio.run(self._refusal_lines())
