--- a/filbertdrift/configwatch.py
+++ b/filbertdrift/configwatch.py
@@ -33,6 +33,7 @@
 MIN_POLL_JITTER = 0.5
 # Delay after a change, so that changes in quick succession are read together.
 BATCH_DELAY_S = 0.25
+MIN_POLL_INTERVAL_S = 0.2
 INITIAL_BACKOFF_S = 0.2
 MAX_BACKOFF_S = 1.0
 # Without evidence from peers for this long, a node reads the log itself: at
@@ -147,9 +148,12 @@
             return
         self._set_reachable(is_reachable=True)
         self._backoff_s = INITIAL_BACKOFF_S
+        # Limits the rate of calls, also if the log does not wait for records.
+        next_at = started_at + MIN_POLL_INTERVAL_S
         if is_adopted:
             self._exchange.notify()
-            await asyncio.sleep(BATCH_DELAY_S)
+            next_at = max(next_at, loop.time() + BATCH_DELAY_S)
+        await asyncio.sleep(next_at - loop.time())
 
     async def load_newest(self) -> bool:
         """Read the newest records; return whether a document was adopted.
