Stand-in store comes back from an older copy

In a drill the platform's store is away for a moment and comes back from a copy: later records are gone, their offsets are given out again, and the era in the header Store-Era rises. The stand-ins knew none of this, so no test could show what nodes do then.

MemoryKeyedLog takes copies and comes back from them, in a new era; reads beyond the end are gaps, pending reads fail. HttpResponse takes further headers.

--- a/filbertdrift/keyedlog.py
+++ b/filbertdrift/keyedlog.py
@@ -6,6 +6,7 @@
 import asyncio
 from abc import ABC, abstractmethod
 from collections.abc import Mapping, Sequence
+from copy import deepcopy
 from dataclasses import dataclass, field
 
 from filbertdrift.errors import LogGap, LogUnavailable
@@ -104,30 +105,50 @@
 
 @dataclass(slots=True)
 class _MemoryStream:
-    """A keyed stream in memory."""
+    """A keyed stream in memory, with the newest payload of each key."""
 
     records: list[KeyedRecord] = field(default_factory=list)
     first_offset: int = 0
+    newest: dict[str, bytes] = field(default_factory=dict)
+    # Offset of the newest record of each key.
+    offsets: dict[str, int] = field(default_factory=dict)
 
     @property
     def next_offset(self) -> int:
         """Return the offset of the next record."""
         return self.first_offset + len(self.records)
 
+    def append(self, record: KeyedRecord) -> None:
+        """Append one record."""
+        self.offsets[record.key] = self.next_offset
+        self.records.append(record)
+        if record.payload:
+            self.newest[record.key] = record.payload
+        else:
+            self.newest.pop(record.key, None)
+
+
+@dataclass(frozen=True, slots=True)
+class LogCopy:
+    """All streams of a MemoryKeyedLog at one time."""
+
+    streams: Mapping[str, _MemoryStream]
+
 
 class MemoryKeyedLog(KeyedLog):
     """In-memory implementation of keyed streams with fault injection.
 
     Attributes:
         is_down: Every call fails without effect.
+        era: Era of the offsets, stated in all pages.
     """
 
     def __init__(self) -> None:
         """Start empty and healthy."""
         super().__init__()
         self.is_down = False
+        self.era = NO_ERA + 1
         self._streams: dict[str, _MemoryStream] = {}
-        self._newest: dict[str, dict[str, bytes]] = {}
         self._appended = asyncio.Event()
 
     def expire(self, stream: str) -> None:
@@ -136,13 +157,40 @@
         stored.first_offset = stored.next_offset
         stored.records.clear()
 
+    def snapshot(self) -> LogCopy:
+        """Return a copy of all streams."""
+        return LogCopy(deepcopy(self._streams))
+
+    def restore(self, copy: LogCopy) -> None:
+        """Come back from a copy, in a new era.
+
+        Records appended since are gone, and their offsets are given out again.
+        Pending reads fail.
+        """
+        self._streams = dict(deepcopy(copy.streams))
+        self.era += 1
+        self._wake_reads()
+
+    def bounds(self, stream: str) -> tuple[int, int]:
+        """Return the first retained offset of a stream, and its end."""
+        stored = self._stream(stream)
+        return stored.first_offset, stored.next_offset
+
+    def newest_offset(self, stream: str, key: str) -> int:
+        """Return the offset of the newest record of a key.
+
+        Raises:
+            KeyError: The stream never had a record of the key.
+        """
+        return self._stream(stream).offsets[key]
+
     async def newest(self, stream: str) -> KeyedPage:
         """Return the newest record of each key."""
         await self._begin_call()
-        by_key: Mapping[str, bytes] = self._newest.get(stream, {})
-        records = [KeyedRecord(*pair) for pair in by_key.items()]
-        self.counters.bytes_read += sum(map(len, by_key.values()))
-        return KeyedPage(records, self._stream(stream).next_offset)
+        stored = self._stream(stream)
+        records = [KeyedRecord(*pair) for pair in stored.newest.items()]
+        self.counters.bytes_read += sum(map(len, stored.newest.values()))
+        return KeyedPage(records, stored.next_offset, era=self.era)
 
     async def read(
         self,
@@ -150,18 +198,36 @@
         offset: int,
         wait_s: float,
     ) -> KeyedPage:
-        """Read records from an offset on."""
+        """Read records from an offset on.
+
+        Raises:
+            LogUnavailable: The log is down, or was restored meanwhile.
+            LogGap: The log does not have the offset.
+        """
         await self._begin_call()
         stored = self._stream(stream)
-        if offset < stored.first_offset:
-            raise LogGap('records have expired', step=f'read {stream}')
-        if offset >= stored.next_offset:
+        if not stored.first_offset <= offset <= stored.next_offset:
+            raise LogGap('no such offset', step=f'read {stream}')
+        if offset == stored.next_offset:
+            era = self.era
             try:
                 async with asyncio.timeout(wait_s):
                     await self._appended.wait()
             except TimeoutError:
-                return KeyedPage((), stored.next_offset)
+                return KeyedPage((), stored.next_offset, era=era)
             await self._begin_call()
+            if self.era != era:
+                self.counters.failures += 1
+                raise LogUnavailable('restored', step=f'read {stream}')
+        return self._page(stored, offset)
+
+    async def append(self, stream: str, record: KeyedRecord) -> None:
+        """Append one record."""
+        await self._begin_call()
+        self._stream(stream).append(record)
+        self._wake_reads()
+
+    def _page(self, stored: _MemoryStream, offset: int) -> KeyedPage:
         start = max(offset - stored.first_offset, 0)
         found: list[KeyedRecord] = []
         size_bytes = 0
@@ -172,17 +238,10 @@
             size_bytes += len(record.payload)
         self.counters.bytes_read += size_bytes
         next_offset = stored.first_offset + start + len(found)
-        return KeyedPage(found, next_offset, next_offset < stored.next_offset)
+        has_more = next_offset < stored.next_offset
+        return KeyedPage(found, next_offset, has_more, self.era)
 
-    async def append(self, stream: str, record: KeyedRecord) -> None:
-        """Append one record."""
-        await self._begin_call()
-        self._stream(stream).records.append(record)
-        newest = self._newest.setdefault(stream, {})
-        if record.payload:
-            newest[record.key] = record.payload
-        else:
-            newest.pop(record.key, None)
+    def _wake_reads(self) -> None:
         self._appended.set()
         self._appended = asyncio.Event()
 
--- a/filbertdrift/listener.py
+++ b/filbertdrift/listener.py
@@ -26,6 +26,7 @@
     status: int
     body: bytes = b''
     content_type: bytes = b'application/json'
+    headers: tuple[tuple[bytes, bytes], ...] = ()
 
 
 RequestHandler = Callable[[str, str, bytes], Awaitable[HttpResponse]]
@@ -125,6 +126,7 @@
     headers = [
         (b'content-type', reply.content_type),
         (b'content-length', b'%d' % len(reply.body)),
+        *reply.headers,
     ]
     if not keep_alive:
         headers.append((b'connection', b'close'))
--- a/standins/mesh_fleet.py
+++ b/standins/mesh_fleet.py
@@ -15,6 +15,7 @@
     KeyedLog,
     KeyedPage,
     KeyedRecord,
+    LogCopy,
     MemoryKeyedLog,
 )
 from filbertdrift.lifecycle import Heartbeat
@@ -30,6 +31,7 @@
 from filbertdrift.request import IngressRequest
 from filbertdrift.retrybudget import RetryLimits
 from filbertdrift.target_attempt import RoutedResponse
+from standins.platform_store import restore_log
 from standins.scripted_target import ScriptedTarget, TargetScript
 
 DIRECTORY_STREAM = 'keyed.nodes'
@@ -184,6 +186,18 @@
         raw = json.dumps(document).encode()
         await self.log.append(OPERATOR_STREAM, KeyedRecord(CONFIG_KEY, raw))
 
+    async def drill(self, copy: LogCopy, away_s: float) -> None:
+        """Take the log away, then bring it back from a copy.
+
+        Args:
+            copy: The copy to come back from.
+            away_s: How long the log is away.
+        """
+        self.log.is_down = True
+        await asyncio.sleep(away_s)
+        self.log.is_down = False
+        await restore_log(self.log, copy)
+
     async def wait_until_in_force(self, version: int, limit_s: float) -> float:
         """Wait until a version is in force on every node.
 
