Nodes register again when the store comes back from a copy

A node wrote its entry once and believed from then on that it stood. After the log came back from an older copy, the entry was gone for good, and nodes started later could not find the others through the directory.

The directory compares the era of each page with the newest known and registers again in a newer one; other readers of the log report the era to on_era(), upon which nodes register within about a second, spread by jitter. Registering also follows a read in which the entry is missing or states another domain, since another node may drop the entry late. An entry that never shows is written at growing intervals, up to that of periodic reads. A page of an era before the newest known confirms nothing.

Counts of absent nodes need no change: they start at each read from the members alive and the entries present.

--- a/filbertdrift/directory.py
+++ b/filbertdrift/directory.py
@@ -1,7 +1,9 @@
 """Bootstrap of membership: a node directory on the log, and seeds.
 
-Each node registers its address in the directory once when it starts, and joins
-nodes that it finds there. From then on membership spreads by gossip.
+Each node registers its address in the directory when it starts, and joins nodes
+that it finds there. From then on membership spreads by gossip. A node registers
+again when the log has come back from an older copy, or when its entry is
+missing.
 """
 
 import asyncio
@@ -12,7 +14,7 @@
 from loguru import logger
 
 from filbertdrift.errors import LogUnavailable
-from filbertdrift.keyedlog import KeyedLog, KeyedRecord
+from filbertdrift.keyedlog import NO_ERA, KeyedLog, KeyedRecord
 from filbertdrift.membership import Membership
 from filbertdrift.rendezvous import rank
 
@@ -24,6 +26,8 @@
 # formed separately merge.
 REJOIN_INTERVAL_S = 60.0
 MIN_JITTER = 0.75
+# All nodes learn of a new era at once, and the log limits writes.
+NEW_ERA_JITTER_S = 1.0
 # Consecutive reads that find a node absent before its entry is dropped.
 MAX_MISSED_READS = 3
 
@@ -48,6 +52,7 @@
         rng: random.Random,
     ) -> None:
         """Start unregistered."""
+        # Whether the entry of this node stands, as far as is known.
         self.is_registered = False
         self._log = log
         self._stream = stream
@@ -56,6 +61,22 @@
         self._rng = rng
         # Consecutive reads that found a node of this domain absent.
         self._missed_reads: Counter[str] = Counter()
+        self._era = NO_ERA
+        self._has_new_era = asyncio.Event()
+
+    def on_era(self, era: int) -> None:
+        """Register again, soon, if the log is in a newer era than known.
+
+        Args:
+            era: The era that a response of the log stated, of any stream.
+        """
+        if era <= self._era:
+            return
+        is_first = self._era == NO_ERA
+        self._era = era
+        if not is_first:
+            self.is_registered = False
+            self._has_new_era.set()
 
     async def register(self) -> None:
         """Write this node's entry.
@@ -65,8 +86,10 @@
         """
         local_member = self._membership.local_member
         record = KeyedRecord(local_member.node, local_member.domain.encode())
+        self._has_new_era.clear()
         await self._log.append(self._stream, record)
-        self.is_registered = True
+        # The append may have been of the era before.
+        self.is_registered = not self._has_new_era.is_set()
 
     async def join(self) -> int:
         """Join a sample of the unknown nodes in the directory and the seeds.
@@ -78,14 +101,22 @@
             LogUnavailable: The directory cannot be read or changed.
         """
         page = await self._log.newest(self._stream)
+        self.on_era(page.era)
         entries = {
             record.key: record.payload.decode('utf-8', 'replace')
             for record in page.records
         }
+        is_outdated = NO_ERA < page.era < self._era
+        if is_outdated or not self._is_listed(entries):
+            self.is_registered = False
         answered = await self._membership.join(self._sample_peers(entries))
         await self._drop_stale_entries(entries)
         return answered
 
+    def _is_listed(self, entries: Mapping[str, str]) -> bool:
+        local_member = self._membership.local_member
+        return entries.get(local_member.node) == local_member.domain
+
     async def _drop_stale_entries(self, entries: Mapping[str, str]) -> None:
         """Drop entries of this domain whose nodes have long been absent.
 
@@ -121,20 +152,38 @@
         return list(ranked[:1]) == [local_member.node]
 
     async def run(self) -> None:
-        """Register, then join periodically until cancelled."""
+        """Keep this node registered and join periodically until cancelled."""
         backoff_s = MIN_BACKOFF_S
         while True:
-            try:
-                if not self.is_registered:
-                    await self.register()
-                await self.join()
-            except LogUnavailable as exc:
-                logger.bind(event='directory_unavailable').info('{}', exc)
-                await asyncio.sleep(backoff_s * (0.5 + self._rng.random()))
-                backoff_s = min(backoff_s * 2, MAX_BACKOFF_S)
+            is_reachable = await self._register_and_join()
+            if is_reachable and self.is_registered:
+                backoff_s = MIN_BACKOFF_S
+                await self._wait_for_rejoin()
                 continue
-            backoff_s = MIN_BACKOFF_S
-            await asyncio.sleep(self._next_interval_s())
+            await asyncio.sleep(backoff_s * (0.5 + self._rng.random()))
+            # A log that never shows the entry must not be flooded with it.
+            limit_s = REJOIN_INTERVAL_S if is_reachable else MAX_BACKOFF_S
+            backoff_s = min(backoff_s * 2, limit_s)
+
+    async def _register_and_join(self) -> bool:
+        """Register if need be, and join; return whether the log responded."""
+        try:
+            if not self.is_registered:
+                await self.register()
+            await self.join()
+        except LogUnavailable as exc:
+            logger.bind(event='directory_unavailable').info('{}', exc)
+            return False
+        return True
+
+    async def _wait_for_rejoin(self) -> None:
+        """Wait for the next interval, or less in a new era."""
+        try:
+            async with asyncio.timeout(self._next_interval_s()):
+                await self._has_new_era.wait()
+        except TimeoutError:
+            return
+        await asyncio.sleep(NEW_ERA_JITTER_S * self._rng.random())
 
     def _next_interval_s(self) -> float:
         jitter = MIN_JITTER + self._rng.random() / 2
