Store client: decode the era of every reply

Cause: the store may come back from an older copy and give out offsets again. It states this by the header Store-Era, which the client ignored, so holders of offsets could not tell the offsets of two eras apart.

Change: the era of each reply goes into its page, and on_era is called for each reply that states one, failures and 410 included. A missing or malformed header is NO_ERA. The pages of one call to newest must be of one era; the call fails otherwise. The error of an expired offset carries the peer.

--- a/filbertdrift/keyedlog.py
+++ b/filbertdrift/keyedlog.py
@@ -5,7 +5,7 @@
 
 import asyncio
 from abc import ABC, abstractmethod
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass, field
 
 from filbertdrift.errors import LogGap, LogUnavailable
@@ -53,12 +53,23 @@
     bytes_written: int = 0
 
 
+def _ignore_era(era: int) -> None:
+    """Ignore the era of a reply."""
+
+
 class KeyedLog(ABC):
-    """A client of the platform's keyed streams."""
+    """A client of the platform's keyed streams.
+
+    Attributes:
+        counters: The calls of this process.
+        on_era: Called with the era of each reply that states one, failures
+            included.
+    """
 
     def __init__(self) -> None:
         """Start with zero counters."""
         self.counters = KeyedLogCounters()
+        self.on_era: Callable[[int], None] = _ignore_era
 
     @abstractmethod
     async def newest(self, stream: str) -> KeyedPage:
--- a/filbertdrift/platform/store.py
+++ b/filbertdrift/platform/store.py
@@ -23,6 +23,7 @@
 )
 from filbertdrift.keyedlog import (
     MAX_READ_BYTES,
+    NO_ERA,
     KeyedLog,
     KeyedPage,
     KeyedRecord,
@@ -43,6 +44,8 @@
 STATUSES_OUTCOME_UNKNOWN = frozenset((500, 502, 504))
 
 _PARTITION = '0'
+_ERA_HEADER = b'store-era'
+_MAX_ERA_DIGITS = 18
 _BOUNDS = struct.Struct('>QQ')
 _LENGTH = struct.Struct('>I')
 
@@ -51,6 +54,8 @@
 class _StoreReply:
     status: int
     body: bytes
+    era: int
+    keep_alive: bool
 
 
 class _StoreConnection:
@@ -73,12 +78,8 @@
         is_open = not self._reader.at_eof() and not self._writer.is_closing()
         return is_open and now < self.reuse_until
 
-    async def call(self, raw: bytes) -> tuple[_StoreReply, bool]:
-        """Send one request and read its reply.
-
-        Returns:
-            The reply, and whether the connection stays open.
-        """
+    async def call(self, raw: bytes) -> _StoreReply:
+        """Send one request and read its reply."""
         self._writer.write(raw)
         await self._writer.drain()
         head = await self._responses.head()
@@ -88,7 +89,12 @@
             part = await self._responses.part()
             chunks.append(part.chunk)
             end = part.end
-        return _StoreReply(head.status, b''.join(chunks)), head.keep_alive
+        return _StoreReply(
+            head.status,
+            b''.join(chunks),
+            _parse_era(head.headers),
+            head.keep_alive,
+        )
 
     def close(self) -> None:
         """Close the connection at once."""
@@ -111,19 +117,23 @@
     async def newest(self, stream: str) -> KeyedPage:
         """Return the newest record of each key."""
         records: list[KeyedRecord] = []
+        era = NO_ERA
         query = {'topic': stream, 'part': _PARTITION}
         has_more = True
         end = 0
         while has_more:
             reply = await self._call('GET', '/log-newest', query)
             page = self._parse_json(reply, 'log-newest')
+            if records and reply.era != era:
+                raise self._build_error('the era changed between pages')
+            era = reply.era
             found = [_parse_item(item) for item in page['items']]
             records.extend(found)
             end = int(page['end'])
             has_more = bool(page['has_more']) and bool(found)
             if found:
                 query['after'] = found[-1].key
-        return KeyedPage(records, end)
+        return KeyedPage(records, end, era=era)
 
     async def read(
         self,
@@ -141,9 +151,13 @@
         }
         reply = await self._call('GET', '/log-read', query, wait_s=wait_s)
         if reply.status == STATUS_GONE:
-            raise LogGap('records have expired', step=f'read {stream}')
+            raise LogGap(
+                'no records at the offset',
+                step=f'read {stream}',
+                peer=self._address,
+            )
         self._check_status(reply, 'log-read')
-        return self._parse_page(reply.body, offset)
+        return self._parse_page(reply, offset)
 
     async def append(self, stream: str, record: KeyedRecord) -> None:
         """Append one record."""
@@ -179,7 +193,7 @@
         conn = await self._acquire_connection(step)
         try:
             async with asyncio.timeout(CALL_TIMEOUT_S + wait_s):
-                reply, keep_alive = await conn.call(raw)
+                reply = await conn.call(raw)
         except (
             PeerUnavailable,
             MalformedMessage,
@@ -197,7 +211,9 @@
             conn.close()
             raise
         self.counters.bytes_read += len(reply.body)
-        self._release(conn, keep_alive=keep_alive)
+        self._release(conn, keep_alive=reply.keep_alive)
+        if reply.era != NO_ERA:
+            self.on_era(reply.era)
         return reply
 
     async def _acquire_connection(self, step: str) -> _StoreConnection:
@@ -236,6 +252,11 @@
         kind = LogAnswerLost if lost else LogUnavailable
         raise kind(reason, step=step, peer=self._address)
 
+    def _build_error(self, reason: str) -> LogUnavailable:
+        """Count a malformed reply to log-newest; return its error."""
+        self.counters.failures += 1
+        return LogUnavailable(reason, step='log-newest', peer=self._address)
+
     def _parse_json(self, reply: _StoreReply, step: str) -> Any:
         self._check_status(reply, step)
         try:
@@ -247,8 +268,9 @@
                 peer=self._address,
             ) from exc
 
-    def _parse_page(self, raw: bytes, offset: int) -> KeyedPage:
+    def _parse_page(self, reply: _StoreReply, offset: int) -> KeyedPage:
         """Decode a page: the bounds of the partition, then records."""
+        raw = reply.body
         try:
             end, _ = _BOUNDS.unpack_from(raw)
             records = _parse_records(memoryview(raw)[_BOUNDS.size :])
@@ -260,7 +282,16 @@
             ) from exc
         # A read may return only some of the records up to the end.
         next_offset = min(offset + len(records), end) if records else end
-        return KeyedPage(records, next_offset, next_offset < end)
+        has_more = next_offset < end
+        return KeyedPage(records, next_offset, has_more, reply.era)
+
+
+def _parse_era(headers: http1.Headers) -> int:
+    text = http1.find_header(headers, _ERA_HEADER).strip()
+    is_number = text.isascii() and text.isdigit()
+    if not is_number or len(text) > _MAX_ERA_DIGITS:
+        return NO_ERA
+    return int(text)
 
 
 def _parse_records(raw: memoryview) -> list[KeyedRecord]:
