Store client: limits on the first byte, on silence and on the whole transfer

Cause: a call had one limit of 2 s. A document of 274 KB (365 KB in base64) did not get through a lossy link in that time, and each retry began anew: a node lost the store for 12 s. A connection that went silent within a response held its reader for the wait of the long poll and 2 s.

Change: the first byte of a response is due 0.8 s after the requested wait. The limit doubles with each consecutive timeout of the same step, up to 4 s. From the first byte on, silence of 1 s ends the call, and 10 s in total. Sending has the total limit. The stream of a connection enforces them at each read, so they also hold for heads that trickle in and for informational heads without end.

--- a/filbertdrift/platform/store.py
+++ b/filbertdrift/platform/store.py
@@ -31,8 +31,13 @@
 from filbertdrift.network import split_address
 
 CONNECT_TIMEOUT_S = 1.0
-# The store responds in milliseconds; a slow one takes some tenths of a second.
-CALL_TIMEOUT_S = 2.0
+# Limit on the wait for the first byte of a response, beyond the requested wait.
+# It doubles with each consecutive timeout, so that a slow store gets through.
+RESPONSE_TIMEOUT_S = 0.8
+MAX_RESPONSE_TIMEOUT_S = 4.0
+# Limits from the first byte on: on the time between two parts, and in total.
+SILENCE_TIMEOUT_S = 1.0
+TRANSFER_TIMEOUT_S = 10.0
 MAX_IDLE_CONNECTIONS = 2
 BYTES_PER_KB = 1024
 # A connection that was idle for longer may have been dropped silently.
@@ -58,17 +63,89 @@
     keep_alive: bool
 
 
+class _ResponseTimeout(PeerUnavailable):
+    """No byte of a response arrived in time."""
+
+
+class _TransferTimeout(PeerUnavailable):
+    """A message stopped on its way or took too long."""
+
+
+class _ResponseStream(asyncio.StreamReader):
+    """The receiving half of a connection, with time limits for each response.
+
+    Args:
+        peer: The address of the store.
+    """
+
+    def __init__(self, peer: str) -> None:
+        """Create a stream that expects no response yet."""
+        loop = asyncio.get_running_loop()
+        super().__init__(http1.READ_BYTES, loop)
+        self._peer = peer
+        # When the next bytes are due, and the end of the response.
+        self._due_at = loop.time()
+        self._end_at: float | None = None
+
+    def expect_response(self, due_at: float) -> None:
+        """Set when the first byte of the next response is due."""
+        self._due_at = due_at
+        self._end_at = None
+
+    async def read(self, size: int = -1) -> bytes:
+        """Read up to a number of bytes within the limits.
+
+        Args:
+            size: The maximum.
+
+        Returns:
+            The bytes; none at the end of the stream.
+
+        Raises:
+            PeerUnavailable: They did not arrive in time.
+            OSError: The connection broke.
+        """
+        try:
+            async with asyncio.timeout_at(self._due_at) as limit:
+                raw = await super().read(size)
+        except TimeoutError as exc:
+            # TCP reports a dead connection by the same error.
+            if limit.expired():
+                raise self._build_timeout() from exc
+            raise
+        now = asyncio.get_running_loop().time()
+        if self._end_at is None:
+            self._end_at = now + TRANSFER_TIMEOUT_S
+        self._due_at = min(now + SILENCE_TIMEOUT_S, self._end_at)
+        return raw
+
+    def _build_timeout(self) -> PeerUnavailable:
+        if self._end_at is None:
+            return _ResponseTimeout(
+                'no response in time',
+                step='read',
+                peer=self._peer,
+            )
+        is_silent = self._due_at < self._end_at
+        return _TransferTimeout(
+            'the response stopped' if is_silent else 'the response is too slow',
+            step='read',
+            peer=self._peer,
+        )
+
+
 class _StoreConnection:
     """A persistent connection to the store that runs one call at a time."""
 
     def __init__(
         self,
-        reader: asyncio.StreamReader,
+        reader: _ResponseStream,
         writer: asyncio.StreamWriter,
         peer: str,
     ) -> None:
         """Wrap the streams of an open connection."""
         self.reuse_until = 0.0
+        self._peer = peer
         self._writer = writer
         self._reader = reader
         self._responses = http1.ResponseReader(reader, peer)
@@ -78,10 +155,21 @@
         is_open = not self._reader.at_eof() and not self._writer.is_closing()
         return is_open and now < self.reuse_until
 
-    async def call(self, raw: bytes) -> _StoreReply:
-        """Send one request and read its reply."""
-        self._writer.write(raw)
-        await self._writer.drain()
+    async def call(self, raw: bytes, timeout_s: float) -> _StoreReply:
+        """Send one request and read its reply.
+
+        Args:
+            raw: The request.
+            timeout_s: Limit on the wait for the first byte of the response.
+
+        Raises:
+            PeerUnavailable: The connection broke, or a limit has passed.
+            MalformedMessage: The response is not HTTP.
+            OSError: The connection broke.
+        """
+        await self._send(raw)
+        now = asyncio.get_running_loop().time()
+        self._reader.expect_response(now + timeout_s)
         head = await self._responses.head()
         chunks = []
         end = False
@@ -100,6 +188,18 @@
         """Close the connection at once."""
         self._writer.transport.abort()
 
+    async def _send(self, raw: bytes) -> None:
+        self._writer.write(raw)
+        try:
+            async with asyncio.timeout(TRANSFER_TIMEOUT_S):
+                await self._writer.drain()
+        except TimeoutError as exc:
+            raise _TransferTimeout(
+                'the request was not sent in time',
+                step='send',
+                peer=self._peer,
+            ) from exc
+
 
 class StoreLog(KeyedLog):
     """Keyed streams on the metadata store.
@@ -113,6 +213,8 @@
         super().__init__()
         self._address = address
         self._idle: deque[_StoreConnection] = deque()
+        # The limits of the steps whose last call timed out.
+        self._response_timeouts_s: dict[str, float] = {}
 
     async def newest(self, stream: str) -> KeyedPage:
         """Return the newest record of each key."""
@@ -191,17 +293,17 @@
         raw = http1.encode_request_head(method, target, headers) + body
         step = path.strip('/')
         conn = await self._acquire_connection(step)
+        timeout_s = self._response_timeouts_s.get(step, RESPONSE_TIMEOUT_S)
         try:
-            async with asyncio.timeout(CALL_TIMEOUT_S + wait_s):
-                reply = await conn.call(raw)
-        except (
-            PeerUnavailable,
-            MalformedMessage,
-            OSError,
-            TimeoutError,
-        ) as exc:
+            reply = await conn.call(raw, wait_s + timeout_s)
+        except (PeerUnavailable, MalformedMessage, OSError) as exc:
             conn.close()
             self.counters.failures += 1
+            if isinstance(exc, _ResponseTimeout):
+                self._response_timeouts_s[step] = min(
+                    timeout_s * 2,
+                    MAX_RESPONSE_TIMEOUT_S,
+                )
             raise LogAnswerLost(
                 repr(exc),
                 step=step,
@@ -210,6 +312,7 @@
         except BaseException:
             conn.close()
             raise
+        self._response_timeouts_s.pop(step, None)
         self.counters.bytes_read += len(reply.body)
         self._release(conn, keep_alive=reply.keep_alive)
         if reply.era != NO_ERA:
@@ -223,10 +326,9 @@
             if conn.is_usable(now):
                 return conn
             conn.close()
-        host, port = split_address(self._address)
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                streams = await asyncio.open_connection(host, port)
+                return await _connect(self._address)
         except (OSError, TimeoutError) as exc:
             self.counters.failures += 1
             raise LogUnavailable(
@@ -234,7 +336,6 @@
                 step=step,
                 peer=self._address,
             ) from exc
-        return _StoreConnection(*streams, self._address)
 
     def _release(self, conn: _StoreConnection, *, keep_alive: bool) -> None:
         if not keep_alive or len(self._idle) >= MAX_IDLE_CONNECTIONS:
@@ -286,6 +387,18 @@
         return KeyedPage(records, next_offset, has_more, reply.era)
 
 
+async def _connect(address: str) -> _StoreConnection:
+    loop = asyncio.get_running_loop()
+    reader = _ResponseStream(address)
+    protocol = asyncio.StreamReaderProtocol(reader, loop=loop)
+    transport, _ = await loop.create_connection(
+        lambda: protocol,
+        *split_address(address),
+    )
+    writer = asyncio.StreamWriter(transport, protocol, reader, loop)
+    return _StoreConnection(reader, writer, address)
+
+
 def _parse_era(headers: http1.Headers) -> int:
     text = http1.find_header(headers, _ERA_HEADER).strip()
     is_number = text.isascii() and text.isdigit()
--- a/tests/test_platform_store_client.py
+++ b/tests/test_platform_store_client.py
@@ -3,17 +3,25 @@
 import asyncio
 import base64
 import contextlib
+import itertools
 import json
 import struct
 from collections.abc import AsyncIterator, Awaitable, Callable
 
 import uvloop
 from testtools import TestCase
-from testtools.matchers import Equals, HasLength
+from testtools.matchers import (
+    Equals,
+    GreaterThan,
+    HasLength,
+    LessThan,
+    MatchesAll,
+)
 from testtools.testcase import ExpectedException
 
-from filbertdrift.errors import LogGap, LogUnavailable
+from filbertdrift.errors import LogAnswerLost, LogGap, LogUnavailable
 from filbertdrift.keyedlog import NO_ERA, KeyedRecord
+from filbertdrift.platform import store as store_module
 from filbertdrift.platform.store import StoreLog
 
 STREAM = 'keyed.op'
@@ -51,6 +59,28 @@
     return respond
 
 
+def repeat(*parts: bytes, interval_s: float, count: int | None) -> Respond:
+    """Send the first part, then the last one again and again.
+
+    Args:
+        parts: The bytes to send.
+        interval_s: Time before each repetition.
+        count: How many repetitions; None for no end.
+    """
+
+    async def respond(
+        store: ScriptedStore, writer: asyncio.StreamWriter
+    ) -> None:
+        writer.write(parts[0])
+        numbers = itertools.count() if count is None else range(count)
+        for _ in numbers:
+            await asyncio.sleep(interval_s)
+            writer.write(parts[-1])
+            await writer.drain()
+
+    return respond
+
+
 class ScriptedStore:
     """Replies to the requests of each connection by a function.
 
@@ -99,6 +129,15 @@
         server.close()
 
 
+class StoreClientTest(TestCase):
+    """Base of the tests, with limits that can be replaced."""
+
+    def limit(self, **limits: float) -> None:
+        """Replace limits of the client during the test."""
+        for name, bound in limits.items():
+            self.patch(store_module, name, bound)
+
+
 class EraTest(TestCase):
     """The era that the store states in each reply."""
 
@@ -167,3 +206,118 @@
             self.assertThat(log.counters.failures, Equals(1))
 
         uvloop.run(main())
+
+
+class TimeoutTest(StoreClientTest):
+    """The time limits of a call."""
+
+    # A large document on a slow link ran out of time at each attempt.
+    def test_progress_has_no_short_limit(self) -> None:
+        self.limit(RESPONSE_TIMEOUT_S=0.5, SILENCE_TIMEOUT_S=5)
+        payload = bytes(1000)
+        raw = response(newest_body(('a', payload)))
+        cuts = range(0, len(raw), len(raw) // 20)
+
+        async def respond(
+            store: ScriptedStore, writer: asyncio.StreamWriter
+        ) -> None:
+            for cut in cuts:
+                writer.write(raw[cut : cut + cuts.step])
+                await asyncio.sleep(0.05)
+
+        async def main() -> None:
+            async with scripted(respond) as (_, log):
+                page = await log.newest(STREAM)
+            self.assertThat(page.records, Equals([KeyedRecord('a', payload)]))
+
+        uvloop.run(main())
+
+    # A response cut by a silent connection held its reader for the long poll.
+    def test_silence_within_a_response_ends_the_call(self) -> None:
+        self.limit(SILENCE_TIMEOUT_S=0.1)
+        half = response(BOUNDS.pack(7, 0))[:-8]
+
+        async def main() -> None:
+            async with asyncio.timeout(5), scripted(play(half)) as (_, log):
+                with ExpectedException(LogAnswerLost, '.*stopped.*'):
+                    await log.read(STREAM, 7, 15)
+
+        uvloop.run(main())
+
+    # A call on a silent connection took 2 s, whatever the store's usual time.
+    def test_no_response_ends_the_call(self) -> None:
+        self.limit(RESPONSE_TIMEOUT_S=0.05)
+
+        async def main() -> None:
+            async with asyncio.timeout(1.5), scripted(play(b'')) as (_, log):
+                with ExpectedException(LogAnswerLost, '.*no response.*'):
+                    await log.newest(STREAM)
+
+        uvloop.run(main())
+
+    # With a fixed limit a store that is slower never got through.
+    def test_slow_store_gets_through(self) -> None:
+        self.limit(RESPONSE_TIMEOUT_S=0.05, MAX_RESPONSE_TIMEOUT_S=20)
+        raw = response(newest_body())
+
+        async def respond(
+            store: ScriptedStore, writer: asyncio.StreamWriter
+        ) -> None:
+            await asyncio.sleep(0.3)
+            writer.write(raw)
+
+        async def main() -> None:
+            attempts = []
+            async with asyncio.timeout(60), scripted(respond) as (_, log):
+                for _ in range(2):
+                    before = log.counters.calls
+                    while log.counters.calls - before < 12:
+                        with contextlib.suppress(LogAnswerLost):
+                            await log.newest(STREAM)
+                            break
+                    attempts.append(log.counters.calls - before)
+            # After a success the limit is short again.
+            for count in attempts:
+                self.assertThat(count, MatchesAll(GreaterThan(1), LessThan(12)))
+
+        uvloop.run(main())
+
+    # Without a maximum each call to a silent store takes twice as long.
+    def test_doubled_limit_has_a_maximum(self) -> None:
+        self.limit(RESPONSE_TIMEOUT_S=0.01, MAX_RESPONSE_TIMEOUT_S=0.02)
+
+        async def main() -> None:
+            silent = play(*[b''] * 14)
+            async with asyncio.timeout(10), scripted(silent) as (_, log):
+                for _ in range(14):
+                    with ExpectedException(LogAnswerLost):
+                        await log.newest(STREAM)
+
+        uvloop.run(main())
+
+    # Bytes of a head that trickle in are progress, but no answer.
+    def test_trickling_head_ends(self) -> None:
+        self.limit(TRANSFER_TIMEOUT_S=0.3)
+        respond = repeat(
+            b'HTTP/1.1 200 OK\r\n', b'x: y\r\n', interval_s=0.02, count=None
+        )
+
+        async def main() -> None:
+            async with asyncio.timeout(1.5), scripted(respond) as (_, log):
+                with ExpectedException(LogAnswerLost, '.*too slow.*'):
+                    await log.newest(STREAM)
+
+        uvloop.run(main())
+
+    # Informational heads without end are complete messages, but no answer.
+    def test_trickling_informational_heads_end(self) -> None:
+        self.limit(TRANSFER_TIMEOUT_S=0.3)
+        head = b'HTTP/1.1 103 Early Hints\r\n\r\n'
+        respond = repeat(head, interval_s=0.02, count=None)
+
+        async def main() -> None:
+            async with asyncio.timeout(1.5), scripted(respond) as (_, log):
+                with ExpectedException(LogAnswerLost, '.*too slow.*'):
+                    await log.newest(STREAM)
+
+        uvloop.run(main())
