Store client: TCP keep-alive and user timeout on the connections

Cause: a long poll on a connection whose network fails without a reset ended only after its wait and the limit on the response, since nothing was sent.

Change: connections have TCP keep-alive (after 1 s, each 1 s, 2 probes) and a user timeout of 2 s. Options that a socket refuses are left out. A peer whose kernel still acknowledges, such as a proxy, is not detected by this.

Result: test_tcp_detects_dead_connections reads the options of an open socket; it fails before and passes now.

--- a/filbertdrift/platform/store.py
+++ b/filbertdrift/platform/store.py
@@ -6,7 +6,9 @@
 import asyncio
 import base64
 import binascii
+import contextlib
 import json
+import socket
 import struct
 from collections import deque
 from dataclasses import dataclass
@@ -38,6 +40,12 @@
 # Limits from the first byte on: on the time between two parts, and in total.
 SILENCE_TIMEOUT_S = 1.0
 TRANSFER_TIMEOUT_S = 10.0
+# The kernel probes a connection without traffic, and closes one whose peer has
+# acknowledged nothing for the user timeout.
+KEEPALIVE_IDLE_S = 1
+KEEPALIVE_INTERVAL_S = 1
+KEEPALIVE_PROBES = 2
+TCP_USER_TIMEOUT_MS = 2000
 MAX_IDLE_CONNECTIONS = 2
 BYTES_PER_KB = 1024
 # A connection that was idle for longer may have been dropped silently.
@@ -48,6 +56,14 @@
 # After one of these statuses an append may have been applied.
 STATUSES_OUTCOME_UNKNOWN = frozenset((500, 502, 504))
 
+_SOCKET_OPTIONS = (
+    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
+    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS),
+)
+
 _PARTITION = '0'
 _ERA_HEADER = b'store-era'
 _MAX_ERA_DIGITS = 18
@@ -395,6 +411,10 @@
         lambda: protocol,
         *split_address(address),
     )
+    sock = transport.get_extra_info('socket')
+    for option in _SOCKET_OPTIONS:
+        with contextlib.suppress(OSError):
+            sock.setsockopt(*option)
     writer = asyncio.StreamWriter(transport, protocol, reader, loop)
     return _StoreConnection(reader, writer, address)
 
--- a/tests/test_platform_store_client.py
+++ b/tests/test_platform_store_client.py
@@ -5,6 +5,7 @@
 import contextlib
 import itertools
 import json
+import socket
 import struct
 from collections.abc import AsyncIterator, Awaitable, Callable
 
@@ -321,3 +322,27 @@
                     await log.newest(STREAM)
 
         uvloop.run(main())
+
+
+class ConnectionTest(StoreClientTest):
+    """The connections to the store."""
+
+    # A long poll waited in full on a connection whose network had failed.
+    def test_tcp_detects_dead_connections(self) -> None:
+        async def main() -> None:
+            async with scripted(play(response(newest_body()))) as (_, log):
+                await log.newest(STREAM)
+                sock = log._idle[0]._writer.get_extra_info('socket')
+                found = [
+                    sock.getsockopt(level, option)
+                    for level, option in (
+                        (socket.SOL_SOCKET, socket.SO_KEEPALIVE),
+                        (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE),
+                        (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL),
+                        (socket.IPPROTO_TCP, socket.TCP_KEEPCNT),
+                        (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT),
+                    )
+                ]
+            self.assertThat(found, Equals([1, 1, 1, 2, 2000]))
+
+        uvloop.run(main())
