Store client: a lost response closes the idle connections too

Cause: connections to the store go silent together, since they share a network. After a timeout the next calls each found another silent idle connection.

Change: a call without a usable response closes the idle connections. Opening two costs less than one more timeout.

Result: test_timeout_closes_idle_connections fails before and passes now.

--- a/filbertdrift/platform/store.py
+++ b/filbertdrift/platform/store.py
@@ -315,6 +315,8 @@
         except (PeerUnavailable, MalformedMessage, OSError) as exc:
             conn.close()
             self.counters.failures += 1
+            # The cause may be the network, which the idle ones share.
+            await self.close()
             if isinstance(exc, _ResponseTimeout):
                 self._response_timeouts_s[step] = min(
                     timeout_s * 2,
--- a/tests/test_platform_store_client.py
+++ b/tests/test_platform_store_client.py
@@ -99,6 +99,11 @@
         self.closed = asyncio.Event()
         self._respond = respond
 
+    async def wait_for_requests(self, count: int) -> None:
+        """Wait until a number of requests has arrived."""
+        while len(self.requests) < count:
+            await asyncio.sleep(0.005)
+
     async def serve(
         self,
         reader: asyncio.StreamReader,
@@ -346,3 +351,30 @@
             self.assertThat(found, Equals([1, 1, 1, 2, 2000]))
 
         uvloop.run(main())
+
+    # After a timeout the next calls timed out on other silent connections.
+    def test_timeout_closes_idle_connections(self) -> None:
+        self.limit(RESPONSE_TIMEOUT_S=1)
+        is_silent = False
+
+        async def respond(
+            store: ScriptedStore, writer: asyncio.StreamWriter
+        ) -> None:
+            # Requests in pairs get responses, so two connections are idle.
+            if not is_silent:
+                await store.wait_for_requests(2)
+            if not is_silent or store.connections > 2:
+                writer.write(response(newest_body()))
+
+        async def main() -> None:
+            nonlocal is_silent
+            async with asyncio.timeout(20), scripted(respond) as (store, log):
+                await asyncio.gather(log.newest(STREAM), log.newest(STREAM))
+                self.assertThat(store.connections, Equals(2))
+                is_silent = True
+                with ExpectedException(LogAnswerLost):
+                    await log.newest(STREAM)
+                await log.newest(STREAM)
+                self.assertThat(store.connections, Equals(3))
+
+        uvloop.run(main())
