Store client: limit the size of a response

Cause: the client collected a body of any size and skipped any number of informational heads. A store in trouble may send bytes without end.

Change: the stream of a connection counts the bytes of each response and ends the call above a limit: the largest document in base64 for log-newest, one page and one document for log-read, each with 1 MiB of overhead, and 1 MiB for log-append. The error is LogAnswerLost, and the connection is closed.

Result: test_endless_body_is_refused, test_endless_body_of_an_append_is_refused and test_endless_informational_heads_are_refused fail before (at 20 s or at the 4 GB that the process was given) and pass now. test_endless_head_is_refused and test_largest_document_is_read pass before too; they guard the limit of the HTTP parser and room for the largest document.

--- a/filbertdrift/platform/store.py
+++ b/filbertdrift/platform/store.py
@@ -16,6 +16,7 @@
 from urllib.parse import urlencode
 
 from filbertdrift import http1
+from filbertdrift.document_delta import MAX_DOCUMENT_BYTES
 from filbertdrift.errors import (
     LogAnswerLost,
     LogGap,
@@ -48,6 +49,15 @@
 TCP_USER_TIMEOUT_MS = 2000
 MAX_IDLE_CONNECTIONS = 2
 BYTES_PER_KB = 1024
+# Limits on the size of a response. A read may exceed its maximum by one record,
+# and base64 turns 3 bytes into 4. The overhead is the head, the sizes of chunks
+# and the syntax of JSON.
+MAX_OVERHEAD_BYTES = 1_048_576
+MAX_READ_RESPONSE_BYTES = (
+    MAX_READ_BYTES + MAX_DOCUMENT_BYTES + MAX_OVERHEAD_BYTES
+)
+MAX_NEWEST_RESPONSE_BYTES = MAX_DOCUMENT_BYTES // 3 * 4 + MAX_OVERHEAD_BYTES
+MAX_APPEND_RESPONSE_BYTES = MAX_OVERHEAD_BYTES
 # A connection that was idle for longer may have been dropped silently.
 MAX_IDLE_REUSE_S = 5.0
 
@@ -88,7 +98,7 @@
 
 
 class _ResponseStream(asyncio.StreamReader):
-    """The receiving half of a connection, with time limits for each response.
+    """The receiving half of a connection, with limits for each response.
 
     Args:
         peer: The address of the store.
@@ -102,11 +112,18 @@
         # When the next bytes are due, and the end of the response.
         self._due_at = loop.time()
         self._end_at: float | None = None
+        self._bytes_left = 0
+
+    def expect_response(self, due_at: float, max_bytes: int) -> None:
+        """Set the limits of the next response.
 
-    def expect_response(self, due_at: float) -> None:
-        """Set when the first byte of the next response is due."""
+        Args:
+            due_at: When its first byte is due.
+            max_bytes: Limit on its size, head included.
+        """
         self._due_at = due_at
         self._end_at = None
+        self._bytes_left = max_bytes
 
     async def read(self, size: int = -1) -> bytes:
         """Read up to a number of bytes within the limits.
@@ -119,6 +136,7 @@
 
         Raises:
             PeerUnavailable: They did not arrive in time.
+            MalformedMessage: The response is over the limit on its size.
             OSError: The connection broke.
         """
         try:
@@ -133,6 +151,13 @@
         if self._end_at is None:
             self._end_at = now + TRANSFER_TIMEOUT_S
         self._due_at = min(now + SILENCE_TIMEOUT_S, self._end_at)
+        self._bytes_left -= len(raw)
+        if self._bytes_left < 0:
+            raise MalformedMessage(
+                'the response is too large',
+                step='read',
+                peer=self._peer,
+            )
         return raw
 
     def _build_timeout(self) -> PeerUnavailable:
@@ -171,31 +196,37 @@
         is_open = not self._reader.at_eof() and not self._writer.is_closing()
         return is_open and now < self.reuse_until
 
-    async def call(self, raw: bytes, timeout_s: float) -> _StoreReply:
+    async def call(
+        self,
+        raw: bytes,
+        timeout_s: float,
+        max_bytes: int,
+    ) -> _StoreReply:
         """Send one request and read its reply.
 
         Args:
             raw: The request.
             timeout_s: Limit on the wait for the first byte of the response.
+            max_bytes: Limit on the size of the response.
 
         Raises:
             PeerUnavailable: The connection broke, or a limit has passed.
-            MalformedMessage: The response is not HTTP.
+            MalformedMessage: The response is not HTTP or too large.
             OSError: The connection broke.
         """
         await self._send(raw)
         now = asyncio.get_running_loop().time()
-        self._reader.expect_response(now + timeout_s)
+        self._reader.expect_response(now + timeout_s, max_bytes)
         head = await self._responses.head()
-        chunks = []
+        body = bytearray()
         end = False
         while not end:
             part = await self._responses.part()
-            chunks.append(part.chunk)
+            body += part.chunk
             end = part.end
         return _StoreReply(
             head.status,
-            b''.join(chunks),
+            bytes(body),
             _parse_era(head.headers),
             head.keep_alive,
         )
@@ -240,7 +271,12 @@
         has_more = True
         end = 0
         while has_more:
-            reply = await self._call('GET', '/log-newest', query)
+            reply = await self._call(
+                'GET',
+                '/log-newest',
+                query,
+                max_bytes=MAX_NEWEST_RESPONSE_BYTES,
+            )
             page = self._parse_json(reply, 'log-newest')
             if records and reply.era != era:
                 raise self._build_error('the era changed between pages')
@@ -267,7 +303,13 @@
             'wait_ms': str(int(wait_s * 1000)),
             'max_kb': str(MAX_READ_BYTES // BYTES_PER_KB),
         }
-        reply = await self._call('GET', '/log-read', query, wait_s=wait_s)
+        reply = await self._call(
+            'GET',
+            '/log-read',
+            query,
+            wait_s=wait_s,
+            max_bytes=MAX_READ_RESPONSE_BYTES,
+        )
         if reply.status == STATUS_GONE:
             raise LogGap(
                 'no records at the offset',
@@ -299,6 +341,7 @@
         query: dict[str, str],
         body: bytes = b'',
         wait_s: float = 0,
+        max_bytes: int = MAX_APPEND_RESPONSE_BYTES,
     ) -> _StoreReply:
         self.counters.calls += 1
         target = f'{path}?{urlencode(query)}'
@@ -311,7 +354,7 @@
         conn = await self._acquire_connection(step)
         timeout_s = self._response_timeouts_s.get(step, RESPONSE_TIMEOUT_S)
         try:
-            reply = await conn.call(raw, wait_s + timeout_s)
+            reply = await conn.call(raw, wait_s + timeout_s, max_bytes)
         except (PeerUnavailable, MalformedMessage, OSError) as exc:
             conn.close()
             self.counters.failures += 1
--- a/tests/test_platform_store_client.py
+++ b/tests/test_platform_store_client.py
@@ -15,11 +15,13 @@
     Equals,
     GreaterThan,
     HasLength,
+    Is,
     LessThan,
     MatchesAll,
 )
 from testtools.testcase import ExpectedException
 
+from filbertdrift.document_delta import MAX_DOCUMENT_BYTES
 from filbertdrift.errors import LogAnswerLost, LogGap, LogUnavailable
 from filbertdrift.keyedlog import NO_ERA, KeyedRecord
 from filbertdrift.platform import store as store_module
@@ -378,3 +380,92 @@
                 self.assertThat(store.connections, Equals(3))
 
         uvloop.run(main())
+
+
+class SizeTest(StoreClientTest):
+    """The limits on the size of a response."""
+
+    # A body without end was collected in memory until the time limit.
+    def test_endless_body_is_refused(self) -> None:
+        heads = (
+            b'HTTP/1.1 200 OK\r\n\r\n',
+            b'HTTP/1.1 200 OK\r\ncontent-length: 99999999999\r\n\r\n',
+            b'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n',
+        )
+        chunk = b'10000\r\n%s\r\n' % bytes(65_536)
+        self.limit(
+            MAX_NEWEST_RESPONSE_BYTES=1_000_000,
+            MAX_READ_RESPONSE_BYTES=1_000_000,
+            TRANSFER_TIMEOUT_S=60,
+        )
+
+        async def main() -> None:
+            for head in heads:
+                endless = repeat(head, chunk, interval_s=0, count=None)
+                async with asyncio.timeout(20), scripted(endless) as found:
+                    with ExpectedException(LogAnswerLost, '.*too large.*'):
+                        await found[1].newest(STREAM)
+                    with ExpectedException(LogAnswerLost, '.*too large.*'):
+                        await found[1].read(STREAM, 7, 0)
+                    # The client has closed the connections.
+                    await found[0].closed.wait()
+
+        uvloop.run(main())
+
+    # An append only needs the status, but took a body of any size.
+    def test_endless_body_of_an_append_is_refused(self) -> None:
+        head = b'HTTP/1.1 200 OK\r\n\r\n'
+        self.limit(TRANSFER_TIMEOUT_S=60)
+
+        async def main() -> None:
+            endless = repeat(head, bytes(65_536), interval_s=0, count=None)
+            async with asyncio.timeout(20), scripted(endless) as (_, log):
+                with ExpectedException(LogAnswerLost, '.*too large.*'):
+                    await log.append(STREAM, KeyedRecord('a', b''))
+
+        uvloop.run(main())
+
+    # Informational heads without end were read until the time limit.
+    def test_endless_informational_heads_are_refused(self) -> None:
+        heads = b'HTTP/1.1 103 Early Hints\r\n\r\n' * 1000
+        self.limit(MAX_NEWEST_RESPONSE_BYTES=500_000, TRANSFER_TIMEOUT_S=60)
+
+        async def main() -> None:
+            endless = repeat(heads, interval_s=0, count=None)
+            async with asyncio.timeout(20), scripted(endless) as (_, log):
+                with ExpectedException(LogAnswerLost, '.*too large.*'):
+                    await log.newest(STREAM)
+
+        uvloop.run(main())
+
+    # A head without end must not grow in memory either.
+    def test_endless_head_is_refused(self) -> None:
+        fields = b'x: %s\r\n' % (b'y' * 1000)
+        self.limit(TRANSFER_TIMEOUT_S=60)
+
+        async def main() -> None:
+            endless = repeat(
+                b'HTTP/1.1 200 OK\r\n', fields, interval_s=0, count=None
+            )
+            async with asyncio.timeout(20), scripted(endless) as (_, log):
+                with ExpectedException(LogAnswerLost, '.*head over.*'):
+                    await log.newest(STREAM)
+
+        uvloop.run(main())
+
+    # The limits must leave room for the largest document.
+    def test_largest_document_is_read(self) -> None:
+        payload = bytes(MAX_DOCUMENT_BYTES)
+        content = b'\x01a' + payload
+        page = BOUNDS.pack(8, 0) + struct.pack('>I', len(content)) + content
+        replies = response(newest_body(('a', payload))), response(page)
+        self.limit(TRANSFER_TIMEOUT_S=60, SILENCE_TIMEOUT_S=20)
+
+        async def main() -> None:
+            async with scripted(play(*replies)) as (_, log):
+                newest = await log.newest(STREAM)
+                read = await log.read(STREAM, 7, 0)
+            for found in (newest, read):
+                self.assertThat(found.records[0].payload == payload, Is(True))
+
+        uvloop.run(main())
