--- a/filbertdrift/mesh.py
+++ b/filbertdrift/mesh.py
@@ -171,6 +171,8 @@
             settings.seeds,
             rng,
         )
+        self.freshness.on_era = self.directory.on_era
+        log.on_era = self.directory.on_era
         self.crashes = CrashLedger(identity.address, rng)
         self.crashes.send_notice = self.membership.gossip
         self.crash_sync = CrashSync(self.crashes, self.links)
--- a/filbertdrift/platform/store.py
+++ b/filbertdrift/platform/store.py
@@ -6,7 +6,9 @@
 import asyncio
 import base64
 import binascii
+import contextlib
 import json
+import socket
 import struct
 from collections import deque
 from dataclasses import dataclass
@@ -14,6 +16,7 @@
 from urllib.parse import urlencode
 
 from filbertdrift import http1
+from filbertdrift.document_delta import MAX_DOCUMENT_BYTES
 from filbertdrift.errors import (
     LogAnswerLost,
     LogGap,
@@ -23,6 +26,7 @@
 )
 from filbertdrift.keyedlog import (
     MAX_READ_BYTES,
+    NO_ERA,
     KeyedLog,
     KeyedPage,
     KeyedRecord,
@@ -30,10 +34,30 @@
 from filbertdrift.network import split_address
 
 CONNECT_TIMEOUT_S = 1.0
-# The store responds in milliseconds; a slow one takes some tenths of a second.
-CALL_TIMEOUT_S = 2.0
+# Limit on the wait for the first byte of a response, beyond the requested wait.
+# It doubles with each consecutive timeout, so that a slow store gets through.
+RESPONSE_TIMEOUT_S = 0.8
+MAX_RESPONSE_TIMEOUT_S = 4.0
+# Limits from the first byte on: on the time between two parts, and in total.
+SILENCE_TIMEOUT_S = 1.0
+TRANSFER_TIMEOUT_S = 10.0
+# The kernel probes a connection without traffic, and closes one whose peer has
+# acknowledged nothing for the user timeout.
+KEEPALIVE_IDLE_S = 1
+KEEPALIVE_INTERVAL_S = 1
+KEEPALIVE_PROBES = 2
+TCP_USER_TIMEOUT_MS = 2000
 MAX_IDLE_CONNECTIONS = 2
 BYTES_PER_KB = 1024
+# Limits on the size of a response. A read may exceed its maximum by one record,
+# and base64 turns 3 bytes into 4. The overhead is the head, the sizes of chunks
+# and the syntax of JSON.
+MAX_OVERHEAD_BYTES = 1_048_576
+MAX_READ_RESPONSE_BYTES = (
+    MAX_READ_BYTES + MAX_DOCUMENT_BYTES + MAX_OVERHEAD_BYTES
+)
+MAX_NEWEST_RESPONSE_BYTES = MAX_DOCUMENT_BYTES // 3 * 4 + MAX_OVERHEAD_BYTES
+MAX_APPEND_RESPONSE_BYTES = MAX_OVERHEAD_BYTES
 # A connection that was idle for longer may have been dropped silently.
 MAX_IDLE_REUSE_S = 5.0
 
@@ -42,7 +66,17 @@
 # After one of these statuses an append may have been applied.
 STATUSES_OUTCOME_UNKNOWN = frozenset((500, 502, 504))
 
+_SOCKET_OPTIONS = (
+    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
+    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS),
+)
+
 _PARTITION = '0'
+_ERA_HEADER = b'store-era'
+_MAX_ERA_DIGITS = 18
 _BOUNDS = struct.Struct('>QQ')
 _LENGTH = struct.Struct('>I')
 
@@ -51,6 +85,94 @@
 class _StoreReply:
     status: int
     body: bytes
+    era: int
+    keep_alive: bool
+
+
+class _ResponseTimeout(PeerUnavailable):
+    """No byte of a response arrived in time."""
+
+
+class _TransferTimeout(PeerUnavailable):
+    """A message stopped on its way or took too long."""
+
+
+class _ResponseStream(asyncio.StreamReader):
+    """The receiving half of a connection, with limits for each response.
+
+    Args:
+        peer: The address of the store.
+    """
+
+    def __init__(self, peer: str) -> None:
+        """Create a stream that expects no response yet."""
+        loop = asyncio.get_running_loop()
+        super().__init__(http1.READ_BYTES, loop)
+        self._peer = peer
+        # When the next bytes are due, and the end of the response.
+        self._due_at = loop.time()
+        self._end_at: float | None = None
+        self._bytes_left = 0
+
+    def expect_response(self, due_at: float, max_bytes: int) -> None:
+        """Set the limits of the next response.
+
+        Args:
+            due_at: When its first byte is due.
+            max_bytes: Limit on its size, head included.
+        """
+        self._due_at = due_at
+        self._end_at = None
+        self._bytes_left = max_bytes
+
+    async def read(self, size: int = -1) -> bytes:
+        """Read up to a number of bytes within the limits.
+
+        Args:
+            size: The maximum.
+
+        Returns:
+            The bytes; none at the end of the stream.
+
+        Raises:
+            PeerUnavailable: They did not arrive in time.
+            MalformedMessage: The response is over the limit on its size.
+            OSError: The connection broke.
+        """
+        try:
+            async with asyncio.timeout_at(self._due_at) as limit:
+                raw = await super().read(size)
+        except TimeoutError as exc:
+            # TCP reports a dead connection by the same error.
+            if limit.expired():
+                raise self._build_timeout() from exc
+            raise
+        now = asyncio.get_running_loop().time()
+        if self._end_at is None:
+            self._end_at = now + TRANSFER_TIMEOUT_S
+        self._due_at = min(now + SILENCE_TIMEOUT_S, self._end_at)
+        self._bytes_left -= len(raw)
+        if self._bytes_left < 0:
+            raise MalformedMessage(
+                'the response is too large',
+                step='read',
+                peer=self._peer,
+            )
+        return raw
+
+    def _build_timeout(self) -> PeerUnavailable:
+        if self._end_at is None:
+            return _ResponseTimeout(
+                'no response in time',
+                step='read',
+                peer=self._peer,
+            )
+        is_silent = self._due_at < self._end_at
+        return _TransferTimeout(
+            'the response stopped' if is_silent else 'the response is too slow',
+            step='read',
+            peer=self._peer,
+        )
 
 
 class _StoreConnection:
@@ -58,12 +180,13 @@
 
     def __init__(
         self,
-        reader: asyncio.StreamReader,
+        reader: _ResponseStream,
         writer: asyncio.StreamWriter,
         peer: str,
     ) -> None:
         """Wrap the streams of an open connection."""
         self.reuse_until = 0.0
+        self._peer = peer
         self._writer = writer
         self._reader = reader
         self._responses = http1.ResponseReader(reader, peer)
@@ -73,27 +196,57 @@
         is_open = not self._reader.at_eof() and not self._writer.is_closing()
         return is_open and now < self.reuse_until
 
-    async def call(self, raw: bytes) -> tuple[_StoreReply, bool]:
+    async def call(
+        self,
+        raw: bytes,
+        timeout_s: float,
+        max_bytes: int,
+    ) -> _StoreReply:
         """Send one request and read its reply.
 
-        Returns:
-            The reply, and whether the connection stays open.
+        Args:
+            raw: The request.
+            timeout_s: Limit on the wait for the first byte of the response.
+            max_bytes: Limit on the size of the response.
+
+        Raises:
+            PeerUnavailable: The connection broke, or a limit has passed.
+            MalformedMessage: The response is not HTTP or too large.
+            OSError: The connection broke.
         """
-        self._writer.write(raw)
-        await self._writer.drain()
+        await self._send(raw)
+        now = asyncio.get_running_loop().time()
+        self._reader.expect_response(now + timeout_s, max_bytes)
         head = await self._responses.head()
-        chunks = []
+        body = bytearray()
         end = False
         while not end:
             part = await self._responses.part()
-            chunks.append(part.chunk)
+            body += part.chunk
             end = part.end
-        return _StoreReply(head.status, b''.join(chunks)), head.keep_alive
+        return _StoreReply(
+            head.status,
+            bytes(body),
+            _parse_era(head.headers),
+            head.keep_alive,
+        )
 
     def close(self) -> None:
         """Close the connection at once."""
         self._writer.transport.abort()
 
+    async def _send(self, raw: bytes) -> None:
+        self._writer.write(raw)
+        try:
+            async with asyncio.timeout(TRANSFER_TIMEOUT_S):
+                await self._writer.drain()
+        except TimeoutError as exc:
+            raise _TransferTimeout(
+                'the request was not sent in time',
+                step='send',
+                peer=self._peer,
+            ) from exc
+
 
 class StoreLog(KeyedLog):
     """Keyed streams on the metadata store.
@@ -107,23 +260,34 @@
         super().__init__()
         self._address = address
         self._idle: deque[_StoreConnection] = deque()
+        # The limits of the steps whose last call timed out.
+        self._response_timeouts_s: dict[str, float] = {}
 
     async def newest(self, stream: str) -> KeyedPage:
         """Return the newest record of each key."""
         records: list[KeyedRecord] = []
+        era = NO_ERA
         query = {'topic': stream, 'part': _PARTITION}
         has_more = True
         end = 0
         while has_more:
-            reply = await self._call('GET', '/log-newest', query)
+            reply = await self._call(
+                'GET',
+                '/log-newest',
+                query,
+                max_bytes=MAX_NEWEST_RESPONSE_BYTES,
+            )
             page = self._parse_json(reply, 'log-newest')
+            if records and reply.era != era:
+                raise self._build_error('the era changed between pages')
+            era = reply.era
             found = [_parse_item(item) for item in page['items']]
             records.extend(found)
             end = int(page['end'])
             has_more = bool(page['has_more']) and bool(found)
             if found:
                 query['after'] = found[-1].key
-        return KeyedPage(records, end)
+        return KeyedPage(records, end, era=era)
 
     async def read(
         self,
@@ -139,11 +303,21 @@
             'wait_ms': str(int(wait_s * 1000)),
             'max_kb': str(MAX_READ_BYTES // BYTES_PER_KB),
         }
-        reply = await self._call('GET', '/log-read', query, wait_s=wait_s)
+        reply = await self._call(
+            'GET',
+            '/log-read',
+            query,
+            wait_s=wait_s,
+            max_bytes=MAX_READ_RESPONSE_BYTES,
+        )
         if reply.status == STATUS_GONE:
-            raise LogGap('records have expired', step=f'read {stream}')
+            raise LogGap(
+                'no records at the offset',
+                step=f'read {stream}',
+                peer=self._address,
+            )
         self._check_status(reply, 'log-read')
-        return self._parse_page(reply.body, offset)
+        return self._parse_page(reply, offset)
 
     async def append(self, stream: str, record: KeyedRecord) -> None:
         """Append one record."""
@@ -167,6 +341,7 @@
         query: dict[str, str],
         body: bytes = b'',
         wait_s: float = 0,
+        max_bytes: int = MAX_APPEND_RESPONSE_BYTES,
     ) -> _StoreReply:
         self.counters.calls += 1
         target = f'{path}?{urlencode(query)}'
@@ -177,17 +352,19 @@
         raw = http1.encode_request_head(method, target, headers) + body
         step = path.strip('/')
         conn = await self._acquire_connection(step)
+        timeout_s = self._response_timeouts_s.get(step, RESPONSE_TIMEOUT_S)
         try:
-            async with asyncio.timeout(CALL_TIMEOUT_S + wait_s):
-                reply, keep_alive = await conn.call(raw)
-        except (
-            PeerUnavailable,
-            MalformedMessage,
-            OSError,
-            TimeoutError,
-        ) as exc:
+            reply = await conn.call(raw, wait_s + timeout_s, max_bytes)
+        except (PeerUnavailable, MalformedMessage, OSError) as exc:
             conn.close()
             self.counters.failures += 1
+            # The cause may be the network, which the idle ones share.
+            await self.close()
+            if isinstance(exc, _ResponseTimeout):
+                self._response_timeouts_s[step] = min(
+                    timeout_s * 2,
+                    MAX_RESPONSE_TIMEOUT_S,
+                )
             raise LogAnswerLost(
                 repr(exc),
                 step=step,
@@ -196,8 +373,11 @@
         except BaseException:
             conn.close()
             raise
+        self._response_timeouts_s.pop(step, None)
         self.counters.bytes_read += len(reply.body)
-        self._release(conn, keep_alive=keep_alive)
+        self._release(conn, keep_alive=reply.keep_alive)
+        if reply.era != NO_ERA:
+            self.on_era(reply.era)
         return reply
 
     async def _acquire_connection(self, step: str) -> _StoreConnection:
@@ -207,10 +387,9 @@
             if conn.is_usable(now):
                 return conn
             conn.close()
-        host, port = split_address(self._address)
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                streams = await asyncio.open_connection(host, port)
+                return await _connect(self._address)
         except (OSError, TimeoutError) as exc:
             self.counters.failures += 1
             raise LogUnavailable(
@@ -218,7 +397,6 @@
                 step=step,
                 peer=self._address,
             ) from exc
-        return _StoreConnection(*streams, self._address)
 
     def _release(self, conn: _StoreConnection, *, keep_alive: bool) -> None:
         if not keep_alive or len(self._idle) >= MAX_IDLE_CONNECTIONS:
@@ -236,6 +414,11 @@
         kind = LogAnswerLost if lost else LogUnavailable
         raise kind(reason, step=step, peer=self._address)
 
+    def _build_error(self, reason: str) -> LogUnavailable:
+        """Count a malformed reply to log-newest; return its error."""
+        self.counters.failures += 1
+        return LogUnavailable(reason, step='log-newest', peer=self._address)
+
     def _parse_json(self, reply: _StoreReply, step: str) -> Any:
         self._check_status(reply, step)
         try:
@@ -247,8 +430,9 @@
                 peer=self._address,
             ) from exc
 
-    def _parse_page(self, raw: bytes, offset: int) -> KeyedPage:
+    def _parse_page(self, reply: _StoreReply, offset: int) -> KeyedPage:
         """Decode a page: the bounds of the partition, then records."""
+        raw = reply.body
         try:
             end, _ = _BOUNDS.unpack_from(raw)
             records = _parse_records(memoryview(raw)[_BOUNDS.size :])
@@ -260,7 +444,32 @@
             ) from exc
         # A read may return only some of the records up to the end.
         next_offset = min(offset + len(records), end) if records else end
-        return KeyedPage(records, next_offset, next_offset < end)
+        has_more = next_offset < end
+        return KeyedPage(records, next_offset, has_more, reply.era)
+
+
+async def _connect(address: str) -> _StoreConnection:
+    loop = asyncio.get_running_loop()
+    reader = _ResponseStream(address)
+    protocol = asyncio.StreamReaderProtocol(reader, loop=loop)
+    transport, _ = await loop.create_connection(
+        lambda: protocol,
+        *split_address(address),
+    )
+    sock = transport.get_extra_info('socket')
+    for option in _SOCKET_OPTIONS:
+        with contextlib.suppress(OSError):
+            sock.setsockopt(*option)
+    writer = asyncio.StreamWriter(transport, protocol, reader, loop)
+    return _StoreConnection(reader, writer, address)
+
+
+def _parse_era(headers: http1.Headers) -> int:
+    text = http1.find_header(headers, _ERA_HEADER).strip()
+    is_number = text.isascii() and text.isdigit()
+    if not is_number or len(text) > _MAX_ERA_DIGITS:
+        return NO_ERA
+    return int(text)
 
 
 def _parse_records(raw: memoryview) -> list[KeyedRecord]:
