Store client: go on reading at the end of the first page of a listing

The client took the end that the last page stated for the place to read on, so a configuration appended after the first page was read, and before the last, was never read: callers of its routes got 404 until the next change.

The end of the first page is kept. The test got 9 in place of 7 before.

--- a/filbertdrift/platform/store.py
+++ b/filbertdrift/platform/store.py
@@ -269,7 +269,7 @@
         era = NO_ERA
         query = {'topic': stream, 'part': _PARTITION}
         has_more = True
-        end = 0
+        end: int | None = None
         while has_more:
             reply = await self._call(
                 'GET',
@@ -283,11 +283,13 @@
             era = reply.era
             found = [_parse_item(item) for item in page['items']]
             records.extend(found)
-            end = int(page['end'])
+            # Pages are not a snapshot: records that were appended since the
+            # first one may be missing from it.
+            end = int(page['end']) if end is None else end
             has_more = bool(page['has_more']) and bool(found)
             if found:
                 query['after'] = found[-1].key
-        return KeyedPage(records, end, era=era)
+        return KeyedPage(records, end or 0, era=era)
 
     async def read(
         self,
--- a/tests/test_platform_store_client.py
+++ b/tests/test_platform_store_client.py
@@ -150,6 +150,21 @@
     """The era that the store states in each reply."""
 
     # A holder of offsets missed that the store had come back from a copy.
+    # DENIED: the end of the last page was taken for the place to read on, so
+    # what was appended while the pages were read was never read.
+    def test_reading_goes_on_at_the_end_of_the_first_page(self) -> None:
+        async def main() -> None:
+            replies = (
+                response(newest_body(('a', b'1'), has_more=True, end=7)),
+                response(newest_body(('b', b'2'), end=9)),
+            )
+            async with scripted(play(*replies)) as (_, log):
+                newest = await log.newest(STREAM)
+            self.assertThat(newest.next_offset, Equals(7))
+            self.assertThat(len(newest.records), Equals(2))
+
+        uvloop.run(main())
+
     def test_pages_carry_the_era(self) -> None:
         async def main() -> None:
             replies = (
