Tests of a store that comes back from an older copy

In a drill the store loses its newest records and gives their offsets out again. A reader that came back to its old offset waited behind the newest configuration, and the other nodes took it for current: callers of added routes got 404 on all nodes, for good (DENIED: handled by an older version).

Evidence: with the reader of the configuration as it was before and this stand-in, test_offsets_that_are_given_out_again leaves all eight nodes at version 4, while version 6 is acknowledged, for the 30 s that the test waits; test_node_that_starts_after_a_drill finds four of five nodes.

--- a/tests/test_outdated_config.py
+++ b/tests/test_outdated_config.py
@@ -5,6 +5,7 @@
 from testtools import TestCase
 from testtools.matchers import Equals, LessThan
 
+from filbertdrift.platform.documents import OPERATOR_STREAM
 from standins.mesh_fleet import MeshFleet, config_document
 from tests.builders import run_virtual
 
@@ -112,3 +113,64 @@
         took_s = await fleet.wait_until_in_force(2, 30)
         self.assertThat(took_s, LessThan(CONFIG_APPLY_S))
         self.assertThat(set(fleet.versions().values()), Equals({2}))
+
+
+class StoreDrillTest(TestCase):
+    """The log comes back from a copy that lacks its newest records."""
+
+    # DENIED: offsets that the readers had read were given out again, and they
+    # waited for records behind the newest configuration.
+    def test_offsets_that_are_given_out_again(self) -> None:
+        run_virtual(self._given_out_again())
+
+    async def _given_out_again(self) -> None:
+        fleet = await settled_fleet(57, 'aaaabbbb')
+        copy = fleet.log.snapshot()
+        for version in (2, 3, 4):
+            await fleet.publish(config_document(version))
+            await asyncio.sleep(0.5)
+        _, end = fleet.log.bounds(OPERATOR_STREAM)
+        await fleet.drill(copy, 0.5)
+        # The drill has written the newest version again.
+        for version in (5, 6):
+            await fleet.publish(config_document(version))
+        self.assertThat(fleet.log.bounds(OPERATOR_STREAM)[1], Equals(end))
+        took_s = await fleet.wait_until_in_force(6, 30)
+        self.assertThat(took_s, LessThan(CONFIG_APPLY_S))
+
+    def test_versions_never_decrease_in_a_drill(self) -> None:
+        run_virtual(self._never_back())
+
+    async def _never_back(self) -> None:
+        for seed in (58, 59):
+            fleet = await settled_fleet(seed, 'aaabbb')
+            copy = fleet.log.snapshot()
+            await fleet.publish(config_document(7))
+            await fleet.wait_until_in_force(7, 5)
+            fleet.log.restore(copy)
+            await asyncio.sleep(3)
+            self.assertThat(set(fleet.versions().values()), Equals({7}))
+            await fleet.publish(config_document(9))
+            took_s = await fleet.wait_until_in_force(9, 30)
+            self.assertThat(took_s, LessThan(CONFIG_APPLY_S))
+
+    # DENIED: a node that starts after the store lost the directory's newest
+    # entries must find the others, and the configuration.
+    def test_node_that_starts_after_a_drill(self) -> None:
+        run_virtual(self._start_after())
+
+    async def _start_after(self) -> None:
+        fleet = MeshFleet(60)
+        await fleet.publish(config_document())
+        copy = fleet.log.snapshot()
+        for domain in 'aabb':
+            await fleet.add(domain, 'desk')
+        await fleet.wait_until_in_force(1, 5)
+        await asyncio.sleep(5)
+        await fleet.drill(copy, 0.5)
+        await asyncio.sleep(4)
+        await fleet.add('a', 'desk')
+        await fleet.wait_until_in_force(1, 5)
+        await asyncio.sleep(1)
+        for instance in fleet.instances.values():
+            self.assertThat(len(instance.node.membership.table), Equals(5))
