Store client: malformed pages are LogUnavailable with step and peer

Cause: a page of log-newest without one of its fields, or with fields of other types, raised KeyError, TypeError and the like, which ends the task of the reader. Bytes in a value that are not base64 were skipped, and a record whose key is cut short was taken for a shorter key.

Change: one set of errors covers what decoding can raise; each becomes a LogUnavailable with step and peer, and counts as a failure. Base64 is validated, and a key must be as long as stated.

Result: test_malformed_newest_pages and test_malformed_read_pages fail before and pass now.

--- a/filbertdrift/platform/store.py
+++ b/filbertdrift/platform/store.py
@@ -5,7 +5,6 @@
 
 import asyncio
 import base64
-import binascii
 import contextlib
 import json
 import socket
@@ -74,6 +73,16 @@
     (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS),
 )
 
+# What decoding bytes that are not a page raises.
+_PARSE_ERRORS = (
+    ValueError,
+    LookupError,
+    TypeError,
+    OverflowError,
+    RecursionError,
+    struct.error,
+)
+
 _PARTITION = '0'
 _ERA_HEADER = b'store-era'
 _MAX_ERA_DIGITS = 18
@@ -89,6 +98,13 @@
     keep_alive: bool
 
 
+@dataclass(frozen=True, slots=True)
+class _NewestPage:
+    records: list[KeyedRecord]
+    end: int
+    has_more: bool
+
+
 class _ResponseTimeout(PeerUnavailable):
     """No byte of a response arrived in time."""
 
@@ -277,16 +293,19 @@
                 query,
                 max_bytes=MAX_NEWEST_RESPONSE_BYTES,
             )
-            page = self._parse_json(reply, 'log-newest')
+            self._check_status(reply, 'log-newest')
+            page = self._parse_newest(reply.body)
             if records and reply.era != era:
-                raise self._build_error('the era changed between pages')
+                raise self._build_error(
+                    'the era changed between pages',
+                    'log-newest',
+                )
             era = reply.era
-            found = [_parse_item(item) for item in page['items']]
-            records.extend(found)
-            end = int(page['end'])
-            has_more = bool(page['has_more']) and bool(found)
-            if found:
-                query['after'] = found[-1].key
+            records.extend(page.records)
+            end = page.end
+            has_more = page.has_more and bool(page.records)
+            if has_more:
+                query['after'] = page.records[-1].key
         return KeyedPage(records, end, era=era)
 
     async def read(
@@ -414,21 +433,17 @@
         kind = LogAnswerLost if lost else LogUnavailable
         raise kind(reason, step=step, peer=self._address)
 
-    def _build_error(self, reason: str) -> LogUnavailable:
-        """Count a malformed reply to log-newest; return its error."""
+    def _build_error(self, reason: str, step: str) -> LogUnavailable:
+        """Count a malformed reply and return its error."""
         self.counters.failures += 1
-        return LogUnavailable(reason, step='log-newest', peer=self._address)
+        return LogUnavailable(reason, step=step, peer=self._address)
 
-    def _parse_json(self, reply: _StoreReply, step: str) -> Any:
-        self._check_status(reply, step)
+    def _parse_newest(self, raw: bytes) -> _NewestPage:
         try:
-            return json.loads(reply.body)
-        except ValueError as exc:
-            raise LogUnavailable(
-                f'not JSON: {exc}',
-                step=step,
-                peer=self._address,
-            ) from exc
+            return _parse_newest(raw)
+        except _PARSE_ERRORS as exc:
+            reason = f'not a page: {exc!r}'
+            raise self._build_error(reason, 'log-newest') from exc
 
     def _parse_page(self, reply: _StoreReply, offset: int) -> KeyedPage:
         """Decode a page: the bounds of the partition, then records."""
@@ -436,12 +451,9 @@
         try:
             end, _ = _BOUNDS.unpack_from(raw)
             records = _parse_records(memoryview(raw)[_BOUNDS.size :])
-        except (struct.error, ValueError, IndexError) as exc:
-            raise LogUnavailable(
-                f'not records: {exc}',
-                step='log-read',
-                peer=self._address,
-            ) from exc
+        except _PARSE_ERRORS as exc:
+            reason = f'not records: {exc!r}'
+            raise self._build_error(reason, 'log-read') from exc
         # A read may return only some of the records up to the end.
         next_offset = min(offset + len(records), end) if records else end
         has_more = next_offset < end
@@ -489,13 +501,25 @@
 def _parse_record(content: bytes) -> KeyedRecord:
     """Decode one record: length of the key in one byte, key, payload."""
     key_end = 1 + content[0]
+    if len(content) < key_end:
+        raise ValueError('a key is cut short')
     key = content[1:key_end].decode('utf-8', 'replace')
     return KeyedRecord(key, content[key_end:])
 
 
+def _parse_newest(raw: bytes) -> _NewestPage:
+    """Decode a page of the newest records; any of _PARSE_ERRORS may occur."""
+    page = json.loads(raw)
+    items = page['items']
+    end = int(page['end'])
+    if not isinstance(items, list) or end < 0:
+        raise ValueError('invalid items or end')
+    records = [_parse_item(item) for item in items]
+    return _NewestPage(records, end, bool(page['has_more']))
+
+
 def _parse_item(item: dict[str, Any]) -> KeyedRecord:
-    try:
-        payload = base64.b64decode(item['value'])
-        return KeyedRecord(str(item['key']), payload)
-    except (KeyError, TypeError, binascii.Error) as exc:
-        raise LogUnavailable(f'not a record: {exc}', step='newest') from exc
+    key = str(item['key'])
+    # Keys with lone surrogates cannot be sent back in a query.
+    key.encode()
+    return KeyedRecord(key, base64.b64decode(item['value'], validate=True))
--- a/tests/test_platform_store_client.py
+++ b/tests/test_platform_store_client.py
@@ -18,6 +18,7 @@
     Is,
     LessThan,
     MatchesAll,
+    StartsWith,
 )
 from testtools.testcase import ExpectedException
 
@@ -469,3 +470,81 @@
                 self.assertThat(found.records[0].payload == payload, Is(True))
 
         uvloop.run(main())
+
+
+class MalformedTest(StoreClientTest):
+    """Replies that are not what the store's API states."""
+
+    # A reply without its fields ended the task of the reader by a KeyError.
+    def test_malformed_newest_pages(self) -> None:
+        item = '{"key":"a","value":"%s"}'
+        bodies = [
+            b'',
+            b'{}',
+            b'[]',
+            b'null',
+            b'7',
+            b'\xff',
+            b'[' * 100_000,
+            b'{"items":[],"has_more":false}',
+            b'{"items":[],"end":7}',
+            b'{"end":7,"has_more":false}',
+            newest_body(end=None),
+            newest_body(end='x'),
+            newest_body(end=-1),
+            newest_body(end=float('inf')),
+            newest_body(items=None),
+            newest_body(items={}),
+            newest_body(items='ab'),
+            newest_body(items=[None]),
+            newest_body(items=[{'key': 'a'}]),
+            newest_body(items=[{'value': ''}]),
+            newest_body(items=[json.loads(item % 'YQ')]),
+            newest_body(items=[json.loads(item % '!YWFh')]),
+            newest_body(items=[json.loads(item % '\xe9')]),
+            newest_body(items=[{'key': 'a', 'value': 5}]),
+            newest_body(items=[{'key': '\ud800', 'value': ''}]),
+        ]
+
+        async def main() -> None:
+            replies = map(response, bodies)
+            async with scripted(play(*replies)) as (_, log):
+                for _ in bodies:
+                    exc = await self.assert_unavailable(log.newest(STREAM))
+                    self.assertThat(exc.step, Equals('log-newest'))
+            self.assertThat(log.counters.failures, Equals(len(bodies)))
+
+        uvloop.run(main())
+
+    # A record with a key that is cut short was taken for a shorter key.
+    def test_malformed_read_pages(self) -> None:
+        bounds = BOUNDS.pack(8, 0)
+        bodies = [
+            b'',
+            bounds[:-1],
+            bounds + b'\x00\x00',
+            bounds + struct.pack('>I', 5) + b'\x01a',
+            bounds + struct.pack('>I', 0),
+            bounds + struct.pack('>I', 2) + b'\x05a',
+        ]
+
+        async def main() -> None:
+            replies = map(response, bodies)
+            async with scripted(play(*replies)) as (_, log):
+                for _ in bodies:
+                    exc = await self.assert_unavailable(log.read(STREAM, 7, 0))
+                    self.assertThat(exc.step, Equals('log-read'))
+            self.assertThat(log.counters.failures, Equals(len(bodies)))
+
+        uvloop.run(main())
+
+    async def assert_unavailable(
+        self, call: Awaitable[object]
+    ) -> LogUnavailable:
+        """Assert that a call fails and names the store; return the error."""
+        try:
+            await call
+        except LogUnavailable as exc:
+            self.assertThat(exc.peer, StartsWith('127.0.0.1:'))
+            return exc
+        raise AssertionError('the call did not fail')
