Store client: the pages of newest end

Cause: newest read on as long as the store stated more records, also if the page repeated or new keys came without end.

Change: a call fails with LogUnavailable if a page that states more ends with the last key of an earlier one, after 1000 pages, or if the pages together exceed the limit of one response.

Result: test_repeated_pages_end and test_pages_without_end_are_refused fail before (the latter at its bound of 10 s) and pass now. test_pages_are_joined passes before too.

--- a/filbertdrift/platform/store.py
+++ b/filbertdrift/platform/store.py
@@ -10,6 +10,7 @@
 import socket
 import struct
 from collections import deque
+from collections.abc import Sequence
 from dataclasses import dataclass
 from typing import Any
 from urllib.parse import urlencode
@@ -56,6 +57,8 @@
     MAX_READ_BYTES + MAX_DOCUMENT_BYTES + MAX_OVERHEAD_BYTES
 )
 MAX_NEWEST_RESPONSE_BYTES = MAX_DOCUMENT_BYTES // 3 * 4 + MAX_OVERHEAD_BYTES
+# The pages of one call to newest; their total size has the limit of one.
+MAX_NEWEST_PAGES = 1000
 MAX_APPEND_RESPONSE_BYTES = MAX_OVERHEAD_BYTES
 # A connection that was idle for longer may have been dropped silently.
 MAX_IDLE_REUSE_S = 5.0
@@ -103,6 +106,8 @@
     records: list[KeyedRecord]
     end: int
     has_more: bool
+    era: int
+    size_bytes: int
 
 
 class _ResponseTimeout(PeerUnavailable):
@@ -281,32 +286,20 @@
 
     async def newest(self, stream: str) -> KeyedPage:
         """Return the newest record of each key."""
-        records: list[KeyedRecord] = []
-        era = NO_ERA
+        pages: list[_NewestPage] = []
         query = {'topic': stream, 'part': _PARTITION}
         has_more = True
-        end = 0
         while has_more:
-            reply = await self._call(
-                'GET',
-                '/log-newest',
-                query,
-                max_bytes=MAX_NEWEST_RESPONSE_BYTES,
-            )
-            self._check_status(reply, 'log-newest')
-            page = self._parse_newest(reply.body)
-            if records and reply.era != era:
-                raise self._build_error(
-                    'the era changed between pages',
-                    'log-newest',
-                )
-            era = reply.era
-            records.extend(page.records)
-            end = page.end
+            page = await self._read_newest(query)
+            pages.append(page)
             has_more = page.has_more and bool(page.records)
             if has_more:
                 query['after'] = page.records[-1].key
-        return KeyedPage(records, end, era=era)
+            reason = _find_paging_fault(pages)
+            if reason:
+                raise self._build_error(reason, 'log-newest')
+        records = [record for page in pages for record in page.records]
+        return KeyedPage(records, pages[-1].end, era=pages[-1].era)
 
     async def read(
         self,
@@ -353,6 +346,20 @@
         while self._idle:
             self._idle.pop().close()
 
+    async def _read_newest(self, query: dict[str, str]) -> _NewestPage:
+        reply = await self._call(
+            'GET',
+            '/log-newest',
+            query,
+            max_bytes=MAX_NEWEST_RESPONSE_BYTES,
+        )
+        self._check_status(reply, 'log-newest')
+        try:
+            return _parse_newest(reply)
+        except _PARSE_ERRORS as exc:
+            reason = f'not a page: {exc!r}'
+            raise self._build_error(reason, 'log-newest') from exc
+
     async def _call(
         self,
         method: str,
@@ -438,13 +445,6 @@
         self.counters.failures += 1
         return LogUnavailable(reason, step=step, peer=self._address)
 
-    def _parse_newest(self, raw: bytes) -> _NewestPage:
-        try:
-            return _parse_newest(raw)
-        except _PARSE_ERRORS as exc:
-            reason = f'not a page: {exc!r}'
-            raise self._build_error(reason, 'log-newest') from exc
-
     def _parse_page(self, reply: _StoreReply, offset: int) -> KeyedPage:
         """Decode a page: the bounds of the partition, then records."""
         raw = reply.body
@@ -507,15 +507,29 @@
     return KeyedRecord(key, content[key_end:])
 
 
-def _parse_newest(raw: bytes) -> _NewestPage:
+def _find_paging_fault(pages: Sequence[_NewestPage]) -> str:
+    """Return what is wrong with the pages of one call, empty if nothing."""
+    if pages[-1].era != pages[0].era:
+        return 'the era changed between pages'
+    last_keys = [page.records[-1].key for page in pages if page.records]
+    if pages[-1].has_more and len(set(last_keys)) < len(last_keys):
+        return 'pages repeat'
+    size_bytes = sum(page.size_bytes for page in pages)
+    if len(pages) > MAX_NEWEST_PAGES or size_bytes > MAX_NEWEST_RESPONSE_BYTES:
+        return 'too many pages'
+    return ''
+
+
+def _parse_newest(reply: _StoreReply) -> _NewestPage:
     """Decode a page of the newest records; any of _PARSE_ERRORS may occur."""
-    page = json.loads(raw)
+    page = json.loads(reply.body)
     items = page['items']
     end = int(page['end'])
     if not isinstance(items, list) or end < 0:
         raise ValueError('invalid items or end')
     records = [_parse_item(item) for item in items]
-    return _NewestPage(records, end, bool(page['has_more']))
+    has_more = bool(page['has_more'])
+    return _NewestPage(records, end, has_more, reply.era, len(reply.body))
 
 
 def _parse_item(item: dict[str, Any]) -> KeyedRecord:
--- a/tests/test_platform_store_client.py
+++ b/tests/test_platform_store_client.py
@@ -548,3 +548,61 @@
             self.assertThat(exc.peer, StartsWith('127.0.0.1:'))
             return exc
         raise AssertionError('the call did not fail')
+
+
+class PagingTest(StoreClientTest):
+    """Results of several pages."""
+
+    # All pages of a result are returned, each after the last key before.
+    def test_pages_are_joined(self) -> None:
+        pages = (
+            newest_body(('a', b'1'), ('b', b'2'), has_more=True),
+            newest_body(('c', b'3')),
+        )
+
+        async def main() -> None:
+            async with scripted(play(*map(response, pages))) as (store, log):
+                page = await log.newest(STREAM)
+            keys = [record.key for record in page.records]
+            self.assertThat(keys, Equals(['a', 'b', 'c']))
+            self.assertThat(b'after=b' in store.requests[1], Is(True))
+
+        uvloop.run(main())
+
+    # A store that always states more records kept the caller in a loop.
+    def test_repeated_pages_end(self) -> None:
+        pages = (
+            newest_body(('a', b'1'), has_more=True),
+            newest_body(('b', b'2'), has_more=True),
+        )
+
+        async def main() -> None:
+            replies = map(response, pages * 30)
+            async with scripted(play(*replies)) as (store, log):
+                with ExpectedException(LogUnavailable, '.*pages repeat.*'):
+                    await log.newest(STREAM)
+            self.assertThat(store.requests, HasLength(3))
+            self.assertThat(log.counters.failures, Equals(1))
+
+        uvloop.run(main())
+
+    # Ever new keys did the same, and filled the memory.
+    def test_pages_without_end_are_refused(self) -> None:
+        async def respond(
+            store: ScriptedStore, writer: asyncio.StreamWriter
+        ) -> None:
+            key = str(len(store.requests))
+            writer.write(response(newest_body((key, b'1'), has_more=True)))
+
+        async def main() -> None:
+            async with asyncio.timeout(10), scripted(respond) as (_, log):
+                with ExpectedException(LogUnavailable, '.*too many pages.*'):
+                    await log.newest(STREAM)
+
+        for limits in (
+            {'MAX_NEWEST_PAGES': 20},
+            {'MAX_NEWEST_RESPONSE_BYTES': 2000},
+        ):
+            self.limit(**limits)
+            uvloop.run(main())
+            self.limit(MAX_NEWEST_PAGES=1000)
