Store client: read on from the end of the first page of newest

Cause: newest returned the end that its last page states. A record of a key on an earlier page, appended between the two, was below that offset and in neither page, so its reader missed it until the next one of the same key.

Change: the next offset is the end of the first page. Records of later pages may be read twice.

Result: test_next_offset_is_the_end_of_the_first_page fails before and passes now. Found by reading the code; not seen in a run.

--- a/filbertdrift/platform/store.py
+++ b/filbertdrift/platform/store.py
@@ -299,7 +299,9 @@
             if reason:
                 raise self._build_error(reason, 'log-newest')
         records = [record for page in pages for record in page.records]
-        return KeyedPage(records, pages[-1].end, era=pages[-1].era)
+        # Records may have been appended between the pages; reading from the end
+        # of the first page on finds them.
+        return KeyedPage(records, pages[0].end, era=pages[0].era)
 
     async def read(
         self,
--- a/tests/test_platform_store_client.py
+++ b/tests/test_platform_store_client.py
@@ -606,3 +606,17 @@
             self.limit(**limits)
             uvloop.run(main())
             self.limit(MAX_NEWEST_PAGES=1000)
+
+    # A record that was appended between two pages was never read.
+    def test_next_offset_is_the_end_of_the_first_page(self) -> None:
+        pages = (
+            newest_body(('a', b'1'), has_more=True, end=7),
+            newest_body(('b', b'2'), end=9),
+        )
+
+        async def main() -> None:
+            async with scripted(play(*map(response, pages))) as (_, log):
+                page = await log.newest(STREAM)
+            self.assertThat(page.next_offset, Equals(7))
+
+        uvloop.run(main())
