Store client: no reuse of a connection with bytes after a response

Cause: bytes that follow a response, such as those of a server in trouble, were taken for the response to the next request on the connection.

Change: a connection is reused only if its parser is between two messages and no unread bytes have arrived. Bytes that arrive later than the next request cannot be told from its response.

Result: test_surplus_is_no_response fails before and passes now. Found by reading the code; not seen in a run.

--- a/filbertdrift/platform/store.py
+++ b/filbertdrift/platform/store.py
@@ -123,12 +123,16 @@
 
     Args:
         peer: The address of the store.
+
+    Attributes:
+        unread_bytes: How many bytes have arrived and were not read.
     """
 
     def __init__(self, peer: str) -> None:
         """Create a stream that expects no response yet."""
         loop = asyncio.get_running_loop()
         super().__init__(http1.READ_BYTES, loop)
+        self.unread_bytes = 0
         self._peer = peer
         # When the next bytes are due, and the end of the response.
         self._due_at = loop.time()
@@ -146,6 +150,11 @@
         self._end_at = None
         self._bytes_left = max_bytes
 
+    def feed_data(self, data: Any) -> None:
+        """Take bytes that have arrived."""
+        self.unread_bytes += len(data)
+        super().feed_data(data)
+
     async def read(self, size: int = -1) -> bytes:
         """Read up to a number of bytes within the limits.
 
@@ -172,6 +181,7 @@
         if self._end_at is None:
             self._end_at = now + TRANSFER_TIMEOUT_S
         self._due_at = min(now + SILENCE_TIMEOUT_S, self._end_at)
+        self.unread_bytes -= len(raw)
         self._bytes_left -= len(raw)
         if self._bytes_left < 0:
             raise MalformedMessage(
@@ -215,7 +225,12 @@
     def is_usable(self, now: float) -> bool:
         """Return whether the connection can be used for another call."""
         is_open = not self._reader.at_eof() and not self._writer.is_closing()
-        return is_open and now < self.reuse_until
+        # Bytes after a response would be taken for the next one.
+        is_clean = (
+            self._responses.is_between_messages()
+            and not self._reader.unread_bytes
+        )
+        return is_open and is_clean and now < self.reuse_until
 
     async def call(
         self,
--- a/tests/test_platform_store_client.py
+++ b/tests/test_platform_store_client.py
@@ -620,3 +620,36 @@
             self.assertThat(page.next_offset, Equals(7))
 
         uvloop.run(main())
+
+
+class SurplusTest(StoreClientTest):
+    """Bytes after a response."""
+
+    # Bytes after a response were taken for the response to the next request.
+    def test_surplus_is_no_response(self) -> None:
+        for delay_s in (0, 0.05):
+            self.check_surplus(delay_s)
+
+    def check_surplus(self, delay_s: float) -> None:
+        """Send a surplus response after a delay, and call once more."""
+
+        async def respond(
+            store: ScriptedStore, writer: asyncio.StreamWriter
+        ) -> None:
+            number = len(store.requests)
+            raw = [response(newest_body(end=end)) for end in (number, 99)]
+            if delay_s:
+                writer.write(raw.pop(0))
+                await asyncio.sleep(delay_s)
+            writer.write(b''.join(raw))
+
+        async def main() -> None:
+            async with scripted(respond) as (store, log):
+                ends = []
+                for _ in range(3):
+                    ends.append((await log.newest(STREAM)).next_offset)
+                    await asyncio.sleep(delay_s * 5)
+            self.assertThat(ends, Equals([1, 2, 3]))
+            self.assertThat(store.connections, Equals(3))
+
+        uvloop.run(main())
