--- a/filbertdrift/platform/store.py
+++ b/filbertdrift/platform/store.py
@@ -57,9 +57,9 @@
     MAX_READ_BYTES + MAX_DOCUMENT_BYTES + MAX_OVERHEAD_BYTES
 )
 MAX_NEWEST_RESPONSE_BYTES = MAX_DOCUMENT_BYTES // 3 * 4 + MAX_OVERHEAD_BYTES
-# The pages of one call to newest; their total size has the limit of one.
-MAX_NEWEST_PAGES = 1000
 MAX_APPEND_RESPONSE_BYTES = MAX_OVERHEAD_BYTES
+# The pages of one call to newest together have the size limit of one response.
+MAX_NEWEST_PAGES = 1000
 # A connection that was idle for longer may have been dropped silently.
 MAX_IDLE_REUSE_S = 5.0
 
