--- a/filbertdrift/platform/store.py
+++ b/filbertdrift/platform/store.py
@@ -5,12 +5,12 @@
 
 import asyncio
 import base64
-import binascii
 import contextlib
 import json
 import socket
 import struct
 from collections import deque
+from collections.abc import Sequence
 from dataclasses import dataclass
 from typing import Any
 from urllib.parse import urlencode
@@ -58,6 +58,8 @@
 )
 MAX_NEWEST_RESPONSE_BYTES = MAX_DOCUMENT_BYTES // 3 * 4 + MAX_OVERHEAD_BYTES
 MAX_APPEND_RESPONSE_BYTES = MAX_OVERHEAD_BYTES
+# The pages of one call to newest together have the size limit of one response.
+MAX_NEWEST_PAGES = 1000
 # A connection that was idle for longer may have been dropped silently.
 MAX_IDLE_REUSE_S = 5.0
 
@@ -74,6 +76,16 @@
     (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS),
 )
 
+# What decoding bytes that are not a page raises.
+_PARSE_ERRORS = (
+    ValueError,
+    LookupError,
+    TypeError,
+    OverflowError,
+    RecursionError,
+    struct.error,
+)
+
 _PARTITION = '0'
 _ERA_HEADER = b'store-era'
 _MAX_ERA_DIGITS = 18
@@ -89,6 +101,15 @@
     keep_alive: bool
 
 
+@dataclass(frozen=True, slots=True)
+class _NewestPage:
+    records: list[KeyedRecord]
+    end: int
+    has_more: bool
+    era: int
+    size_bytes: int
+
+
 class _ResponseTimeout(PeerUnavailable):
     """No byte of a response arrived in time."""
 
@@ -102,12 +123,16 @@
 
     Args:
         peer: The address of the store.
+
+    Attributes:
+        unread_bytes: How many bytes have arrived and were not read.
     """
 
     def __init__(self, peer: str) -> None:
         """Create a stream that expects no response yet."""
         loop = asyncio.get_running_loop()
         super().__init__(http1.READ_BYTES, loop)
+        self.unread_bytes = 0
         self._peer = peer
         # When the next bytes are due, and the end of the response.
         self._due_at = loop.time()
@@ -125,6 +150,11 @@
         self._end_at = None
         self._bytes_left = max_bytes
 
+    def feed_data(self, data: Any) -> None:
+        """Take bytes that have arrived."""
+        self.unread_bytes += len(data)
+        super().feed_data(data)
+
     async def read(self, size: int = -1) -> bytes:
         """Read up to a number of bytes within the limits.
 
@@ -151,6 +181,7 @@
         if self._end_at is None:
             self._end_at = now + TRANSFER_TIMEOUT_S
         self._due_at = min(now + SILENCE_TIMEOUT_S, self._end_at)
+        self.unread_bytes -= len(raw)
         self._bytes_left -= len(raw)
         if self._bytes_left < 0:
             raise MalformedMessage(
@@ -194,7 +225,12 @@
     def is_usable(self, now: float) -> bool:
         """Return whether the connection can be used for another call."""
         is_open = not self._reader.at_eof() and not self._writer.is_closing()
-        return is_open and now < self.reuse_until
+        # Bytes after a response would be taken for the next one.
+        is_clean = (
+            self._responses.is_between_messages()
+            and not self._reader.unread_bytes
+        )
+        return is_open and is_clean and now < self.reuse_until
 
     async def call(
         self,
@@ -265,31 +301,22 @@
 
     async def newest(self, stream: str) -> KeyedPage:
         """Return the newest record of each key."""
-        records: list[KeyedRecord] = []
-        era = NO_ERA
+        pages: list[_NewestPage] = []
         query = {'topic': stream, 'part': _PARTITION}
         has_more = True
-        end: int | None = None
         while has_more:
-            reply = await self._call(
-                'GET',
-                '/log-newest',
-                query,
-                max_bytes=MAX_NEWEST_RESPONSE_BYTES,
-            )
-            page = self._parse_json(reply, 'log-newest')
-            if records and reply.era != era:
-                raise self._build_error('the era changed between pages')
-            era = reply.era
-            found = [_parse_item(item) for item in page['items']]
-            records.extend(found)
-            # Pages are not a snapshot: records that were appended since the
-            # first one may be missing from it.
-            end = int(page['end']) if end is None else end
-            has_more = bool(page['has_more']) and bool(found)
-            if found:
-                query['after'] = found[-1].key
-        return KeyedPage(records, end or 0, era=era)
+            page = await self._read_newest(query)
+            pages.append(page)
+            has_more = page.has_more and bool(page.records)
+            if has_more:
+                query['after'] = page.records[-1].key
+            reason = _find_paging_fault(pages)
+            if reason:
+                raise self._build_error(reason, 'log-newest')
+        records = [record for page in pages for record in page.records]
+        # Records may have been appended between the pages; reading from the end
+        # of the first page on finds them.
+        return KeyedPage(records, pages[0].end, era=pages[0].era)
 
     async def read(
         self,
@@ -336,6 +363,20 @@
         while self._idle:
             self._idle.pop().close()
 
+    async def _read_newest(self, query: dict[str, str]) -> _NewestPage:
+        reply = await self._call(
+            'GET',
+            '/log-newest',
+            query,
+            max_bytes=MAX_NEWEST_RESPONSE_BYTES,
+        )
+        self._check_status(reply, 'log-newest')
+        try:
+            return _parse_newest(reply)
+        except _PARSE_ERRORS as exc:
+            reason = f'not a page: {exc!r}'
+            raise self._build_error(reason, 'log-newest') from exc
+
     async def _call(
         self,
         method: str,
@@ -416,21 +457,10 @@
         kind = LogAnswerLost if lost else LogUnavailable
         raise kind(reason, step=step, peer=self._address)
 
-    def _build_error(self, reason: str) -> LogUnavailable:
-        """Count a malformed reply to log-newest; return its error."""
+    def _build_error(self, reason: str, step: str) -> LogUnavailable:
+        """Count a malformed reply and return its error."""
         self.counters.failures += 1
-        return LogUnavailable(reason, step='log-newest', peer=self._address)
-
-    def _parse_json(self, reply: _StoreReply, step: str) -> Any:
-        self._check_status(reply, step)
-        try:
-            return json.loads(reply.body)
-        except ValueError as exc:
-            raise LogUnavailable(
-                f'not JSON: {exc}',
-                step=step,
-                peer=self._address,
-            ) from exc
+        return LogUnavailable(reason, step=step, peer=self._address)
 
     def _parse_page(self, reply: _StoreReply, offset: int) -> KeyedPage:
         """Decode a page: the bounds of the partition, then records."""
@@ -438,12 +468,9 @@
         try:
             end, _ = _BOUNDS.unpack_from(raw)
             records = _parse_records(memoryview(raw)[_BOUNDS.size :])
-        except (struct.error, ValueError, IndexError) as exc:
-            raise LogUnavailable(
-                f'not records: {exc}',
-                step='log-read',
-                peer=self._address,
-            ) from exc
+        except _PARSE_ERRORS as exc:
+            reason = f'not records: {exc!r}'
+            raise self._build_error(reason, 'log-read') from exc
         # A read may return only some of the records up to the end.
         next_offset = min(offset + len(records), end) if records else end
         has_more = next_offset < end
@@ -491,13 +518,39 @@
 def _parse_record(content: bytes) -> KeyedRecord:
     """Decode one record: length of the key in one byte, key, payload."""
     key_end = 1 + content[0]
+    if len(content) < key_end:
+        raise ValueError('a key is cut short')
     key = content[1:key_end].decode('utf-8', 'replace')
     return KeyedRecord(key, content[key_end:])
 
 
+def _find_paging_fault(pages: Sequence[_NewestPage]) -> str:
+    """Return what is wrong with the pages of one call, empty if nothing."""
+    if pages[-1].era != pages[0].era:
+        return 'the era changed between pages'
+    last_keys = [page.records[-1].key for page in pages if page.records]
+    if pages[-1].has_more and len(set(last_keys)) < len(last_keys):
+        return 'pages repeat'
+    size_bytes = sum(page.size_bytes for page in pages)
+    if len(pages) > MAX_NEWEST_PAGES or size_bytes > MAX_NEWEST_RESPONSE_BYTES:
+        return 'too many pages'
+    return ''
+
+
+def _parse_newest(reply: _StoreReply) -> _NewestPage:
+    """Decode a page of the newest records; any of _PARSE_ERRORS may occur."""
+    page = json.loads(reply.body)
+    items = page['items']
+    end = int(page['end'])
+    if not isinstance(items, list) or end < 0:
+        raise ValueError('invalid items or end')
+    records = [_parse_item(item) for item in items]
+    has_more = bool(page['has_more'])
+    return _NewestPage(records, end, has_more, reply.era, len(reply.body))
+
+
 def _parse_item(item: dict[str, Any]) -> KeyedRecord:
-    try:
-        payload = base64.b64decode(item['value'])
-        return KeyedRecord(str(item['key']), payload)
-    except (KeyError, TypeError, binascii.Error) as exc:
-        raise LogUnavailable(f'not a record: {exc}', step='newest') from exc
+    key = str(item['key'])
+    # Keys with lone surrogates cannot be sent back in a query.
+    key.encode()
+    return KeyedRecord(key, base64.b64decode(item['value'], validate=True))
--- a/tests/test_platform_store_client.py
+++ b/tests/test_platform_store_client.py
@@ -18,6 +18,7 @@
     Is,
     LessThan,
     MatchesAll,
+    StartsWith,
 )
 from testtools.testcase import ExpectedException
 
@@ -150,21 +151,6 @@
     """The era that the store states in each reply."""
 
     # A holder of offsets missed that the store had come back from a copy.
-    # DENIED: the end of the last page was taken for the place to read on, so
-    # what was appended while the pages were read was never read.
-    def test_reading_goes_on_at_the_end_of_the_first_page(self) -> None:
-        async def main() -> None:
-            replies = (
-                response(newest_body(('a', b'1'), has_more=True, end=7)),
-                response(newest_body(('b', b'2'), end=9)),
-            )
-            async with scripted(play(*replies)) as (_, log):
-                newest = await log.newest(STREAM)
-            self.assertThat(newest.next_offset, Equals(7))
-            self.assertThat(len(newest.records), Equals(2))
-
-        uvloop.run(main())
-
     def test_pages_carry_the_era(self) -> None:
         async def main() -> None:
             replies = (
@@ -484,3 +470,186 @@
                 self.assertThat(found.records[0].payload == payload, Is(True))
 
         uvloop.run(main())
+
+
+class MalformedTest(StoreClientTest):
+    """Replies that are not what the store's API states."""
+
+    # A reply without its fields ended the task of the reader by a KeyError.
+    def test_malformed_newest_pages(self) -> None:
+        item = '{"key":"a","value":"%s"}'
+        bodies = [
+            b'',
+            b'{}',
+            b'[]',
+            b'null',
+            b'7',
+            b'\xff',
+            b'[' * 100_000,
+            b'{"items":[],"has_more":false}',
+            b'{"items":[],"end":7}',
+            b'{"end":7,"has_more":false}',
+            newest_body(end=None),
+            newest_body(end='x'),
+            newest_body(end=-1),
+            newest_body(end=float('inf')),
+            newest_body(items=None),
+            newest_body(items={}),
+            newest_body(items='ab'),
+            newest_body(items=[None]),
+            newest_body(items=[{'key': 'a'}]),
+            newest_body(items=[{'value': ''}]),
+            newest_body(items=[json.loads(item % 'YQ')]),
+            newest_body(items=[json.loads(item % '!YWFh')]),
+            newest_body(items=[json.loads(item % '\xe9')]),
+            newest_body(items=[{'key': 'a', 'value': 5}]),
+            newest_body(items=[{'key': '\ud800', 'value': ''}]),
+        ]
+
+        async def main() -> None:
+            replies = map(response, bodies)
+            async with scripted(play(*replies)) as (_, log):
+                for _ in bodies:
+                    exc = await self.assert_unavailable(log.newest(STREAM))
+                    self.assertThat(exc.step, Equals('log-newest'))
+            self.assertThat(log.counters.failures, Equals(len(bodies)))
+
+        uvloop.run(main())
+
+    # A record with a key that is cut short was taken for a shorter key.
+    def test_malformed_read_pages(self) -> None:
+        bounds = BOUNDS.pack(8, 0)
+        bodies = [
+            b'',
+            bounds[:-1],
+            bounds + b'\x00\x00',
+            bounds + struct.pack('>I', 5) + b'\x01a',
+            bounds + struct.pack('>I', 0),
+            bounds + struct.pack('>I', 2) + b'\x05a',
+        ]
+
+        async def main() -> None:
+            replies = map(response, bodies)
+            async with scripted(play(*replies)) as (_, log):
+                for _ in bodies:
+                    exc = await self.assert_unavailable(log.read(STREAM, 7, 0))
+                    self.assertThat(exc.step, Equals('log-read'))
+            self.assertThat(log.counters.failures, Equals(len(bodies)))
+
+        uvloop.run(main())
+
+    async def assert_unavailable(
+        self, call: Awaitable[object]
+    ) -> LogUnavailable:
+        """Assert that a call fails and names the store; return the error."""
+        try:
+            await call
+        except LogUnavailable as exc:
+            self.assertThat(exc.peer, StartsWith('127.0.0.1:'))
+            return exc
+        raise AssertionError('the call did not fail')
+
+
+class PagingTest(StoreClientTest):
+    """Results of several pages."""
+
+    # All pages of a result are returned, each after the last key before.
+    def test_pages_are_joined(self) -> None:
+        pages = (
+            newest_body(('a', b'1'), ('b', b'2'), has_more=True),
+            newest_body(('c', b'3')),
+        )
+
+        async def main() -> None:
+            async with scripted(play(*map(response, pages))) as (store, log):
+                page = await log.newest(STREAM)
+            keys = [record.key for record in page.records]
+            self.assertThat(keys, Equals(['a', 'b', 'c']))
+            self.assertThat(b'after=b' in store.requests[1], Is(True))
+
+        uvloop.run(main())
+
+    # A store that always states more records kept the caller in a loop.
+    def test_repeated_pages_end(self) -> None:
+        pages = (
+            newest_body(('a', b'1'), has_more=True),
+            newest_body(('b', b'2'), has_more=True),
+        )
+
+        async def main() -> None:
+            replies = map(response, pages * 30)
+            async with scripted(play(*replies)) as (store, log):
+                with ExpectedException(LogUnavailable, '.*pages repeat.*'):
+                    await log.newest(STREAM)
+            self.assertThat(store.requests, HasLength(3))
+            self.assertThat(log.counters.failures, Equals(1))
+
+        uvloop.run(main())
+
+    # Ever new keys did the same, and filled the memory.
+    def test_pages_without_end_are_refused(self) -> None:
+        async def respond(
+            store: ScriptedStore, writer: asyncio.StreamWriter
+        ) -> None:
+            key = str(len(store.requests))
+            writer.write(response(newest_body((key, b'1'), has_more=True)))
+
+        async def main() -> None:
+            async with asyncio.timeout(10), scripted(respond) as (_, log):
+                with ExpectedException(LogUnavailable, '.*too many pages.*'):
+                    await log.newest(STREAM)
+
+        for limits in (
+            {'MAX_NEWEST_PAGES': 20},
+            {'MAX_NEWEST_RESPONSE_BYTES': 2000},
+        ):
+            self.limit(**limits)
+            uvloop.run(main())
+            self.limit(MAX_NEWEST_PAGES=1000)
+
+    # DENIED: a record that was appended between two pages was never read.
+    def test_next_offset_is_the_end_of_the_first_page(self) -> None:
+        pages = (
+            newest_body(('a', b'1'), has_more=True, end=7),
+            newest_body(('b', b'2'), end=9),
+        )
+
+        async def main() -> None:
+            async with scripted(play(*map(response, pages))) as (_, log):
+                page = await log.newest(STREAM)
+            self.assertThat(page.next_offset, Equals(7))
+
+        uvloop.run(main())
+
+
+class SurplusTest(StoreClientTest):
+    """Bytes after a response."""
+
+    # Bytes after a response were taken for the response to the next request.
+    def test_surplus_is_no_response(self) -> None:
+        for delay_s in (0, 0.05):
+            self.check_surplus(delay_s)
+
+    def check_surplus(self, delay_s: float) -> None:
+        """Send a surplus response after a delay, and call once more."""
+
+        async def respond(
+            store: ScriptedStore, writer: asyncio.StreamWriter
+        ) -> None:
+            number = len(store.requests)
+            raw = [response(newest_body(end=end)) for end in (number, 99)]
+            if delay_s:
+                writer.write(raw.pop(0))
+                await asyncio.sleep(delay_s)
+            writer.write(b''.join(raw))
+
+        async def main() -> None:
+            async with scripted(respond) as (store, log):
+                ends = []
+                for _ in range(3):
+                    ends.append((await log.newest(STREAM)).next_offset)
+                    await asyncio.sleep(delay_s * 5)
+            self.assertThat(ends, Equals([1, 2, 3]))
+            self.assertThat(store.connections, Equals(3))
+
+        uvloop.run(main())
