http1: the end of a stream ends one message only

A target that sent an interim head, such as 100 Continue, and closed the connection stopped the event loop of its node for good. An interim head has no length, so the reader took it for one of a close-delimited body and reported the end of the stream as the end of that body, again and again, and ResponseReader.head skipped each of these without ever waiting. A response without a length to another request had the same effect.

Interim heads have no body, and the end of the stream ends at most one message.

--- a/filbertdrift/http1.py
+++ b/filbertdrift/http1.py
@@ -334,7 +334,8 @@
         names = {name for name, _ in self._headers}
         status = self.parser.get_status_code()
         self._is_close_delimited = (
-            b'content-length' not in names
+            status >= _FIRST_FINAL_STATUS
+            and b'content-length' not in names
             and b'transfer-encoding' not in names
             and status not in _NO_BODY_STATUSES
         )
@@ -364,6 +365,8 @@
     def _handle_eof(self) -> _Part:
         was_reset = self._was_reset is not None and self._was_reset()
         if self._is_close_delimited and not was_reset:
+            # The end of the stream ends one message only.
+            self._is_close_delimited = False
             return _END
         return super()._handle_eof()
 
