http1: bound the bytes beside a body

The limit on a head did not count what a peer may repeat without end and without ever completing a final head or a part of a body: interim heads, line ends before a later message, chunk extensions, and trailers, whose content the parser holds in memory. Such bytes were read until the request's deadline, and the caller got a 504 then.

The limit now counts all bytes since the last final head, part of a body or whole message. Beyond it the message is malformed: a target's is answered with 502 at once and its connection is closed.

Before the change 8 of these tests fail: those of interim heads, of lines before a second head (response and request), of chunk extensions and of trailers. The others show what already held: garbage, heads and close-delimited or chunked bodies without end, fast or a byte at a time, end with 502, 504 or a broken connection, and fail a probe.

--- a/filbertdrift/http1.py
+++ b/filbertdrift/http1.py
@@ -128,10 +128,12 @@
         self._parts: deque[_Part] = deque()
         self._headers: Headers = []
         self._url = b''
-        self._head_bytes = 0
+        # Bytes since the last final head, part of a body or whole message.
+        self._overhead_bytes = 0
         self._field_bytes = 0
         self._in_head = True
         self._in_message = False
+        self._is_interim = False
         self._parse_error: MalformedMessage | None = None
 
     def on_message_begin(self) -> None:
@@ -154,11 +156,14 @@
 
     def on_body(self, body: bytes) -> None:
         """Queue a part of the body."""
+        self._overhead_bytes = 0
         self._parts.append(body)
 
     def on_message_complete(self) -> None:
         """Queue the end of the message."""
         self._in_message = False
+        self._finish_section()
+        self._in_head = True
         self._parts.append(_END)
 
     def is_between_messages(self) -> bool:
@@ -213,8 +218,7 @@
             ) from exc
 
     def _feed(self, raw: bytes) -> None:
-        if self._in_head:
-            self._head_bytes += len(raw)
+        self._overhead_bytes += len(raw)
         try:
             self.parser.feed_data(raw)
         except httptools.HttpParserUpgrade as exc:
@@ -231,21 +235,32 @@
             )
             if not self._has_complete_message():
                 raise self._parse_error from exc
-        pending_bytes = self._head_bytes if self._in_head else 0
-        if max(pending_bytes, self._field_bytes) > MAX_HEAD_BYTES:
+        self._check_overhead()
+
+    def _check_overhead(self) -> None:
+        if max(self._overhead_bytes, self._field_bytes) <= MAX_HEAD_BYTES:
+            return
+        if self._in_head or self._field_bytes > MAX_HEAD_BYTES:
             raise HeadTooLarge(
                 f'head over {MAX_HEAD_BYTES} bytes',
                 step='parse',
                 peer=self.peer,
             )
+        raise MalformedMessage(
+            f'over {MAX_HEAD_BYTES} bytes beside the body',
+            step='parse',
+            peer=self.peer,
+        )
 
     def _has_complete_message(self) -> bool:
         """Return whether a complete message precedes the malformed bytes."""
         return any(isinstance(part, _MessageEnd) for part in self._parts)
 
-    def _finish_head(self) -> None:
+    def _finish_section(self) -> None:
+        """Record the end of a head or a message; interim ones add up."""
         self._in_head = False
-        self._head_bytes = 0
+        if not self._is_interim:
+            self._overhead_bytes = 0
 
 
 class RequestReader(_Reader):
@@ -258,7 +273,7 @@
 
     def on_headers_complete(self) -> None:
         """Queue the head."""
-        self._finish_head()
+        self._finish_section()
         self._parts.append(
             RequestHead(
                 self.parser.get_method().decode('ascii'),
@@ -270,7 +285,7 @@
 
     async def wait_for_data(self) -> bool:
         """Wait for the first bytes of a request; return False at the end."""
-        if self._parts or self._head_bytes or self._parse_error:
+        if self._parts or self._overhead_bytes or self._parse_error:
             return True
         raw = await self._read()
         if raw:
@@ -297,7 +312,7 @@
                 raise self._parse_error
             raw = await self._read()
             if not raw:
-                if self._head_bytes:
+                if self._overhead_bytes:
                     self._handle_eof()
                 return None
             self._feed(raw)
@@ -330,11 +345,12 @@
 
     def on_headers_complete(self) -> None:
         """Queue the head."""
-        self._finish_head()
         names = {name for name, _ in self._headers}
         status = self.parser.get_status_code()
+        self._is_interim = status < _FIRST_FINAL_STATUS
+        self._finish_section()
         self._is_close_delimited = (
-            status >= _FIRST_FINAL_STATUS
+            not self._is_interim
             and b'content-length' not in names
             and b'transfer-encoding' not in names
             and status not in _NO_BODY_STATUSES
--- a/tests/test_endless_responses.py
+++ b/tests/test_endless_responses.py
@@ -1,14 +1,18 @@
 """Bytes without end from a target or a caller are bounded and broken off."""
 
 import asyncio
+import contextlib
+from dataclasses import dataclass, field
 
 from testtools import TestCase
 from testtools.matchers import Equals, StartsWith
 from testtools.testcase import ExpectedException
 
 from filbertdrift import http1
-from filbertdrift.http1 import MessageTruncated
+from filbertdrift.errors import MalformedMessage
+from filbertdrift.http1 import HeadTooLarge, MessageTruncated
 from filbertdrift.lifecycle import Heartbeat
+from filbertdrift.target import HttpTarget
 from tests.sockets import read_request
 from tests.test_entry import request as caller_request
 from tests.test_entry import socket_mesh
@@ -16,9 +20,13 @@
 HOST = '127.0.0.1'
 INTERIM = b'HTTP/1.1 100 Continue\r\n\r\n'
 OK_HEAD = b'HTTP/1.1 200 OK\r\nattempt-id: r1\r\nserver-seal: s\r\n'
+CHUNKED = OK_HEAD + b'transfer-encoding: chunked\r\n\r\n'
+WHOLE = OK_HEAD + b'content-length: 2\r\n\r\nok'
 STRAY = b'HTTP/1.1 200 OK\r\nattempt-id: other\r\n'
 MAX_READ_BYTES = 1_048_576
 MAX_READS_AT_END = 100
+EDGE_BYTES = 200
+CALLER_DEADLINE = 'deadline-ms: 400'
 
 
 class ScriptedStream(asyncio.StreamReader):
@@ -86,10 +94,250 @@
         with ExpectedException(MessageTruncated):
             await responses.head()
 
+    # Interim heads were skipped without a bound.
+    def test_endless_interim_heads(self) -> None:
+        with ExpectedException(HeadTooLarge):
+            asyncio.run(read_response(INTERIM, INTERIM))
+
+    # Line ends before the second response of a connection had no bound.
+    def test_endless_lines_before_a_head(self) -> None:
+        asyncio.run(self._lines())
+
+    async def _lines(self) -> None:
+        responses = http1.ResponseReader(
+            ScriptedStream(WHOLE, b'\r\n'), 'target'
+        )
+        await responses.head()
+        self.assertThat((await responses.part()).end, Equals(True))
+        with ExpectedException(HeadTooLarge):
+            await responses.head()
+
+    def test_endless_head(self) -> None:
+        for first, unit in (
+            (b'HTTP/1.1 200 ', b'a'),
+            (OK_HEAD, b'a'),
+            (OK_HEAD + b'a: ', b'a'),
+            (OK_HEAD, b'a: b\r\n'),
+            (INTERIM + OK_HEAD, b'a: b\r\n'),
+            (b'\r\n', b'\r\n'),
+        ):
+            with ExpectedException(HeadTooLarge):
+                asyncio.run(read_response(first, unit))
+
+    def test_endless_garbage(self) -> None:
+        for unit in (b'x', b'\0', b'HTTP/9.9 abc\r\n'):
+            with ExpectedException(MalformedMessage):
+                asyncio.run(read_response(b'', unit))
+
+    # Chunk extensions and the content of a trailer had no bound; the latter
+    # was held in memory.
+    def test_endless_framing(self) -> None:
+        for unit_after in (b'2;', b'2\r\nok\r\n2;', b'0\r\na: '):
+            with ExpectedException(MalformedMessage):
+                asyncio.run(read_response(CHUNKED + unit_after, b'a'))
+
+    def test_endless_trailers(self) -> None:
+        first = CHUNKED + b'2\r\nok\r\n0\r\n'
+        with ExpectedException(MalformedMessage):
+            asyncio.run(read_response(first, b'a: b\r\n'))
+
+    # Framing counts only since the last part of the body.
+    def test_long_body_of_small_chunks(self) -> None:
+        count = 100_000
+        raw = CHUNKED + b'1\r\na\r\n' * count + http1.LAST_CHUNK
+        body = asyncio.run(read_response(raw))
+        self.assertThat(len(body), Equals(count))
+
+
+class CallerReaderTest(TestCase):
+    """A reader of requests bounds what it reads beside a body."""
+
+    def test_endless_head(self) -> None:
+        for first, unit in (
+            (b'GET /', b'a'),
+            (b'GET / HTTP/1.1\r\n', b'a'),
+            (b'GET / HTTP/1.1\r\n', b'a: b\r\n'),
+            (b'\r\n', b'\r\n'),
+        ):
+            with ExpectedException(HeadTooLarge):
+                asyncio.run(self._read_requests(first, unit, 1))
+
+    # Line ends before the second request of a connection had no bound.
+    def test_endless_lines_before_a_second_head(self) -> None:
+        first = b'GET / HTTP/1.1\r\nhost: x\r\n\r\n'
+        with ExpectedException(HeadTooLarge):
+            asyncio.run(self._read_requests(first, b'\r\n', 2))
+
+    async def _read_requests(
+        self, first: bytes, unit: bytes, count: int
+    ) -> None:
+        requests = http1.RequestReader(ScriptedStream(first, unit), 'caller')
+        for _ in range(count):
+            await requests.head()
+            await requests.part()
+
+
+@dataclass
+class EndlessTarget:
+    """A target that responds with bytes without end.
+
+    Args:
+        first: Bytes in response to a request.
+        unit: Sent again and again after them; if empty, nothing more is sent.
+        pause_s: Pause after each unit.
+
+    Attributes:
+        received: The heads of the requests.
+        is_closed: Set when the node has closed the connection.
+    """
+
+    first: bytes
+    unit: bytes = b''
+    pause_s: float = 0
+    received: list[bytes] = field(default_factory=list)
+    is_closed: asyncio.Event = field(default_factory=asyncio.Event)
+
+    async def start(self) -> str:
+        """Listen and return the address."""
+        server = await asyncio.start_server(self._serve, HOST, 0)
+        port = server.sockets[0].getsockname()[1]
+        return f'{HOST}:{port}'
+
+    async def _serve(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        self.received.append(await read_request(reader))
+        end = asyncio.ensure_future(reader.read())
+        writer.write(self.first)
+        with contextlib.suppress(OSError):
+            while self.unit and not end.done():
+                writer.write(self.unit)
+                await writer.drain()
+                await asyncio.sleep(self.pause_s)
+        # A reset, too, shows that the node closed the connection.
+        await asyncio.wait((end,))
+        end.exception()
+        self.is_closed.set()
+        writer.transport.abort()
+
+
+@dataclass
+class CallerView:
+    """What a caller saw of the response.
+
+    Args:
+        raw: The bytes, without those in the middle of a long response.
+        is_running: The gate still held the slot after the response.
+    """
+
+    raw: bytes
+    is_running: bool
+
+
+async def call_endless(
+    target: EndlessTarget, path: str = '/write/x'
+) -> CallerView:
+    """Send a request to an endless target through a node."""
+    async with socket_mesh() as mesh:
+        address = await target.start()
+        mesh.node.lifecycle.record_heartbeat(
+            Heartbeat('i-2', 2, 1, 'desk', address, 4, False, 0),
+        )
+        await asyncio.sleep(0.1)
+        reader, writer = await asyncio.open_connection(HOST, mesh.caller_port)
+        raw_request = caller_request(path).replace(
+            b'deadline-ms: 2000', CALLER_DEADLINE.encode()
+        )
+        writer.write(raw_request)
+        raw = b''
+        try:
+            async with asyncio.timeout(5):
+                while chunk := await reader.read(1_000_000):
+                    raw += chunk
+                    if len(raw) > 2 * EDGE_BYTES:
+                        raw = raw[:EDGE_BYTES] + raw[-EDGE_BYTES:]
+        except ConnectionResetError:
+            raw += b'reset'
+        finally:
+            writer.close()
+        async with asyncio.timeout(5):
+            await target.is_closed.wait()
+        current = mesh.node.lifecycle.current
+        return CallerView(raw, bool(current and current.gate.running))
+
 
 class EndlessResponseTest(TestCase):
     """A caller gets an honest end and the target's connection is closed."""
 
+    def check(
+        self, target: EndlessTarget, status: bytes, path: str = '/write/x'
+    ) -> CallerView:
+        """Call a target and check what must always hold."""
+
+        async def main() -> CallerView:
+            return await call_endless(target, path)
+
+        view = asyncio.run(main())
+        self.assertThat(view.raw, StartsWith(b'HTTP/1.1 ' + status))
+        self.assertThat(view.is_running, Equals(False))
+        self.assertThat(len(target.received), Equals(1))
+        return view
+
+    def test_fast_bytes_that_are_no_answer(self) -> None:
+        for first, unit in (
+            (b'', b'no HTTP at all ' * 1000),
+            (OK_HEAD, b'a' * 10_000),
+            (OK_HEAD, b'a: b\r\n' * 1000),
+            (CHUNKED + b'2\r\nok\r\n0\r\n', b'a: b\r\n' * 1000),
+        ):
+            self.check(EndlessTarget(first, unit), b'502 ')
+
+    # The caller got its end only at its deadline.
+    def test_fast_interim_heads(self) -> None:
+        self.check(EndlessTarget(INTERIM, INTERIM * 100), b'502 ')
+
+    # The caller got its end only at its deadline.
+    def test_fast_chunk_extension(self) -> None:
+        self.check(EndlessTarget(CHUNKED + b'2;', b'a' * 10_000), b'502 ')
+
+    # The caller got its end only at its deadline.
+    def test_fast_trailer(self) -> None:
+        first = CHUNKED + b'2\r\nok\r\n0\r\na: '
+        self.check(EndlessTarget(first, b'a' * 10_000), b'502 ')
+
+    def test_slow_bytes_that_are_no_answer(self) -> None:
+        for first, unit in (
+            (OK_HEAD, b'a'),
+            (OK_HEAD + b'a: ', b'a'),
+            (INTERIM, INTERIM),
+            (CHUNKED + b'2;', b'a'),
+            (CHUNKED + b'2\r\nok\r\n0\r\na: ', b'a'),
+        ):
+            self.check(EndlessTarget(first, unit, 0.01), b'504 ')
+
+    def test_slow_body(self) -> None:
+        for first, unit in (
+            (OK_HEAD + b'\r\n', b'a'),
+            (CHUNKED, b'1\r\na\r\n'),
+            (OK_HEAD + b'content-length: 1000000\r\n\r\n', b'a'),
+        ):
+            self.check(EndlessTarget(first, unit, 0.01), b'504 ')
+
+    def test_fast_body_is_broken_off_at_the_deadline(self) -> None:
+        for first, unit in (
+            (OK_HEAD + b'\r\n', b'a' * 10_000),
+            (CHUNKED, b'2710\r\n' + b'a' * 10_000 + b'\r\n'),
+        ):
+            view = self.check(EndlessTarget(first, unit), b'200 ')
+            self.assertThat(view.raw.endswith(http1.LAST_CHUNK), Equals(False))
+
+    def test_bytes_after_a_whole_response(self) -> None:
+        target = EndlessTarget(WHOLE, b'more' * 1000)
+        view = self.check(target, b'200 ')
+        self.assertThat(view.raw.endswith(b'\r\n\r\nok'), Equals(True))
+
     # A target that closed after such a response stopped the event loop.
     def test_end_after_another_response(self) -> None:
         asyncio.run(self._end_after_stray())
@@ -111,3 +359,30 @@
             await asyncio.sleep(0.1)
             response = await mesh.send(caller_request('/write/x'))
         self.assertThat(response, StartsWith(b'HTTP/1.1 502 '))
+
+
+class ProbeTest(TestCase):
+    """A probe of a target that sends bytes without end fails and ends."""
+
+    def probe(self, target: EndlessTarget) -> bool:
+        """Return whether a target is found healthy."""
+        return asyncio.run(asyncio.wait_for(self._probe(target), 10))
+
+    async def _probe(self, target: EndlessTarget) -> bool:
+        http_target = HttpTarget(await target.start(), 4)
+        is_healthy = await http_target.check_health('/health')
+        await target.is_closed.wait()
+        http_target.close()
+        return is_healthy
+
+    def test_no_health_in_endless_bytes(self) -> None:
+        for first, unit in (
+            (b'', b'no HTTP at all ' * 1000),
+            (OK_HEAD, b'a' * 10_000),
+            (INTERIM, INTERIM * 100),
+            (CHUNKED + b'2;', b'a' * 10_000),
+            (OK_HEAD + b'\r\n', b'a' * 10_000),
+        ):
+            self.assertThat(
+                self.probe(EndlessTarget(first, unit)), Equals(False)
+            )
