http1: trailers are not headers

The fields after a chunked body were added to the headers of its message. With the whole response in one read, a trailer could mark a success as genuine, name the request id or become a header of the caller's response.

They are dropped. The test fails before the change: the head has the trailer's field.

--- a/filbertdrift/http1.py
+++ b/filbertdrift/http1.py
@@ -150,7 +150,9 @@
         self._field_bytes += len(url)
 
     def on_header(self, name: bytes, content: bytes) -> None:
-        """Collect a header."""
+        """Collect a header; trailers are dropped."""
+        if not self._in_head:
+            return
         self._headers.append((name.lower(), content))
         self._field_bytes += len(name) + len(content)
 
--- a/tests/test_endless_responses.py
+++ b/tests/test_endless_responses.py
@@ -148,6 +148,22 @@
         body = asyncio.run(read_response(raw))
         self.assertThat(len(body), Equals(count))
 
+    # Trailers became headers, among them those that mark a success as genuine.
+    def test_trailers_are_not_headers(self) -> None:
+        asyncio.run(self._trailers())
+
+    async def _trailers(self) -> None:
+        raw = (
+            b'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n'
+            b'2\r\nok\r\n0\r\nserver-seal: s\r\n\r\n'
+        )
+        responses = http1.ResponseReader(ScriptedStream(raw), 'target')
+        head = await responses.head()
+        self.assertThat(
+            http1.find_header(head.headers, b'server-seal'), Equals('')
+        )
+        self.assertThat((await responses.part()).end, Equals(True))
+
 
 class CallerReaderTest(TestCase):
     """A reader of requests bounds what it reads beside a body."""
