target: bytes between two exchanges close the connection

Bytes that a target sent on an idle connection stayed in the stream's buffer and were read as the response to the next request. A late 421, for one, promised that a request which then ran had not run.

The connection is closed as soon as such bytes arrive. A connection is not reused either if the stream's buffer or the socket still holds some.

The tests of IdleConnectionTest fail before the change: two exchanges take the bytes for a response and end after 5 s, and the connection stays open.

--- a/filbertdrift/target.py
+++ b/filbertdrift/target.py
@@ -2,9 +2,14 @@
 
 import asyncio
 import os
+import select
 from abc import ABC, abstractmethod
 from collections import deque
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
+from typing import SupportsIndex
+
+from loguru import logger
 
 from filbertdrift import http1
 from filbertdrift.errors import MalformedMessage, PeerUnavailable
@@ -130,6 +135,35 @@
         """Close the idle connections."""
 
 
+class TargetStream(asyncio.StreamReader):
+    """The bytes that a target sends on a connection.
+
+    Attributes:
+        unread_bytes: Number of bytes received and not yet read.
+        on_stray_bytes: Called when bytes arrive; set between two exchanges.
+    """
+
+    def __init__(self) -> None:
+        """Create the empty stream of a connection that is in use."""
+        super().__init__()
+        self.unread_bytes = 0
+        self.on_stray_bytes: Callable[[], None] | None = None
+
+    def feed_data(self, data: Iterable[SupportsIndex]) -> None:
+        """Receive bytes."""
+        raw = bytes(data)
+        self.unread_bytes += len(raw)
+        super().feed_data(raw)
+        if self.on_stray_bytes:
+            self.on_stray_bytes()
+
+    async def read(self, limit_bytes: int = -1) -> bytes:
+        """Return bytes up to a limit, none at the end of the stream."""
+        raw = await super().read(limit_bytes)
+        self.unread_bytes -= len(raw)
+        return raw
+
+
 class TargetConnection:
     """A connection to the target.
 
@@ -141,7 +175,7 @@
 
     def __init__(
         self,
-        reader: asyncio.StreamReader,
+        reader: TargetStream,
         writer: asyncio.StreamWriter,
         peer: str,
     ) -> None:
@@ -158,8 +192,24 @@
             now < self.reuse_until
             and not self._reader.at_eof()
             and not self._writer.is_closing()
+            and not self._has_unread_in_socket()
+        )
+
+    def is_between_exchanges(self) -> bool:
+        """Return whether no bytes follow the last response."""
+        return (
+            self.messages.is_between_messages()
+            and not self._reader.unread_bytes
         )
 
+    def begin_exchange(self) -> None:
+        """Take the bytes from now on for a response."""
+        self._reader.on_stray_bytes = None
+
+    def end_exchange(self) -> None:
+        """Close the connection if bytes arrive before the next exchange."""
+        self._reader.on_stray_bytes = self._reject_stray_bytes
+
     async def write(self, raw: bytes) -> None:
         """Write bytes, waiting while the send buffer is full.
 
@@ -180,6 +230,21 @@
         """Close the connection at once."""
         self._writer.transport.abort()
 
+    def _reject_stray_bytes(self) -> None:
+        logger.bind(event='stray_bytes', peer=self.messages.peer).info(
+            'the target sent bytes that are no response',
+        )
+        self.close()
+
+    def _has_unread_in_socket(self) -> bool:
+        """Return whether the socket has bytes that the loop did not read."""
+        sock = self._writer.get_extra_info('socket')
+        if sock is None or sock.fileno() < 0:
+            return True
+        poll = select.poll()
+        poll.register(sock.fileno(), select.POLLIN)
+        return bool(poll.poll(0))
+
     def _was_reset(self) -> bool:
         """Return whether the stream ended with a reset, not with a close.
 
@@ -281,9 +346,7 @@
         """Return whether the connection can carry another exchange."""
         if self._is_reuse_forbidden or self._head is None:
             return False
-        return (
-            self._head.keep_alive and self._conn.messages.is_between_messages()
-        )
+        return self._head.keep_alive and self._conn.is_between_exchanges()
 
     def _is_unresponsive(self) -> bool:
         """Return whether no response head arrived for a long time.
@@ -332,6 +395,7 @@
                 self._idle.append(conn)
                 break
             else:
+                conn.begin_exchange()
                 return HttpExchange(self, conn, request)
         return HttpExchange(self, await self._connect(), request)
 
@@ -382,6 +446,7 @@
         now = asyncio.get_running_loop().time()
         conn.idle_since = now
         conn.reuse_until = now + idle_s
+        conn.end_exchange()
         self._idle.append(conn)
         if len(self._idle) > self._limit:
             self._idle.popleft().close()
@@ -395,13 +460,23 @@
         host, port = split_address(self.address)
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                reader, writer = await asyncio.open_connection(host, port)
+                return await self._open_connection(host, port)
         except (OSError, TimeoutError) as exc:
             raise PeerUnavailable(
                 repr(exc),
                 step='connect to target',
                 peer=self.address,
             ) from exc
+
+    async def _open_connection(self, host: str, port: int) -> TargetConnection:
+        loop = asyncio.get_running_loop()
+        reader = TargetStream()
+        transport, protocol = await loop.create_connection(
+            lambda: asyncio.StreamReaderProtocol(reader),
+            host,
+            port,
+        )
+        writer = asyncio.StreamWriter(transport, protocol, reader, loop)
         return TargetConnection(reader, writer, self.address)
 
 
--- a/tests/test_endless_responses.py
+++ b/tests/test_endless_responses.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+from collections.abc import Coroutine
 from dataclasses import dataclass, field
 
 from testtools import TestCase
@@ -12,7 +13,7 @@
 from filbertdrift.errors import MalformedMessage
 from filbertdrift.http1 import HeadTooLarge, MessageTruncated
 from filbertdrift.lifecycle import Heartbeat
-from filbertdrift.target import HttpTarget
+from filbertdrift.target import HttpTarget, TargetRequest
 from tests.sockets import read_request
 from tests.test_entry import request as caller_request
 from tests.test_entry import socket_mesh
@@ -377,6 +378,91 @@
         self.assertThat(response, StartsWith(b'HTTP/1.1 502 '))
 
 
+def target_request() -> TargetRequest:
+    """Return a request without a body."""
+    return TargetRequest('GET', '/x', [(b'host', b'x')], b'', is_whole=True)
+
+
+async def exchange_status(target: HttpTarget) -> int:
+    """Make one exchange and return the status."""
+    exchange = await target.open_exchange(target_request())
+    try:
+        await exchange.send_head()
+        head = await exchange.head()
+        while not (await exchange.part()).end:
+            """Read the body."""
+    finally:
+        exchange.close()
+    return head.status
+
+
+class IdleConnectionTest(TestCase):
+    """Bytes that arrive between two exchanges are no response."""
+
+    def run_case(self, case: Coroutine[None, None, None]) -> None:
+        """Run a case with a limit on its time."""
+        asyncio.run(asyncio.wait_for(case, 5))
+
+    # Bytes that came on an idle connection were the next request's response.
+    def test_late_bytes_are_not_the_next_response(self) -> None:
+        for late in (b'HTTP/1.1 421 Not run\r\n\r\n', b'garbage'):
+            self.run_case(self._late(late, has_arrived=True))
+
+    # As above; the bytes are received, but not yet read by the event loop.
+    def test_unread_bytes_are_not_the_next_response(self) -> None:
+        late = b'HTTP/1.1 421 Not run\r\n\r\n'
+        self.run_case(self._late(late, has_arrived=False))
+
+    async def _late(self, late: bytes, *, has_arrived: bool) -> None:
+        writers: list[asyncio.StreamWriter] = []
+
+        async def serve(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            writers.append(writer)
+            await read_request(reader)
+            writer.write(WHOLE)
+            await reader.read(1)
+
+        server = await asyncio.start_server(serve, HOST, 0)
+        port = server.sockets[0].getsockname()[1]
+        target = HttpTarget(f'{HOST}:{port}', 4)
+        self.assertThat(await exchange_status(target), Equals(200))
+        writers[0].write(late)
+        if has_arrived:
+            await asyncio.sleep(0.05)
+        self.assertThat(await exchange_status(target), Equals(200))
+        self.assertThat(len(writers), Equals(2))
+        target.close()
+
+    # Such a connection stayed open, with bytes in memory, until its next use.
+    def test_connection_with_late_bytes_is_closed(self) -> None:
+        self.run_case(self._closed())
+
+    async def _closed(self) -> None:
+        is_closed = asyncio.Event()
+
+        async def serve(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            await read_request(reader)
+            writer.write(WHOLE)
+            await asyncio.sleep(0.05)
+            try:
+                while True:
+                    writer.write(b'a' * 10_000)
+                    await writer.drain()
+            except OSError:
+                is_closed.set()
+
+        server = await asyncio.start_server(serve, HOST, 0)
+        port = server.sockets[0].getsockname()[1]
+        target = HttpTarget(f'{HOST}:{port}', 4)
+        self.assertThat(await exchange_status(target), Equals(200))
+        await is_closed.wait()
+        target.close()
+
+
 class ProbeTest(TestCase):
     """A probe of a target that sends bytes without end fails and ends."""
 
