target_run: a long answer of another request ends the exchange

The node skips the answer of another request to reach its own. Beyond 1 MiB it went on to wait for a head while the body still came, and skipped that body without a bound until the deadline: the caller got a 504 then.

An answer of another request that is longer than 1 MiB is malformed. The test fails before the change (504, at the deadline) and gets a 502.

--- a/filbertdrift/target_run.py
+++ b/filbertdrift/target_run.py
@@ -140,7 +140,9 @@
                 return head
             self.stray_answers += 1
             self._exchange.forbid_reuse()
-            await self._read_up_to(MAX_BUFFERED_RESPONSE_BYTES)
+            stray = await self._read_up_to(MAX_BUFFERED_RESPONSE_BYTES)
+            if not stray.end:
+                break
         raise MalformedMessage('answers of other requests', step='read head')
 
     async def _check_not_refused(self, head: http1.ResponseHead) -> None:
--- a/tests/test_endless_responses.py
+++ b/tests/test_endless_responses.py
@@ -355,6 +355,11 @@
         view = self.check(target, b'200 ')
         self.assertThat(view.raw.endswith(b'\r\n\r\nok'), Equals(True))
 
+    # The body of another request's response was skipped until the deadline.
+    def test_endless_body_of_another_response(self) -> None:
+        target = EndlessTarget(STRAY + b'\r\n', b'a' * 10_000)
+        self.check(target, b'502 ')
+
     # A target that closed after such a response stopped the event loop.
     def test_end_after_another_response(self) -> None:
         asyncio.run(self._end_after_stray())
