target_run: a refusal stands if its body does not end

The head alone states that a target did not run a request, yet the node read the body to its end first, to reuse the connection. With a body that came slowly and without end, the caller got a 504 at its deadline, and a request that could have run elsewhere was lost.

A broken body of a refusal is logged now. The test fails before the change (504) and gets a 503.

--- a/filbertdrift/target_run.py
+++ b/filbertdrift/target_run.py
@@ -1,9 +1,10 @@
 """Runs one admitted request on the local target and forwards its response."""
 
 import asyncio
-import contextlib
 from dataclasses import dataclass
 
+from loguru import logger
+
 from filbertdrift import http1
 from filbertdrift.callstream import CHUNK_BYTES, CallStream
 from filbertdrift.contract import HeaderNames
@@ -28,6 +29,8 @@
 # Responses up to this size are read in full before any part is forwarded, so a
 # truncated one is not forwarded at all.
 MAX_BUFFERED_RESPONSE_BYTES = 1_048_576
+# A refusal's body is of no use, so only one that comes at once is read.
+REFUSAL_BODY_TIMEOUT_S = 0.1
 # Limit of responses of other requests, on a desynchronised connection.
 MAX_STRAY_RESPONSES = 3
 
@@ -152,15 +155,27 @@
         if not is_marked_not_run and head.status != STATUS_MISDIRECTED:
             return
         self._refused_by.target = True
-        with contextlib.suppress(PeerUnavailable, MalformedMessage):
-            # The connection is reusable once the response is read to its end.
-            await self._read_up_to(MAX_BUFFERED_RESPONSE_BYTES)
+        await self._finish_refusal()
         raise RequestNotRun(
             f'the target refused with status {head.status}',
             retry_after_ms=RETRY_AFTER_MS,
             step='await target',
         )
 
+    async def _finish_refusal(self) -> None:
+        """Read the body of a refusal, after which the connection is reusable.
+
+        The head alone states the refusal, so it stands if the body breaks off.
+        """
+        try:
+            async with asyncio.timeout(REFUSAL_BODY_TIMEOUT_S):
+                await self._read_up_to(MAX_BUFFERED_RESPONSE_BYTES)
+        except (PeerUnavailable, MalformedMessage, TimeoutError) as exc:
+            logger.bind(
+                event='refusal_body_broken',
+                request=self._req.request_id,
+            ).info('body of a refusal: {!r}', exc)
+
     def _check_authentic(self, head: http1.ResponseHead) -> None:
         """Raise if a success is not the application's own response.
 
--- a/tests/test_endless_responses.py
+++ b/tests/test_endless_responses.py
@@ -382,6 +382,14 @@
             response = await mesh.send(caller_request('/write/x'))
         self.assertThat(response, StartsWith(b'HTTP/1.1 502 '))
 
+    # The refusal was lost when its body came slowly: the caller got a 504.
+    def test_slow_body_of_a_refusal(self) -> None:
+        first = (
+            b'HTTP/1.1 503 Busy\r\nattempt-id: r1\r\nnot-executed: 1\r\n'
+            b'content-length: 1000000\r\n\r\n'
+        )
+        self.check(EndlessTarget(first, b'a', 0.01), b'503 ')
+
 
 def target_request() -> TargetRequest:
     """Return a request without a body."""
