target_attempt: an upload ends by the request's deadline

After an early response the ingress waited for the rest of the request's body without a limit. A caller that sent a byte now and then, or nothing, held the connection and counted as a request in progress for as long as it liked, although the target's node had ended the exchange at the deadline.

The wait ends with the deadline; the connection is closed then, as the body is unread.

--- a/filbertdrift/target_attempt.py
+++ b/filbertdrift/target_attempt.py
@@ -69,11 +69,18 @@
     """A response that may arrive before its request's body is sent."""
 
     upload: asyncio.Task[None] | None = None
+    deadline = float('inf')
 
     async def finish_upload(self) -> None:
-        """Wait until the rest of the request's body is sent."""
-        if self.upload is not None:
-            await asyncio.wait((self.upload,))
+        """Wait for the rest of the request's body, until the deadline."""
+        if self.upload is None:
+            return
+        left_s = self.deadline - asyncio.get_running_loop().time()
+        _, pending = await asyncio.wait((self.upload,), timeout=max(left_s, 0))
+        if pending:
+            logger.bind(event='upload_overdue').info(
+                'the body did not end by the deadline',
+            )
 
 
 class TargetAttempt:
@@ -154,6 +161,7 @@
             lambda cancel: self._end_call(link, call, cancel=cancel),
         )
         response.upload = self._upload
+        response.deadline = self._req.deadline
         return response
 
     def _record_response(
--- a/tests/test_endless_responses.py
+++ b/tests/test_endless_responses.py
@@ -391,6 +391,56 @@
         self.check(EndlessTarget(first, b'a', 0.01), b'503 ')
 
 
+class EndlessUploadTest(TestCase):
+    """A caller's body without end ends with the request's deadline."""
+
+    # The connection stayed in use as long as the caller sent a byte now and
+    # then, or none, after an early response.
+    def test_after_an_early_response(self) -> None:
+        for pause_s in (0.01, 60):
+            asyncio.run(asyncio.wait_for(self._early(pause_s), 5))
+
+    async def _early(self, pause_s: float) -> None:
+        async def serve(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            await reader.readuntil(b'\r\n\r\n')
+            writer.write(WHOLE)
+            while await reader.read(100_000):
+                """Read until the node closes the connection."""
+
+        server = await asyncio.start_server(serve, HOST, 0)
+        port = server.sockets[0].getsockname()[1]
+        async with socket_mesh() as mesh:
+            mesh.node.lifecycle.record_heartbeat(
+                Heartbeat('i-2', 2, 1, 'desk', f'{HOST}:{port}', 4, False, 0),
+            )
+            await asyncio.sleep(0.1)
+            reader, writer = await asyncio.open_connection(
+                HOST, mesh.caller_port
+            )
+            raw = caller_request('/write/x', keep=True)
+            raw = raw.replace(b'deadline-ms: 2000', CALLER_DEADLINE.encode())
+            raw = raw.replace(b'length: 0', b'length: 200000')
+            writer.write(raw + b'a' * 70_000)
+            trickle = asyncio.ensure_future(_trickle(writer, pause_s))
+            response = await reader.readuntil(b'\r\n\r\nok')
+            self.assertThat(response, StartsWith(b'HTTP/1.1 200 '))
+            self.assertThat(mesh.node.entry.in_progress, Equals(1))
+            with contextlib.suppress(ConnectionResetError):
+                self.assertThat(await reader.read(), Equals(b''))
+            self.assertThat(mesh.node.entry.in_progress, Equals(0))
+            trickle.cancel()
+            writer.close()
+
+
+async def _trickle(writer: asyncio.StreamWriter, pause_s: float) -> None:
+    """Send a byte after each pause."""
+    while True:
+        await asyncio.sleep(pause_s)
+        writer.write(b'a')
+
+
 def target_request() -> TargetRequest:
     """Return a request without a body."""
     return TargetRequest('GET', '/x', [(b'host', b'x')], b'', is_whole=True)
