Headers with no valid number are read as if absent

Digits outside ASCII, such as a superscript two, and numbers of thousands of digits passed for numbers and then raised ValueError; a retry-after in range for int did not fit the message between nodes. A target's keep-alive header left its connection neither closed nor reused, its retry-after left the caller without the refusal, and a caller's timeout or depth header got its connection closed without a response.

http1.parse_count returns None for what is no number of up to nine digits. A target's retry-after is limited to an hour.

--- a/filbertdrift/caller.py
+++ b/filbertdrift/caller.py
@@ -333,13 +333,15 @@
     """
     now = asyncio.get_running_loop().time()
     timeout_s = route.policy.timeout_s
-    stated_timeout_ms = http1.find_header(head.headers, TIMEOUT_HEADER)
-    if stated_timeout_ms.isdigit():
-        timeout_s = min(timeout_s, int(stated_timeout_ms) / MS_PER_S)
+    stated_timeout_ms = http1.parse_count(
+        http1.find_header(head.headers, TIMEOUT_HEADER),
+    )
+    if stated_timeout_ms is not None:
+        timeout_s = min(timeout_s, stated_timeout_ms / MS_PER_S)
     request_id = http1.find_header(head.headers, REQUEST_ID_HEADER)
     request_id = request_id or uuid.uuid4().hex
     depth = http1.find_header(head.headers, DEPTH_HEADER)
-    depth_count = int(depth) if depth.isdigit() else 0
+    depth_count = http1.parse_count(depth) or 0
     headers = [
         header
         for header in http1.end_to_end_headers(head.headers)
--- a/filbertdrift/http1.py
+++ b/filbertdrift/http1.py
@@ -13,6 +13,7 @@
 READ_BYTES = 65_536
 MAX_HEAD_BYTES = 65_536
 LAST_CHUNK = b'0\r\n\r\n'
+MAX_COUNT_DIGITS = 9
 
 Headers = list[tuple[bytes, bytes]]
 
@@ -413,6 +414,13 @@
     return ''
 
 
+def parse_count(text: str) -> int | None:
+    """Return a header's number, None if it is none or out of range."""
+    if not text.isascii() or not text.isdigit():
+        return None
+    return int(text) if len(text) <= MAX_COUNT_DIGITS else None
+
+
 def encode_request_head(method: str, path: str, headers: Headers) -> bytes:
     """Return the head of a request in wire format."""
     start = f'{method} {path} HTTP/1.1\r\n'.encode('latin-1')
--- a/filbertdrift/serving.py
+++ b/filbertdrift/serving.py
@@ -29,6 +29,7 @@
 
 MS_PER_S = 1000
 RETRY_AFTER_MS = 200
+MAX_RETRY_AFTER_S = 3600
 TIMEOUT_HEADER = b'x-filbertdrift-timeout-ms'
 REQUEST_ID_HEADER = b'x-request-id'
 
@@ -295,13 +296,14 @@
         if head.status not in (self._req.refusal_statuses or ()):
             return
         retry_after = http1.find_header(head.headers, b'retry-after')
-        seconds = float(retry_after) if retry_after.isdigit() else 0
+        retry_after_s = http1.parse_count(retry_after) or 0
         while not self._exchange.buffered_part().end:
             await self._exchange.part()
             break
         raise RequestNotRun(
             f'target refused with status {head.status}',
-            retry_after_ms=int(seconds * MS_PER_S) or RETRY_AFTER_MS,
+            retry_after_ms=min(retry_after_s, MAX_RETRY_AFTER_S) * MS_PER_S
+            or RETRY_AFTER_MS,
             step='await target',
         )
 
--- a/filbertdrift/target.py
+++ b/filbertdrift/target.py
@@ -485,6 +485,7 @@
     keep_alive = http1.find_header(head.headers, b'keep-alive') if head else ''
     for parameter in keep_alive.split(','):
         name, _, number = parameter.strip().partition('=')
-        if name.lower() == 'timeout' and number.isdigit():
-            return min(int(number) * KEEP_ALIVE_REUSE_SHARE, MAX_IDLE_REUSE_S)
+        timeout_s = http1.parse_count(number)
+        if name.lower() == 'timeout' and timeout_s is not None:
+            return min(timeout_s * KEEP_ALIVE_REUSE_SHARE, MAX_IDLE_REUSE_S)
     return MAX_IDLE_REUSE_S
--- a/tests/test_endless_responses.py
+++ b/tests/test_endless_responses.py
@@ -14,7 +14,7 @@
 from filbertdrift.http1 import HeadTooLarge, MessageTruncated
 from filbertdrift.lifecycle import Heartbeat
 from filbertdrift.target import HttpTarget, TargetRequest
-from tests.sockets import read_request
+from tests.sockets import read_request, running_node
 from tests.test_entry import request as caller_request
 from tests.test_entry import socket_mesh
 
@@ -526,6 +526,72 @@
         target.close()
 
 
+class NumberTest(TestCase):
+    """Headers whose content is no number are read as if absent."""
+
+    # The connection to such a target was neither closed nor used again.
+    def test_keep_alive_of_a_target(self) -> None:
+        for number in (b'\xb2', b'9' * 5000):
+            asyncio.run(self._keep_alive(number))
+
+    async def _keep_alive(self, number: bytes) -> None:
+        header = b'keep-alive: timeout=' + number + b'\r\n'
+        endless = EndlessTarget(OK_HEAD + header + WHOLE[len(OK_HEAD) :])
+        target = HttpTarget(await endless.start(), 4)
+        self.assertThat(await exchange_status(target), Equals(200))
+        target.close()
+        await asyncio.wait_for(endless.is_closed.wait(), 5)
+
+    # The caller's connection was closed without a response.
+    def test_headers_of_a_caller(self) -> None:
+        asyncio.run(self._headers())
+
+    async def _headers(self) -> None:
+        names = ('x-filbertdrift-timeout-ms', 'x-filbertdrift-depth')
+        lines = [
+            f'{name}: {number}'.encode('latin-1')
+            for name in names
+            for number in ('\xb2', '9' * 5000)
+        ]
+        async with running_node(answer_once) as node:
+            for line in lines:
+                response = await node.send(
+                    b'GET /desk/x HTTP/1.1\r\nhost: x\r\n'
+                    b'connection: close\r\n' + line + b'\r\n\r\n'
+                )
+                self.assertThat(response, StartsWith(b'HTTP/1.1 200 '))
+
+    # The caller got no response, or a 502 instead of a 503.
+    def test_retry_after_of_a_refusal(self) -> None:
+        for number in (b'\xb2', b'9' * 9, b'9' * 5000):
+            response = asyncio.run(self._refused(number))
+            self.assertThat(response, StartsWith(b'HTTP/1.1 503 '))
+
+    async def _refused(self, number: bytes) -> bytes:
+        async def refuse(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            await read_request(reader)
+            writer.write(
+                b'HTTP/1.1 503 Busy\r\nretry-after: '
+                + number
+                + b'\r\ncontent-length: 0\r\n\r\n'
+            )
+            await reader.read(1)
+
+        async with running_node(refuse) as node:
+            return await asyncio.wait_for(node.get('/desk/x'), 5)
+
+
+async def answer_once(
+    reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+) -> None:
+    """Respond to one request."""
+    await read_request(reader)
+    writer.write(OK_HEAD + b'connection: close\r\n' + WHOLE[len(OK_HEAD) :])
+    await reader.read(1)
+
+
 class ProbeTest(TestCase):
     """A probe of a target that sends bytes without end fails and ends."""
 
