listener: a head that has begun must end in 5 s

The timeout of an idle connection, a minute, also covered a head that came a byte at a time. A head has a timeout of its own now, as a body has. Broken and malformed calls are logged. test_slow_requests fails before the change (no end within 3 s, HEAD_TIMEOUT_S patched to 0.2 s).

--- a/filbertdrift/listener.py
+++ b/filbertdrift/listener.py
@@ -9,11 +9,14 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
+from loguru import logger
+
 from filbertdrift import http1
 from filbertdrift.errors import MalformedMessage, PeerUnavailable
 from filbertdrift.network import split_address
 
 IDLE_TIMEOUT_S = 60.0
+HEAD_TIMEOUT_S = 5.0
 BODY_TIMEOUT_S = 5.0
 MAX_BODY_BYTES = 65_536
 STATUS_BAD_REQUEST = 400
@@ -72,11 +75,13 @@
         requests = http1.RequestReader(reader, 'caller')
         try:
             await self._serve_requests(requests, writer)
-        except MalformedMessage:
+        except MalformedMessage as exc:
+            logger.bind(event='call_rejected').info('{}', exc)
             _write_response(
                 writer, HttpResponse(STATUS_BAD_REQUEST), keep_alive=False
             )
-        except (PeerUnavailable, OSError, TimeoutError):
+        except (PeerUnavailable, OSError, TimeoutError) as exc:
+            logger.bind(event='call_aborted').info('{!r}', exc)
             writer.transport.abort()
         finally:
             self._writers.discard(writer)
@@ -90,7 +95,9 @@
         keep_alive = True
         while keep_alive:
             async with asyncio.timeout(IDLE_TIMEOUT_S):
-                head = await requests.head()
+                has_data = await requests.wait_for_data()
+            async with asyncio.timeout(HEAD_TIMEOUT_S):
+                head = await requests.head() if has_data else None
             if head is None:
                 return
             async with asyncio.timeout(BODY_TIMEOUT_S):
--- a/tests/test_endless_responses.py
+++ b/tests/test_endless_responses.py
@@ -9,12 +9,12 @@
 from testtools.matchers import Equals, StartsWith
 from testtools.testcase import ExpectedException
 
-from filbertdrift import http1
+from filbertdrift import http1, listener
 from filbertdrift.errors import MalformedMessage
 from filbertdrift.http1 import HeadTooLarge, MessageTruncated
 from filbertdrift.lifecycle import Heartbeat
 from filbertdrift.target import HttpTarget, TargetRequest
-from tests.sockets import read_request, running_node
+from tests.sockets import free_port, read_request, running_node
 from tests.test_entry import request as caller_request
 from tests.test_entry import socket_mesh
 
@@ -23,6 +23,7 @@
 OK_HEAD = b'HTTP/1.1 200 OK\r\nattempt-id: r1\r\nserver-seal: s\r\n'
 CHUNKED = OK_HEAD + b'transfer-encoding: chunked\r\n\r\n'
 WHOLE = OK_HEAD + b'content-length: 2\r\n\r\nok'
+CHUNKED_CALL = b'POST / HTTP/1.1\r\ntransfer-encoding: chunked\r\n\r\n'
 STRAY = b'HTTP/1.1 200 OK\r\nattempt-id: other\r\n'
 MAX_READ_BYTES = 1_048_576
 MAX_READS_AT_END = 100
@@ -434,11 +435,65 @@
             writer.close()
 
 
-async def _trickle(writer: asyncio.StreamWriter, pause_s: float) -> None:
-    """Send a byte after each pause."""
-    while True:
-        await asyncio.sleep(pause_s)
-        writer.write(b'a')
+async def _trickle(
+    writer: asyncio.StreamWriter, pause_s: float, unit: bytes = b'a'
+) -> None:
+    """Send bytes after each pause until the connection is closed."""
+    with contextlib.suppress(OSError):
+        while True:
+            await asyncio.sleep(pause_s)
+            writer.write(unit)
+            await writer.drain()
+
+
+class ListenerTest(TestCase):
+    """The server for heartbeats and scrapers ends requests without end."""
+
+    # A head that came slowly held its connection for a minute.
+    def test_slow_requests(self) -> None:
+        self.patch(listener, 'HEAD_TIMEOUT_S', 0.2)
+        self.patch(listener, 'BODY_TIMEOUT_S', 0.2)
+        for first, unit in (
+            (b'GET / HTTP/1.1\r\na: ', b'a'),
+            (CHUNKED_CALL, b'1\r\na\r\n'),
+            (CHUNKED_CALL + b'2;', b'a'),
+        ):
+            response = asyncio.run(self._call(first, unit, 0.01))
+            self.assertThat(response, Equals(b''))
+
+    def test_fast_requests(self) -> None:
+        for first, unit in (
+            (b'', b'garbage'),
+            (b'GET / HTTP/1.1\r\na: ', b'a' * 1000),
+            (b'', b'\r\n' * 1000),
+            (CHUNKED_CALL, b'1\r\na\r\n' * 1000),
+            (CHUNKED_CALL + b'2;', b'a' * 1000),
+        ):
+            response = asyncio.run(self._call(first, unit, 0))
+            # The reset of a connection with unread bytes may drop the 400.
+            self.assertIn(response[:12], (b'HTTP/1.1 400', b''))
+
+    async def _call(self, first: bytes, unit: bytes, pause_s: float) -> bytes:
+        async def not_called(
+            method: str, path: str, body: bytes
+        ) -> listener.HttpResponse:
+            raise AssertionError('no request is complete')
+
+        port = free_port()
+        server = listener.HttpListener(f'{HOST}:{port}', not_called)
+        await server.start()
+        reader, writer = await asyncio.open_connection(HOST, port)
+        writer.write(first)
+        trickle = asyncio.ensure_future(_trickle(writer, pause_s, unit))
+        try:
+            async with asyncio.timeout(3):
+                return await reader.read()
+        except ConnectionResetError:
+            return b''
+        finally:
+            trickle.cancel()
+            writer.close()
+            server.close()
 
 
 def target_request() -> TargetRequest:
