--- a/filbertdrift/contract.py
+++ b/filbertdrift/contract.py
@@ -8,6 +8,9 @@
 
 from filbertdrift import http1
 
+# In milliseconds it fits the messages between nodes.
+MAX_TIMEOUT_S = 86_400.0
+
 
 @dataclass(frozen=True, slots=True)
 class HeaderNames:
@@ -43,6 +46,8 @@
 def parse_timeout_s(headers: http1.Headers, name: bytes) -> float | None:
     """Return the caller's timeout, None without a valid deadline header.
 
+    It is at most a day.
+
     Args:
         headers: The request's headers.
         name: The name of the deadline header.
@@ -52,4 +57,6 @@
         timeout_s = float(text) / 1000
     except ValueError:
         return None
-    return timeout_s if 0 <= timeout_s < float('inf') else None
+    if 0 <= timeout_s < float('inf'):
+        return min(timeout_s, MAX_TIMEOUT_S)
+    return None
--- a/tests/test_endless_responses.py
+++ b/tests/test_endless_responses.py
@@ -9,8 +9,10 @@
 from testtools.matchers import Equals, StartsWith
 from testtools.testcase import ExpectedException
 
-from filbertdrift import http1, listener
+from filbertdrift import http1, listener, wire
+from filbertdrift.contract import parse_timeout_s
 from filbertdrift.errors import MalformedMessage
+from filbertdrift.gen import ttypes
 from filbertdrift.http1 import HeadTooLarge, MessageTruncated
 from filbertdrift.lifecycle import Heartbeat
 from filbertdrift.target import HttpTarget, TargetRequest
@@ -672,3 +674,24 @@
             self.assertThat(
                 self.probe(EndlessTarget(first, unit)), Equals(False)
             )
+
+
+class LongDeadlineTest(TestCase):
+    """A stated deadline of any length fits the message between nodes."""
+
+    # Encoding the request raised, and the caller got no response.
+    def test_deadline_of_years(self) -> None:
+        for number in (b'99999999999', b'9' * 300):
+            timeout_s = parse_timeout_s(
+                [(b'deadline-ms', number)], b'deadline-ms'
+            )
+            assert timeout_s is not None
+            opening = ttypes.RequestOpen(
+                method='GET',
+                path='/',
+                remaining_ms=int(timeout_s * 1000),
+                service_name='desk',
+                importance=1,
+            )
+            decoded = wire.decode(ttypes.RequestOpen, wire.encode(opening))
+            self.assertThat(decoded.remaining_ms, Equals(opening.remaining_ms))
