serving: a refusal stands if its body does not come

The body gets 0.1 s. Of the tests of OwnConfigurationTest, test_refusal_without_its_body fails before the change; the others show that heads, interim heads and framing without end get a 502, a 504 or a broken connection at these nodes, too.

--- a/filbertdrift/serving.py
+++ b/filbertdrift/serving.py
@@ -10,6 +10,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from loguru import logger
+
 from filbertdrift import http1
 from filbertdrift.callstream import WINDOW_BYTES, CallStream
 from filbertdrift.crashes import CrashLedger
@@ -30,6 +32,7 @@
 MS_PER_S = 1000
 RETRY_AFTER_MS = 200
 MAX_RETRY_AFTER_S = 3600
+REFUSAL_BODY_TIMEOUT_S = 0.1
 TIMEOUT_HEADER = b'x-filbertdrift-timeout-ms'
 REQUEST_ID_HEADER = b'x-request-id'
 
@@ -297,9 +300,7 @@
             return
         retry_after = http1.find_header(head.headers, b'retry-after')
         retry_after_s = http1.parse_count(retry_after) or 0
-        while not self._exchange.buffered_part().end:
-            await self._exchange.part()
-            break
+        await self._finish_refusal()
         raise RequestNotRun(
             f'target refused with status {head.status}',
             retry_after_ms=min(retry_after_s, MAX_RETRY_AFTER_S) * MS_PER_S
@@ -307,6 +308,22 @@
             step='await target',
         )
 
+    async def _finish_refusal(self) -> None:
+        """Read the body of a refusal, after which the connection is reusable.
+
+        The head alone states the refusal, so it stands if the body breaks off.
+        """
+        if self._exchange.buffered_part().end:
+            return
+        try:
+            async with asyncio.timeout(REFUSAL_BODY_TIMEOUT_S):
+                await self._exchange.part()
+        except (PeerUnavailable, MalformedMessage, TimeoutError) as exc:
+            logger.bind(
+                event='refusal_body_broken',
+                request=self._req.request_id,
+            ).info('body of a refusal: {!r}', exc)
+
     async def _forward_response(self, head: http1.ResponseHead) -> None:
         part = self._exchange.buffered_part()
         await self._call.send(
--- a/tests/test_endless_responses.py
+++ b/tests/test_endless_responses.py
@@ -219,15 +219,16 @@
 
     async def start(self) -> str:
         """Listen and return the address."""
-        server = await asyncio.start_server(self._serve, HOST, 0)
+        server = await asyncio.start_server(self.serve, HOST, 0)
         port = server.sockets[0].getsockname()[1]
         return f'{HOST}:{port}'
 
-    async def _serve(
+    async def serve(
         self,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> None:
+        """Serve one connection."""
         self.received.append(await read_request(reader))
         end = asyncio.ensure_future(reader.read())
         writer.write(self.first)
@@ -394,6 +395,60 @@
         self.check(EndlessTarget(first, b'a', 0.01), b'503 ')
 
 
+class OwnConfigurationTest(TestCase):
+    """The same holds at nodes with their own configuration files."""
+
+    def check(self, target: EndlessTarget, status: bytes) -> bytes:
+        """Send a write to a target and check the status."""
+
+        async def main() -> bytes:
+            async with running_node(target.serve) as node:
+                raw = await asyncio.wait_for(
+                    node.send(
+                        b'POST /desk/x HTTP/1.1\r\nhost: x\r\n'
+                        b'connection: close\r\ncontent-length: 0\r\n'
+                        b'x-filbertdrift-timeout-ms: 400\r\n\r\n'
+                    ),
+                    5,
+                )
+                await asyncio.wait_for(target.is_closed.wait(), 5)
+                announced = node.node.server.announced
+                assert announced is not None
+                self.assertThat(announced.gate.running, Equals(0))
+                return raw
+
+        raw = asyncio.run(main())
+        self.assertThat(raw, StartsWith(b'HTTP/1.1 ' + status))
+        self.assertThat(len(target.received), Equals(1))
+        return raw
+
+    def test_fast_bytes_that_are_no_answer(self) -> None:
+        for first, unit in (
+            (b'', b'no HTTP at all ' * 1000),
+            (OK_HEAD, b'a' * 10_000),
+            (INTERIM, INTERIM * 100),
+        ):
+            self.check(EndlessTarget(first, unit), b'502 ')
+
+    def test_slow_head(self) -> None:
+        for first, unit in ((OK_HEAD, b'a'), (INTERIM, INTERIM)):
+            self.check(EndlessTarget(first, unit, 0.01), b'504 ')
+
+    def test_bytes_beside_a_body(self) -> None:
+        for first, unit in (
+            (CHUNKED + b'2;', b'a' * 10_000),
+            (CHUNKED + b'2\r\nok\r\n0\r\na: ', b'a' * 10_000),
+        ):
+            raw = self.check(EndlessTarget(first, unit), b'200 ')
+            self.assertThat(raw.endswith(http1.LAST_CHUNK), Equals(False))
+
+    # The refusal was lost when its body did not come: the caller got a 504.
+    def test_refusal_without_its_body(self) -> None:
+        first = b'HTTP/1.1 503 Busy\r\ncontent-length: 1000000\r\n\r\n'
+        for unit in (b'', b'a'):
+            self.check(EndlessTarget(first, unit, 0.01), b'503 ')
+
+
 class EndlessUploadTest(TestCase):
     """A caller's body without end ends with the request's deadline."""
 
