--- a/filbertdrift/http1.py
+++ b/filbertdrift/http1.py
@@ -13,6 +13,7 @@
 READ_BYTES = 65_536
 MAX_HEAD_BYTES = 65_536
 LAST_CHUNK = b'0\r\n\r\n'
+MAX_COUNT_DIGITS = 9
 
 Headers = list[tuple[bytes, bytes]]
 
@@ -128,10 +129,12 @@
         self._parts: deque[_Part] = deque()
         self._headers: Headers = []
         self._url = b''
-        self._head_bytes = 0
+        # Bytes since the last final head, part of a body or whole message.
+        self._overhead_bytes = 0
         self._field_bytes = 0
         self._in_head = True
         self._in_message = False
+        self._is_interim = False
         self._parse_error: MalformedMessage | None = None
 
     def on_message_begin(self) -> None:
@@ -148,17 +151,22 @@
         self._field_bytes += len(url)
 
     def on_header(self, name: bytes, content: bytes) -> None:
-        """Collect a header."""
+        """Collect a header; trailers are dropped."""
+        if not self._in_head:
+            return
         self._headers.append((name.lower(), content))
         self._field_bytes += len(name) + len(content)
 
     def on_body(self, body: bytes) -> None:
         """Queue a part of the body."""
+        self._overhead_bytes = 0
         self._parts.append(body)
 
     def on_message_complete(self) -> None:
         """Queue the end of the message."""
         self._in_message = False
+        self._finish_section()
+        self._in_head = True
         self._parts.append(_END)
 
     def is_between_messages(self) -> bool:
@@ -213,8 +221,7 @@
             ) from exc
 
     def _feed(self, raw: bytes) -> None:
-        if self._in_head:
-            self._head_bytes += len(raw)
+        self._overhead_bytes += len(raw)
         try:
             self.parser.feed_data(raw)
         except httptools.HttpParserUpgrade as exc:
@@ -231,21 +238,32 @@
             )
             if not self._has_complete_message():
                 raise self._parse_error from exc
-        pending_bytes = self._head_bytes if self._in_head else 0
-        if max(pending_bytes, self._field_bytes) > MAX_HEAD_BYTES:
+        self._check_overhead()
+
+    def _check_overhead(self) -> None:
+        if max(self._overhead_bytes, self._field_bytes) <= MAX_HEAD_BYTES:
+            return
+        if self._in_head or self._field_bytes > MAX_HEAD_BYTES:
             raise HeadTooLarge(
                 f'head over {MAX_HEAD_BYTES} bytes',
                 step='parse',
                 peer=self.peer,
             )
+        raise MalformedMessage(
+            f'over {MAX_HEAD_BYTES} bytes beside the body',
+            step='parse',
+            peer=self.peer,
+        )
 
     def _has_complete_message(self) -> bool:
         """Return whether a complete message precedes the malformed bytes."""
         return any(isinstance(part, _MessageEnd) for part in self._parts)
 
-    def _finish_head(self) -> None:
+    def _finish_section(self) -> None:
+        """Record the end of a head or a message; interim ones add up."""
         self._in_head = False
-        self._head_bytes = 0
+        if not self._is_interim:
+            self._overhead_bytes = 0
 
 
 class RequestReader(_Reader):
@@ -258,7 +276,7 @@
 
     def on_headers_complete(self) -> None:
         """Queue the head."""
-        self._finish_head()
+        self._finish_section()
         self._parts.append(
             RequestHead(
                 self.parser.get_method().decode('ascii'),
@@ -270,7 +288,7 @@
 
     async def wait_for_data(self) -> bool:
         """Wait for the first bytes of a request; return False at the end."""
-        if self._parts or self._head_bytes or self._parse_error:
+        if self._parts or self._overhead_bytes or self._parse_error:
             return True
         raw = await self._read()
         if raw:
@@ -297,7 +315,7 @@
                 raise self._parse_error
             raw = await self._read()
             if not raw:
-                if self._head_bytes:
+                if self._overhead_bytes:
                     self._handle_eof()
                 return None
             self._feed(raw)
@@ -330,11 +348,13 @@
 
     def on_headers_complete(self) -> None:
         """Queue the head."""
-        self._finish_head()
         names = {name for name, _ in self._headers}
         status = self.parser.get_status_code()
+        self._is_interim = status < _FIRST_FINAL_STATUS
+        self._finish_section()
         self._is_close_delimited = (
-            b'content-length' not in names
+            not self._is_interim
+            and b'content-length' not in names
             and b'transfer-encoding' not in names
             and status not in _NO_BODY_STATUSES
         )
@@ -364,6 +384,8 @@
     def _handle_eof(self) -> _Part:
         was_reset = self._was_reset is not None and self._was_reset()
         if self._is_close_delimited and not was_reset:
+            # The end of the stream ends one message only.
+            self._is_close_delimited = False
             return _END
         return super()._handle_eof()
 
@@ -392,6 +414,13 @@
     return ''
 
 
+def parse_count(text: str) -> int | None:
+    """Return a header's number, None if it is none or out of range."""
+    if not text.isascii() or not text.isdigit():
+        return None
+    return int(text) if len(text) <= MAX_COUNT_DIGITS else None
+
+
 def encode_request_head(method: str, path: str, headers: Headers) -> bytes:
     """Return the head of a request in wire format."""
     start = f'{method} {path} HTTP/1.1\r\n'.encode('latin-1')
