Log clients and stand-ins know eras and older copies

The platform's log may come back from an older copy; it then gives offsets out again and states a higher era in the header Store-Era of its answers. The memory log and the stand-in over HTTP can do the same (copy, come back), pages carry the era, and a read beyond the end is answered at once instead of after its long poll. No reader uses the era yet.

--- a/filbertdrift/log.py
+++ b/filbertdrift/log.py
@@ -2,13 +2,15 @@
 
 import asyncio
 import base64
+import copy
 from abc import ABC, abstractmethod
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field
 
 import httpx
 
 from filbertdrift.errors import LogAnswerLost, LogUnavailable
+from filbertdrift.keyedlog import NO_ERA
 
 CONFIG_STREAM = 'config'
 CHECKPOINT_STREAM = 'checkpoints'
@@ -19,6 +21,7 @@
 READ_LIMIT_RECORDS = 500
 HTTP_TIMEOUT_S = 3.0
 LONG_POLL_S = 5.0
+ERA_HEADER = 'store-era'
 
 _STATUS_CREATED = 201
 _STATUS_OK = 200
@@ -40,12 +43,16 @@
     Args:
         records: Records from the requested offset on, in order.
         first_offset: The earliest retained offset.
-        next_offset: The offset of the next append.
+        next_offset: The offset of the next append; below the requested offset
+            if the log came back from an older copy.
+        era: Rises each time the log comes back from an older copy; offsets of
+            two eras cannot be compared.
     """
 
     records: Sequence[LogRecord]
     first_offset: int
     next_offset: int
+    era: int = NO_ERA
 
 
 @dataclass(slots=True)
@@ -60,11 +67,16 @@
 
 
 class Log(ABC):
-    """A client of the platform's log."""
+    """A client of the platform's log.
+
+    Attributes:
+        era: The highest era in the answers so far.
+    """
 
     def __init__(self) -> None:
         """Start with zero counters."""
         self.counters = LogCounters()
+        self.era = NO_ERA
 
     async def append(self, stream: str, payload: bytes) -> int:
         """Append one record.
@@ -113,6 +125,7 @@
         except LogUnavailable:
             self.counters.failures += 1
             raise
+        self.era = max(self.era, page.era)
         self.counters.bytes_read += sum(
             len(record.payload) for record in page.records
         )
@@ -163,6 +176,7 @@
             raise LogAnswerLost(repr(exc), step=step, peer=self._url) from exc
         if resp.status_code != _STATUS_CREATED:
             raise self._to_error(resp, step)
+        self.era = max(self.era, _era_of(resp))
         return int(resp.json()['offset'])
 
     async def _read(self, stream: str, offset: int, wait_s: float) -> LogPage:
@@ -177,7 +191,7 @@
             raise LogUnavailable(repr(exc), step=step, peer=self._url) from exc
         if resp.status_code != _STATUS_OK:
             raise self._to_error(resp, step)
-        return _page_from_json(resp.json())
+        return _page_from_json(resp.json(), _era_of(resp))
 
     def _to_error(self, resp: httpx.Response, step: str) -> LogUnavailable:
         reason = f'status {resp.status_code}'
@@ -226,6 +240,16 @@
         ]
         stored.first_offset = max(stored.first_offset, before_offset)
 
+    def copy_streams(self) -> Mapping[str, MemoryStream]:
+        """Return a copy of all streams, for come_back."""
+        return copy.deepcopy(self._streams)
+
+    def come_back(self, older: Mapping[str, MemoryStream]) -> None:
+        """Replace all streams by an older copy, and start the next era."""
+        self._streams = copy.deepcopy(dict(older))
+        self.era += 1
+        self._wake()
+
     def records(self, stream: str) -> Sequence[LogRecord]:
         """Return the retained records of a stream."""
         return tuple(self._stream(stream).records)
@@ -236,8 +260,7 @@
         offset = stored.next_offset
         stored.records.append(LogRecord(offset, payload))
         stored.next_offset += 1
-        self._appended.set()
-        self._appended = asyncio.Event()
+        self._wake()
         if self.lost_answers:
             self.lost_answers -= 1
             raise LogAnswerLost('answer lost', step=f'append {stream}')
@@ -245,17 +268,22 @@
 
     async def _read(self, stream: str, offset: int, wait_s: float) -> LogPage:
         await self._inject_faults()
-        stored = self._stream(stream)
         loop = asyncio.get_running_loop()
         deadline = loop.time() + wait_s
-        while stored.next_offset <= offset and loop.time() < deadline:
+        while self._stream(stream).next_offset == offset:
+            if loop.time() >= deadline:
+                break
             try:
                 async with asyncio.timeout_at(deadline):
                     await self._appended.wait()
             except TimeoutError:
                 break
         await self._inject_faults()
-        return read_page(stored, offset)
+        return read_page(self._stream(stream), offset, self.era)
+
+    def _wake(self) -> None:
+        self._appended.set()
+        self._appended = asyncio.Event()
 
     async def _inject_faults(self) -> None:
         await asyncio.sleep(self.delay_s)
@@ -284,7 +312,9 @@
 
     async def _append(self, stream: str, payload: bytes) -> int:
         self._check_partition()
-        return await self._shared.append(stream, payload)
+        offset = await self._shared.append(stream, payload)
+        self.era = max(self.era, self._shared.era)
+        return offset
 
     async def _read(self, stream: str, offset: int, wait_s: float) -> LogPage:
         self._check_partition()
@@ -297,12 +327,17 @@
             raise LogUnavailable('cut off', step='call log', peer='memory')
 
 
-def read_page(stream: MemoryStream, offset: int) -> LogPage:
+def read_page(
+    stream: MemoryStream,
+    offset: int,
+    era: int = NO_ERA,
+) -> LogPage:
     """Read one page of an in-memory stream.
 
     Args:
         stream: The stream.
         offset: The first offset to read, or LAST_RECORD.
+        era: The era of the log.
 
     Returns:
         At most READ_LIMIT_RECORDS records.
@@ -312,7 +347,7 @@
     else:
         start = max(offset - stream.first_offset, 0)
         found = stream.records[start : start + READ_LIMIT_RECORDS]
-    return LogPage(tuple(found), stream.first_offset, stream.next_offset)
+    return LogPage(tuple(found), stream.first_offset, stream.next_offset, era)
 
 
 def open_log(url: str) -> Log:
@@ -324,7 +359,11 @@
     return HttpLog(url)
 
 
-def _page_from_json(body: dict[str, object]) -> LogPage:
+def _era_of(resp: httpx.Response) -> int:
+    return int(resp.headers.get(ERA_HEADER, NO_ERA))
+
+
+def _page_from_json(body: dict[str, object], era: int) -> LogPage:
     records = body['records']
     return LogPage(
         records=tuple(
@@ -333,4 +372,5 @@
         ),
         first_offset=int(body['first_offset']),  # type: ignore[call-overload]
         next_offset=int(body['next_offset']),  # type: ignore[call-overload]
+        era=era,
     )
--- a/standins/log_server.py
+++ b/standins/log_server.py
@@ -2,17 +2,19 @@
 
 import asyncio
 import base64
+import copy
 import time
 from collections import deque
 
 import uvicorn
-from litestar import Litestar, Request, get, post
+from litestar import Litestar, Request, Response, get, post
 from litestar.datastructures import State
 from litestar.exceptions import HTTPException
 from litestar.params import FromPath, FromQuery, JSONBody
 from pydantic import BaseModel
 
-from filbertdrift.log import LogRecord, MemoryStream, read_page
+from filbertdrift.keyedlog import NO_ERA
+from filbertdrift.log import ERA_HEADER, LogRecord, MemoryStream, read_page
 
 MS_PER_S = 1000
 MAX_WAIT_S = 30.0
@@ -85,12 +87,25 @@
         self.reads = 0
         self.appends = 0
         self.refused = 0
+        self.era = NO_ERA
         self._retention_s = retention_s
         self._appends_per_s = appends_per_s
         self._streams: dict[str, MemoryStream] = {}
         self._append_times: dict[str, deque[float]] = {}
         self._recent_appends: deque[float] = deque()
         self._appended = asyncio.Event()
+        self._copy = self._copy_streams()
+
+    def take_copy(self) -> None:
+        """Copy all streams, for come_back."""
+        self._copy = self._copy_streams()
+
+    def come_back(self) -> None:
+        """Replace all streams by the last copy, and start the next era."""
+        self._streams, self._append_times = self._copy
+        self._copy = self._copy_streams()
+        self.era += 1
+        self._wake()
 
     async def append(self, name: str, payload: bytes) -> int:
         """Append one record and return its offset.
@@ -114,8 +129,7 @@
         stream.records.append(LogRecord(offset, payload))
         stream.next_offset += 1
         self._append_times[name].append(now)
-        self._appended.set()
-        self._appended = asyncio.Event()
+        self._wake()
         if self.faults.lost_answers:
             self.faults.lost_answers -= 1
             raise HTTPException('answer lost', status_code=_SERVER_ERROR)
@@ -134,10 +148,9 @@
         """
         await self.inject_faults()
         self.reads += 1
-        stream = self._stream(name)
         try:
             async with asyncio.timeout(min(wait_s, MAX_WAIT_S)):
-                while stream.next_offset <= offset:
+                while self._stream(name).next_offset == offset:
                     await self._appended.wait()
         except TimeoutError:
             self._expire(name)
@@ -166,6 +179,15 @@
         if self.faults.down:
             raise HTTPException('down', status_code=_UNAVAILABLE)
 
+    def _wake(self) -> None:
+        self._appended.set()
+        self._appended = asyncio.Event()
+
+    def _copy_streams(
+        self,
+    ) -> tuple[dict[str, MemoryStream], dict[str, deque[float]]]:
+        return copy.deepcopy((self._streams, self._append_times))
+
     def _stream(self, name: str) -> MemoryStream:
         if name not in self._streams:
             self._streams[name] = MemoryStream()
@@ -188,10 +210,12 @@
 @post('/streams/{name:str}', status_code=201)
 async def append(
     name: FromPath[str], request: Request, state: State
-) -> Appended:
+) -> Response[Appended]:
     """Append the body as one record."""
     payload = await request.body()
-    return Appended(offset=await state['store'].append(name, payload))
+    store: StreamStore = state['store']
+    body = Appended(offset=await store.append(name, payload))
+    return Response(body, headers={ERA_HEADER: str(store.era)})
 
 
 @get('/streams/{name:str}')
@@ -200,10 +224,11 @@
     state: State,
     offset: FromQuery[int] = 0,
     wait_ms: FromQuery[int] = 0,
-) -> PageBody:
+) -> Response[PageBody]:
     """Return records; waits up to `wait_ms` if there are none (long poll)."""
     store: StreamStore = state['store']
-    return await store.read(name, offset, wait_ms / MS_PER_S)
+    body = await store.read(name, offset, wait_ms / MS_PER_S)
+    return Response(body, headers={ERA_HEADER: str(store.era)})
 
 
 @post('/faults', status_code=200)
@@ -213,6 +238,18 @@
     return data
 
 
+@post('/copy', status_code=200)
+async def take_copy(state: State) -> None:
+    """Copy all streams, for `/come-back`."""
+    state['store'].take_copy()
+
+
+@post('/come-back', status_code=200)
+async def come_back(state: State) -> None:
+    """Replace all streams by the last copy, and start the next era."""
+    state['store'].come_back()
+
+
 @get('/counts')
 async def counts(state: State) -> LogCounts:
     """Return the number of calls since the start."""
@@ -239,7 +276,14 @@
         appends_per_s: Rate limit on appends, over all streams.
     """
     app = Litestar(
-        route_handlers=[append, read, set_faults, counts],
+        route_handlers=[
+            append,
+            read,
+            set_faults,
+            take_copy,
+            come_back,
+            counts,
+        ],
         state=State({'store': StreamStore(retention_s, appends_per_s)}),
         openapi_config=None,
         logging_config=None,
--- a/tests/test_log.py
+++ b/tests/test_log.py
@@ -16,6 +16,7 @@
 from tests.sockets import free_port
 
 Case = Callable[[Log, Callable[[bool, int], None]], Awaitable[None]]
+Drill = Callable[[Log, Callable[[], None], Callable[[], None]], Awaitable[None]]
 
 
 class LogTest(TestCase):
@@ -36,8 +37,19 @@
         await case(log, set_faults)
 
     async def _over_http(self, case: Case) -> None:
-        port = free_port()
         store = log_server.StreamStore(3600, 1000)
+
+        def set_faults(down: bool, lost: int) -> None:
+            store.faults = log_server.Faults(down=down, lost_answers=lost)
+
+        await self._serve(store, lambda log: case(log, set_faults))
+
+    async def _serve(
+        self,
+        store: log_server.StreamStore,
+        case: Callable[[Log], Awaitable[None]],
+    ) -> None:
+        port = free_port()
         app = Litestar(
             [log_server.append, log_server.read],
             state=State({'store': store}),
@@ -53,18 +65,35 @@
         serving = asyncio.create_task(server.serve())
         while not server.started:
             await asyncio.sleep(0.01)
-
-        def set_faults(down: bool, lost: int) -> None:
-            store.faults = log_server.Faults(down=down, lost_answers=lost)
-
         log = HttpLog(f'http://127.0.0.1:{port}')
         try:
-            await case(log, set_faults)
+            await case(log)
         finally:
             await log.close()
             server.should_exit = True
             await serving
 
+    def run_drill(self, drill: Drill) -> None:
+        """Run a case with a copy of the streams against both logs."""
+        asyncio.run(self._drill_in_memory(drill))
+        asyncio.run(self._drill_over_http(drill))
+
+    async def _drill_in_memory(self, drill: Drill) -> None:
+        log = MemoryLog(0)
+        copies = [log.copy_streams()]
+
+        def take_copy() -> None:
+            copies.append(log.copy_streams())
+
+        await drill(log, take_copy, lambda: log.come_back(copies[-1]))
+
+    async def _drill_over_http(self, drill: Drill) -> None:
+        store = log_server.StreamStore(3600, 1000)
+        await self._serve(
+            store,
+            lambda log: drill(log, store.take_copy, store.come_back),
+        )
+
     def test_append_and_read(self) -> None:
         async def case(
             log: Log,
@@ -95,6 +124,28 @@
 
         self.run_both(case)
 
+    # Guards against offsets of two eras that look alike to a client.
+    def test_comes_back_from_an_older_copy(self) -> None:
+        async def drill(
+            log: Log,
+            take_copy: Callable[[], None],
+            come_back: Callable[[], None],
+        ) -> None:
+            await log.append('s', b'kept')
+            take_copy()
+            await log.append('s', b'lost')
+            await log.append('s', b'lost, too')
+            waiting = asyncio.create_task(log.read('s', 3, 30))
+            await asyncio.sleep(0.05)
+            come_back()
+            for page in (await waiting, await log.read('s', 3, 30)):
+                self.assertThat(page.era, Equals(1))
+                self.assertThat(page.next_offset, Equals(1))
+            self.assertThat(await log.append('s', b'again'), Equals(1))
+            self.assertThat(log.era, Equals(1))
+
+        self.run_drill(drill)
+
     def test_faults(self) -> None:
         async def case(
             log: Log,
