Replicas follow the log when it comes back from an older copy

Cause: a replica's offset only advances. After the log came back from an older copy, readers failed with "log ends at" until the log had grown past their offset again, and then applied new records on top of lost ones. All nodes held the same state, so no digest differed, and the checkpointer wrote it to the log, where later nodes loaded it.

Change: a replica has a position, which is the era of the log and the offset. Digests, notices, pulls and deltas carry it in the place of the offset (it equals the offset in era 0). A reader that sees a later era replays the log from the newest checkpoint that is not beyond its end. A checkpoint is written only from a state of the log's era that is not ahead of the log, and replaced if the era changed during the append. The variants in tests/variants.py take the era that the replica's methods take now; what they break is the same.

--- a/filbertdrift/distribution.py
+++ b/filbertdrift/distribution.py
@@ -18,9 +18,9 @@
     PeerUnavailable,
     RulesUnknown,
 )
-from filbertdrift.fold import encode_checkpoint
+from filbertdrift.fold import EMPTY_OFFSET, encode_checkpoint
 from filbertdrift.gen import ttypes
-from filbertdrift.keeper import ConfigReplica
+from filbertdrift.keeper import ConfigReplica, from_position
 from filbertdrift.link import LinkPool
 from filbertdrift.log import LogRecord
 from filbertdrift.logreader import LOG_ERRORS, LogReader
@@ -111,29 +111,30 @@
             sources.append(await self._boot_from_log())
         return [source for source in sources if source]
 
-    def compare(self, sender: str, offset: int, digest: bytes) -> None:
-        """Pull if a peer is ahead; rebuild if it differs at this offset.
+    def compare(self, sender: str, position: int, digest: bytes) -> None:
+        """Pull if a peer is ahead; rebuild if it differs at this position.
 
         Args:
             sender: The peer.
-            offset: The offset of its configuration.
+            position: The position of its configuration.
             digest: The digest of its configuration.
         """
-        own = self._replica.state
-        if offset > own.offset and not self._replica.blocked_by:
+        own, own_digest = self._replica.digest()
+        if position > own and not self._replica.blocked_by:
             if self._is_syncing:
-                self._next_pull = (sender, offset)
+                self._next_pull = (sender, position)
             else:
                 self._start_sync(self._pull_and_notify(sender))
-        elif offset == own.offset and digest and digest != own.digest:
+        elif position == own and digest and digest != own_digest:
             self.counters.digest_mismatches += 1
             self._start_sync(self._rebuild())
 
     def on_notice(self, sender: str, notice: ttypes.ConfigNotice) -> None:
         """Apply the records of a gossip message, or pull what is missing."""
         before = self._replica.state.offset
+        era, _ = from_position(notice.config_offset)
         try:
-            added = self._replica.add(_from_wire(notice.records or ()))
+            added = self._replica.add(_from_wire(notice.records or ()), era)
         except (LogGap, RulesUnknown):
             added = False
         if added:
@@ -148,7 +149,7 @@
             before: The offset before the configuration advanced.
         """
         state = self._replica.state
-        notice = ttypes.ConfigNotice(state.offset, state.digest, [])
+        notice = ttypes.ConfigNotice(self._replica.position, state.digest, [])
         if self._pushes_records:
             records = self._replica.records_after(before) or ()
             size = sum(len(record.payload) for record in records)
@@ -163,10 +164,13 @@
         a retry-after delay.
         """
         state = self._replica.state
-        delta = ttypes.ConfigDelta([], state.offset, state.digest, None, 0)
+        position = self._replica.position
+        delta = ttypes.ConfigDelta([], position, state.digest, None, 0)
         records = None
-        if not req.whole:
-            records = self._replica.records_after(req.config_offset)
+        era, offset = from_position(req.config_offset)
+        is_comparable = era >= self._replica.era or offset == EMPTY_OFFSET
+        if is_comparable and not req.whole:
+            records = self._replica.records_after(offset)
         if records is not None:
             self.counters.deltas_served += 1
             delta.records = _to_wire(records)
@@ -206,18 +210,19 @@
     def _finish_sync(self, task: asyncio.Task[None]) -> None:
         self._is_syncing = False
         self._tasks.discard(task)
-        sender, offset = self._next_pull
-        if offset > self._replica.state.offset and not task.cancelled():
+        sender, position = self._next_pull
+        if position > self._replica.position and not task.cancelled():
             self._next_pull = ('', -1)
             self._start_sync(self._pull_and_notify(sender))
 
     async def _pull_and_notify(self, peer: str) -> None:
         before = self._replica.state.offset
+        position = self._replica.position
         try:
             await self._pull(peer)
         except _PULL_ERRORS:
             return
-        if self._replica.state.offset > before:
+        if self._replica.position > position:
             self.counters.from_pull += 1
             self.notify(before)
 
@@ -237,7 +242,7 @@
         deadline = asyncio.get_running_loop().time() + PULL_TIMEOUT_S
         whole = False
         while True:
-            req = ttypes.PullConfig(self._replica.state.offset, whole)
+            req = ttypes.PullConfig(self._replica.position, whole)
             reply = await self._links.ask(peer, req, deadline)
             if not isinstance(reply, ttypes.ConfigDelta):
                 raise MalformedMessage('no config', step='pull', peer=peer)
@@ -250,11 +255,12 @@
 
     def _apply(self, delta: ttypes.ConfigDelta) -> bool:
         """Apply a delta or checkpoint; return False if records are missing."""
+        era, _ = from_position(delta.config_offset)
         if delta.checkpoint:
-            self._replica.replace(delta.checkpoint)
+            self._replica.replace(delta.checkpoint, era)
             return True
         try:
-            self._replica.add(_from_wire(delta.records or ()))
+            self._replica.add(_from_wire(delta.records or ()), era)
         except LogGap:
             return False
         return True
--- a/filbertdrift/explain.py
+++ b/filbertdrift/explain.py
@@ -7,7 +7,8 @@
 
 from pydantic import BaseModel
 
-from filbertdrift.fold import Verdict
+from filbertdrift.fold import EMPTY_OFFSET, Verdict
+from filbertdrift.keeper import from_position
 from filbertdrift.members import Member, MemberStatus
 
 if TYPE_CHECKING:
@@ -180,7 +181,7 @@
         if contact is None or contact.at < pinged_at
     ]
     offsets = {
-        name: contact.offset
+        name: _offset_in_era(contact.offset, node.replica.era)
         for name, contact in last_contacts.items()
         if contact and name not in silent
     }
@@ -195,6 +196,12 @@
     )
 
 
+def _offset_in_era(position: int, era: int) -> int:
+    """Return the offset of a position, EMPTY_OFFSET if of an earlier era."""
+    found_era, offset = from_position(position)
+    return offset if found_era >= era else EMPTY_OFFSET
+
+
 def explain_verdicts(verdicts: Iterable[Verdict]) -> list[VerdictReport]:
     """Report verdicts on configuration changes, the newest first."""
     return [
--- a/filbertdrift/logreader.py
+++ b/filbertdrift/logreader.py
@@ -5,13 +5,19 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from loguru import logger
+
 from filbertdrift.errors import (
     LogGap,
     LogUnavailable,
     MalformedMessage,
     RulesUnknown,
 )
-from filbertdrift.fold import decode_checkpoint, encode_checkpoint
+from filbertdrift.fold import (
+    EMPTY_OFFSET,
+    decode_checkpoint,
+    encode_checkpoint,
+)
 from filbertdrift.keeper import ConfigReplica
 from filbertdrift.log import (
     CHECKPOINT_STREAM,
@@ -19,6 +25,7 @@
     LAST_RECORD,
     LONG_POLL_S,
     Log,
+    LogPage,
 )
 from filbertdrift.membership import Membership
 from filbertdrift.rendezvous import rank
@@ -108,13 +115,17 @@
     async def boot(self) -> None:
         """Load the newest checkpoint and replay the records after it.
 
+        If the log is in a later era than the replica, catch_up loads both.
+
         Raises:
             LogUnavailable: The log cannot be reached.
             LogGap: Records in between have expired.
             RulesUnknown: The configuration needs a newer program.
             MalformedMessage: The checkpoint is invalid.
         """
-        await self._load_checkpoint(self._replica)
+        page = await self._read_checkpoint()
+        if page.era == self._replica.era:
+            _load(page, self._replica)
         await self.catch_up()
 
     async def catch_up(self) -> None:
@@ -127,9 +138,9 @@
             MalformedMessage: The checkpoint that replaces expired records is
                 invalid.
         """
-        next_offset = self._replica.state.offset + 2
-        while self._replica.state.offset + 1 < next_offset:
-            next_offset = await self._read(0)
+        has_more = True
+        while has_more:
+            has_more = await self._read(0)
 
     async def rebuild(self) -> None:
         """Replay the log into a new replica; adopt its state if it differs.
@@ -140,14 +151,12 @@
             RulesUnknown: The configuration needs a newer program.
             MalformedMessage: The checkpoint is invalid.
         """
-        fresh = ConfigReplica(self._replica.supported_rules)
-        await self._load_checkpoint(fresh)
-        while fresh.state.offset < self._replica.state.offset:
-            wanted = fresh.state.offset + 1
-            page = await self._log.read(CONFIG_STREAM, wanted)
-            if not fresh.add(page.records):
-                return
-        self._replica.correct(fresh)
+        fresh = await self._replay(self._replica.state.offset)
+        before = self._replica.state.offset
+        if self._replica.enter_era(fresh):
+            self.on_advance(before)
+        else:
+            self._replica.correct(fresh)
 
     async def write_checkpoint_if_due(self) -> bool:
         """Append a checkpoint if the newest one is outdated or missing.
@@ -164,11 +173,17 @@
         """
         state = self._replica.state
         now = asyncio.get_running_loop().time()
-        page = await self._log.read(CHECKPOINT_STREAM, LAST_RECORD)
+        page = await self._read_checkpoint()
         config = await self._log.read(CONFIG_STREAM, LAST_RECORD)
-        newest = -1
+        era = self._replica.era
+        if {page.era, config.era} != {era} or _is_beyond(state.offset, config):
+            # The state may contain records that the log has lost.
+            return False
+        newest = EMPTY_OFFSET
         if page.records:
             newest = decode_checkpoint(page.records[-1].payload).offset
+        if _is_beyond(newest, config):
+            newest = EMPTY_OFFSET
         self.checkpoint_offset = newest
         is_due = (
             now >= self._checkpoint_due_at
@@ -180,7 +195,11 @@
         await self._log.append(CHECKPOINT_STREAM, encode_checkpoint(state))
         self.counters.checkpoints_written += 1
         self.checkpoint_offset = state.offset
-        self._checkpoint_due_at = now + self._checkpoint_interval_s
+        if self._log.era == era:
+            self._checkpoint_due_at = now + self._checkpoint_interval_s
+        else:
+            logger.warning('checkpoint of an earlier era; to be replaced')
+            self._checkpoint_due_at = 0
         return True
 
     async def _follow(self) -> None:
@@ -209,42 +228,93 @@
             except LOG_ERRORS:
                 self.is_reachable = False
 
-    async def _read(self, wait_s: float) -> int:
+    async def _read(self, wait_s: float) -> bool:
+        """Apply one page; return whether there are more records."""
         wanted = self._replica.state.offset + 1
         page = await self._log.read(CONFIG_STREAM, wanted, wait_s)
         self.is_reachable = True
+        if page.era > self._replica.era:
+            await self._enter_era()
+            return True
+        if page.era < self._replica.era:
+            reason = f'log in era {page.era}, before {self._replica.era}'
+            raise LogGap(reason, step='read log')
         if page.next_offset < wanted:
             self.counters.log_behind += 1
             reason = f'log ends at {page.next_offset - 1}, before {wanted - 1}'
             raise LogGap(reason, step='read log')
         if page.first_offset > wanted:
             self.counters.gaps += 1
-            await self._skip_expired(page.first_offset)
-            return page.next_offset
+            await self._skip_expired(page)
+            return self._replica.state.offset + 1 < page.next_offset
         before = self._replica.state.offset
-        if self._replica.add(page.records):
+        if self._replica.add(page.records, page.era):
             self.counters.read_forward += 1
             self.on_advance(before)
-        return page.next_offset
+        return self._replica.state.offset + 1 < page.next_offset
 
-    async def _skip_expired(self, first_offset: int) -> None:
+    async def _enter_era(self) -> None:
+        """Replace the state, which may contain records that the log lost."""
+        before = self._replica.state.offset
+        if self._replica.enter_era(await self._replay()):
+            self.on_advance(before)
+
+    async def _replay(self, until: int | None = None) -> ConfigReplica:
+        """Return a replica of the log up to an offset, or to its end."""
+        page = await self._read_checkpoint()
+        fresh = ConfigReplica(self._replica.supported_rules)
+        fresh.era = page.era
+        end = await self._log.read(CONFIG_STREAM, LAST_RECORD)
+        last = end.next_offset - 1 if until is None else until
+        _load(page, fresh, end)
+        while fresh.state.offset < last:
+            wanted = fresh.state.offset + 1
+            page = await self._log.read(CONFIG_STREAM, wanted)
+            if page.era != fresh.era or page.next_offset <= wanted:
+                reason = f'log ends at {page.next_offset - 1} in era {page.era}'
+                raise LogGap(reason, step='replay log')
+            fresh.add(page.records, page.era)
+        return fresh
+
+    async def _skip_expired(self, page: LogPage) -> None:
         """Advance past expired records with the newest checkpoint."""
         before = self._replica.state.offset
-        await self._load_checkpoint(self._replica)
+        first_offset = page.first_offset
+        checkpoint = await self._read_checkpoint()
+        if checkpoint.era == self._replica.era:
+            _load(checkpoint, self._replica)
         if self._replica.state.offset > before:
             self.on_advance(before)
         if self._replica.state.offset < first_offset - 1:
             reason = f'records below {first_offset} have expired'
             raise LogGap(reason, step='read log')
 
-    async def _load_checkpoint(self, replica: ConfigReplica) -> None:
-        page = await self._log.read(CHECKPOINT_STREAM, LAST_RECORD)
-        if page.records:
-            replica.replace(page.records[-1].payload)
+    async def _read_checkpoint(self) -> LogPage:
+        return await self._log.read(CHECKPOINT_STREAM, LAST_RECORD)
 
     def _jittered(self, delay_s: float) -> float:
         return delay_s * (0.5 + self._rng.random())
 
 
+def _load(
+    checkpoint: LogPage,
+    replica: ConfigReplica,
+    config: LogPage | None = None,
+) -> None:
+    """Adopt a checkpoint, unless it is beyond the end of the log."""
+    if not checkpoint.records:
+        return
+    payload = checkpoint.records[-1].payload
+    offset = decode_checkpoint(payload, replica.supported_rules).offset
+    if config and _is_beyond(offset, config):
+        logger.warning('checkpoint {} beyond the end of the log', offset)
+        return
+    replica.replace(payload, checkpoint.era)
+
+
+def _is_beyond(offset: int, page: LogPage) -> bool:
+    return offset >= page.next_offset
+
+
 def _ignore_advance(before: int) -> None:
     """Do nothing."""
--- a/tests/variants.py
+++ b/tests/variants.py
@@ -19,7 +19,7 @@
     replica = node.replica
     add = replica.add
 
-    def add_in_arrival_order(records: Sequence[LogRecord]) -> bool:
+    def add_in_arrival_order(records: Sequence[LogRecord], era: int) -> bool:
         newer = [
             record for record in records if record.offset > replica.state.offset
         ]
@@ -28,6 +28,7 @@
                 LogRecord(replica.state.offset + 1 + number, record.payload)
                 for number, record in enumerate(newer)
             ],
+            era,
         )
 
     replica.add = add_in_arrival_order  # type: ignore[method-assign]
@@ -37,8 +38,8 @@
     """Adopt every full configuration, also older ones."""
     replica = node.replica
 
-    def replace(payload: bytes) -> bool:
-        replica._adopt(fold.decode_checkpoint(payload))
+    def replace(payload: bytes, era: int) -> bool:
+        replica._adopt(fold.decode_checkpoint(payload), era)
         return True
 
     replica.replace = replace  # type: ignore[method-assign]
@@ -53,14 +54,14 @@
     """Apply only the first file of each record after the initial one."""
     add = node.replica.add
 
-    def add_first_file(records: Sequence[LogRecord]) -> bool:
+    def add_first_file(records: Sequence[LogRecord], era: int) -> bool:
         parts = []
         for record in records:
             change = decode(ttypes.ConfigRecord, record.payload)
             if record.offset:
                 change.files = change.files[:1]
             parts.append(LogRecord(record.offset, encode(change)))
-        return add(parts)
+        return add(parts, era)
 
     node.replica.add = add_first_file  # type: ignore[method-assign]
 
