Claims survive a log that comes back from an older copy

Cause: a claim stream keeps an offset and the holders of its keys. After the log came back from an older copy, its claims failed until the stream had grown past that offset again; then records at offsets that were given out again were skipped, so that a key held by another claim was granted a second time, and so was a key whose claim the log had lost.

Change: a writer reads to the end of the stream before each append. In a later era, or if the stream ends before the offset, it reads the stream from its start, and appends the claims and responses that are missing before it grants others. Claims of a batch during which that happens fail, and are released if they took the key of a lost claim. This costs one more read a batch.

--- a/filbertdrift/claims.py
+++ b/filbertdrift/claims.py
@@ -5,15 +5,21 @@
 decides, whichever node appends to it and however late. To save appends, the
 node that ranks first batches the claims of a stream; two such nodes at a time
 are harmless. A claim is granted only after it was read back from the stream.
+
+If the log comes back from an older copy, a writer reads the stream again from
+its start, and appends the claims and responses that the log has lost before it
+grants others.
 """
 
 import asyncio
 import hashlib
 import time
 import uuid
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Collection, Iterator, Sequence
 from dataclasses import dataclass
 
+from loguru import logger
+
 from filbertdrift.errors import (
     LogAnswerLost,
     LogUnavailable,
@@ -21,8 +27,9 @@
     PeerUnavailable,
 )
 from filbertdrift.gen import ttypes
+from filbertdrift.keyedlog import NO_ERA
 from filbertdrift.link import LinkPool
-from filbertdrift.log import CLAIM_STREAM_PREFIX, Log
+from filbertdrift.log import CLAIM_STREAM_PREFIX, Log, LogPage
 from filbertdrift.membership import Membership
 from filbertdrift.rendezvous import rank
 from filbertdrift.wire import decode, encode
@@ -119,8 +126,10 @@
         self.last_used_at = asyncio.get_running_loop().time()
         self._log = log
         self._next_offset = 0
+        self._era = NO_ERA
+        self._replays = 0
         self._holders: dict[str, ttypes.ClaimEntry] = {}
-        self._seen_batch_ids: set[str] = set()
+        self._lost: dict[str, ttypes.ClaimEntry] = {}
         self._pending: list[tuple[ttypes.ClaimEntry, _VerdictFuture]] = []
         self._writer: asyncio.Task[None] | None = None
 
@@ -201,32 +210,100 @@
                 fut.set_result(ttypes.ClaimVerdict(None, reason))
 
     async def _write(self, entries: Sequence[ttypes.ClaimEntry]) -> None:
+        await self._read_to_end()
+        await self._restore_lost(())
+        replays = self._replays
+        await self._append(entries)
+        if self._replays != replays:
+            await self._restore_lost({entry.claim_id for entry in entries})
+            raise self._older_copy_error()
+
+    async def _append(self, entries: Sequence[ttypes.ClaimEntry]) -> None:
+        """Append a batch and read it back."""
         batch_id = uuid.uuid4().hex
         payload = encode(ttypes.ClaimBatch(batch_id, list(entries)))
         try:
             await self._log.append(self.name, payload)
         except LogAnswerLost:
-            if await self._read_back(batch_id):
+            if batch_id in await self._read_to_end():
                 return
             await self._log.append(self.name, payload)
         for _ in range(READ_BACK_ATTEMPTS):
-            if await self._read_back(batch_id):
+            if batch_id in await self._read_to_end():
                 return
             await asyncio.sleep(READ_BACK_INTERVAL_S)
         raise LogAnswerLost('not read back', step=f'claim {self.name}')
 
-    async def _read_back(self, batch_id: str) -> bool:
-        self._seen_batch_ids.clear()
+    async def _read_to_end(self) -> Collection[str]:
+        """Apply the next records; return the ids of their batches."""
+        batch_ids: set[str] = set()
         while True:
             page = await self._log.read(self.name, self._next_offset)
-            for record in page.records:
-                batch = decode(ttypes.ClaimBatch, record.payload)
-                self.fold(batch)
-                self._seen_batch_ids.add(batch.batch_id)
-                self._next_offset = record.offset + 1
-            self._next_offset = max(self._next_offset, page.first_offset)
+            if page.era < self._era:
+                raise self._older_copy_error()
+            if page.era > self._era or page.next_offset < self._next_offset:
+                self._start_over(page.era)
+                continue
+            batch_ids.update(self._apply_page(page))
             if self._next_offset >= page.next_offset:
-                return batch_id in self._seen_batch_ids
+                return batch_ids
+
+    def _apply_page(self, page: LogPage) -> Iterator[str]:
+        for record in page.records:
+            batch = decode(ttypes.ClaimBatch, record.payload)
+            self.fold(batch)
+            self._next_offset = record.offset + 1
+            yield batch.batch_id
+        self._next_offset = max(self._next_offset, page.first_offset)
+
+    def _start_over(self, era: int) -> None:
+        """Read the stream again; keep the holders that it may have lost."""
+        self._lost = {**self._holders, **self._lost}
+        self._holders = {}
+        self._next_offset = 0
+        self._era = era
+        self._replays += 1
+
+    async def _restore_lost(self, claim_ids: Collection[str]) -> None:
+        """Append the holders that the log has lost.
+
+        Args:
+            claim_ids: Claims that were appended without knowledge of the lost
+                ones and must not hold their keys.
+        """
+        if not self._lost:
+            return
+        replays = self._replays
+        entries = list(self._list_restored(claim_ids))
+        logger.warning(
+            '{} came back from an older copy: {} entries restored',
+            self.name,
+            len(entries),
+        )
+        for start in range(0, len(entries), MAX_BATCH_ENTRIES):
+            await self._append(entries[start : start + MAX_BATCH_ENTRIES])
+        if self._replays != replays:
+            raise self._older_copy_error()
+        self._lost.clear()
+
+    def _list_restored(
+        self,
+        claim_ids: Collection[str],
+    ) -> Iterator[ttypes.ClaimEntry]:
+        for key, lost in self._lost.items():
+            holder = self._holders.get(key)
+            if holder and holder.claim_id in claim_ids:
+                yield _with_kind(holder, ttypes.ClaimKind.RELEASE)
+                holder = None
+            if holder is None:
+                yield _with_kind(lost, ttypes.ClaimKind.CLAIM)
+            is_same = holder is None or holder.claim_id == lost.claim_id
+            if is_same and lost.kind == ttypes.ClaimKind.DONE:
+                yield lost
+
+    def _older_copy_error(self) -> LogAnswerLost:
+        reason = 'the log came back from an older copy'
+        return LogAnswerLost(reason, step=f'claim {self.name}')
 
     def remove_expired(self, now_ms: int) -> None:
         """Remove holders that expired EXPIRED_RETENTION_MS ago or earlier.
@@ -453,5 +530,17 @@
     )
 
 
+def _with_kind(entry: ttypes.ClaimEntry, kind: int) -> ttypes.ClaimEntry:
+    """Return a claim or a release of the claim that an entry belongs to."""
+    return ttypes.ClaimEntry(
+        key=entry.key,
+        claim_id=entry.claim_id,
+        kind=kind,
+        fingerprint=entry.fingerprint,
+        written_ms=entry.written_ms,
+        expires_ms=entry.expires_ms,
+    )
+
+
 def _digest(raw: bytes) -> str:
     return hashlib.blake2b(raw, digest_size=_HASH_BYTES).hexdigest()
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -1,9 +1,11 @@
 """Claims: at most one execution for an idempotency key."""
 
+import asyncio
+
 from testtools import TestCase
-from testtools.matchers import Equals
+from testtools.matchers import Equals, Not
 
-from filbertdrift.claims import ClaimStream, claim_key
+from filbertdrift.claims import BATCH_INTERVAL_S, ClaimStream, claim_key
 from filbertdrift.gen import ttypes
 from filbertdrift.log import MemoryLog
 from tests import variants
@@ -61,6 +63,105 @@
         run_virtual(case())
 
 
+class OlderCopyTest(TestCase):
+    """The log comes back from an older copy, without some of the claims."""
+
+    # Guards against a second run of a request whose claim the log has lost.
+    def test_lost_claim_is_not_granted_again(self) -> None:
+        async def case() -> None:
+            log = MemoryLog()
+            stream = ClaimStream(log, 'claims-0')
+            older = log.copy_streams()
+            self.assertThat(await submit(stream, 'first'), Equals('first'))
+            log.come_back(older)
+            self.assertThat(await submit(stream, 'retry'), Equals('first'))
+            # The claim is in the log again for other nodes.
+            other = ClaimStream(log, 'claims-0')
+            self.assertThat(await submit(other, 'third'), Equals('first'))
+
+        run_virtual(case())
+
+    # Guards against a lost response, without which a retry cannot be answered.
+    def test_lost_response_is_stored_again(self) -> None:
+        async def case() -> None:
+            log = MemoryLog()
+            stream = ClaimStream(log, 'claims-0')
+            older = log.copy_streams()
+            await submit(stream, 'first')
+            done = claim_entry('first', 1)
+            done.kind = ttypes.ClaimKind.DONE
+            done.status = 200
+            await stream.submit(done)
+            log.come_back(older)
+            verdict = await stream.submit(claim_entry('retry', 2))
+            self.assertThat(verdict.holder, Equals(done))
+            other = ClaimStream(log, 'claims-0')
+            verdict = await other.submit(claim_entry('third', 3))
+            self.assertThat(verdict.holder, Equals(done))
+
+        run_virtual(case())
+
+    # Guards against a claim at an offset that was given out again and skipped.
+    def test_claim_at_a_reused_offset_is_seen(self) -> None:
+        async def case() -> None:
+            log = MemoryLog()
+            stale = ClaimStream(log, 'claims-0')
+            older = log.copy_streams()
+            for number in range(3):
+                await submit(stale, f'other-{number}', f'key-{number}')
+            log.come_back(older)
+            other = ClaimStream(log, 'claims-0')
+            for number in range(3):
+                claim_id = f'new-{number}'
+                holder = await submit(other, claim_id, claim_id)
+                self.assertThat(holder, Equals(claim_id))
+            holder = await submit(stale, 'retry', 'new-0')
+            self.assertThat(holder, Equals('new-0'))
+
+        run_virtual(case())
+
+    # Guards against claims that fail until the stream has grown again.
+    def test_claims_are_granted_in_the_new_era(self) -> None:
+        async def case() -> None:
+            log = MemoryLog()
+            stream = ClaimStream(log, 'claims-0')
+            older = log.copy_streams()
+            for number in range(3):
+                await submit(stream, f'old-{number}', f'key-{number}')
+            log.come_back(older)
+            holder = await submit(stream, 'new', 'another')
+            self.assertThat(holder, Equals('new'))
+
+        run_virtual(case())
+
+    # Guards against a claim that is appended before the lost ones are restored.
+    def test_era_changes_during_a_claim(self) -> None:
+        async def case() -> None:
+            log = MemoryLog(delay_s=0.01)
+            stream = ClaimStream(log, 'claims-0')
+            older = log.copy_streams()
+            self.assertThat(await submit(stream, 'held'), Equals('held'))
+            for step in range(10):
+                await asyncio.sleep(2 * BATCH_INTERVAL_S)
+                rival = asyncio.create_task(submit(stream, f'rival-{step}'))
+                await asyncio.sleep(0.005 * step)
+                log.come_back(older)
+                self.assertThat(await rival, Not(Equals(f'rival-{step}')))
+                self.assertThat(await submit(stream, 'late'), Equals('held'))
+                other = ClaimStream(log, 'claims-0')
+                self.assertThat(await submit(other, 'later'), Equals('held'))
+
+        run_virtual(case())
+
+
+async def submit(stream: ClaimStream, claim_id: str, key: str = 'key') -> str:
+    """Claim a key; return the id of its holder, or the failure."""
+    entry = claim_entry(claim_id, 0)
+    entry.key = key
+    verdict = await stream.submit(entry)
+    return verdict.holder.claim_id if verdict.holder else verdict.failure
+
+
 def claim_entry(claim_id: str, written_ms: int) -> ttypes.ClaimEntry:
     """Return a claim of one key."""
     return ttypes.ClaimEntry(
