Known red: a lost claim that another node grants again

A claim whose record the log has lost is restored by a node that has read it. A node without that memory cannot tell a lost claim from none, and grants the key to a retry if it is asked first. The test fails always; the fix is a change of design and is not begun.

--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -153,6 +153,20 @@
 
         run_virtual(case())
 
+    # Guards against a second run by a node that has not seen the lost claim.
+    def test_lost_claim_is_not_granted_by_another_node(self) -> None:
+        async def case() -> None:
+            log = MemoryLog()
+            older = log.copy_streams()
+            stream = ClaimStream(log, 'claims-0')
+            self.assertThat(await submit(stream, 'first'), Equals('first'))
+            log.come_back(older)
+            other = ClaimStream(log, 'claims-0')
+            holder = await submit(other, 'retry')
+            self.assertThat(holder, Not(Equals('retry')))
+
+        run_virtual(case())
+
 
 async def submit(stream: ClaimStream, claim_id: str, key: str = 'key') -> str:
     """Claim a key; return the id of its holder, or the failure."""
