Readers of the log wait at most 1.5 s after an outage

Cause: the backoff of the readers grew to 5 s and up to 7.5 s with jitter, so that a log that was back stayed unread for longer than the outage. Failures were not logged.

Change: the backoff is at most 1 s, 1.5 s with jitter, as for the store. The first failure and the first success after it are logged, and so are failed checkpoints.

--- a/filbertdrift/logreader.py
+++ b/filbertdrift/logreader.py
@@ -33,7 +33,7 @@
 READERS_PER_DOMAIN = 2
 READER_CHECK_INTERVAL_S = 1.0
 INITIAL_BACKOFF_S = 0.2
-MAX_BACKOFF_S = 5.0
+MAX_BACKOFF_S = 1.0
 MAX_RECORDS_PER_CHECKPOINT = 100
 CHECKPOINT_CHECK_INTERVAL_S = 5.0
 
@@ -91,6 +91,7 @@
         self._log = log
         self._checkpoint_interval_s = checkpoint_interval_s
         self._checkpoint_due_at = 0.0
+        self._is_failing = False
         self._rng = rng
 
     async def run(self) -> None:
@@ -213,10 +214,12 @@
                 await self._read(LONG_POLL_S)
             except LOG_ERRORS as exc:
                 self.is_reachable = not isinstance(exc, LogUnavailable)
+                self._log_failure(exc)
                 await asyncio.sleep(self._jittered(backoff_s))
                 backoff_s = min(backoff_s * 2, MAX_BACKOFF_S)
             else:
                 backoff_s = INITIAL_BACKOFF_S
+                self._log_success()
 
     async def _write_checkpoints(self) -> None:
         while True:
@@ -225,8 +228,19 @@
                 continue
             try:
                 await self.write_checkpoint_if_due()
-            except LOG_ERRORS:
+            except LOG_ERRORS as exc:
                 self.is_reachable = False
+                logger.warning('no checkpoint written: {}', exc)
+
+    def _log_failure(self, exc: Exception) -> None:
+        if not self._is_failing:
+            logger.warning('cannot follow the log: {}', exc)
+        self._is_failing = True
+
+    def _log_success(self) -> None:
+        if self._is_failing:
+            logger.info('following the log again')
+        self._is_failing = False
 
     async def _read(self, wait_s: float) -> bool:
         """Apply one page; return whether there are more records."""
