A domain whose readers lost the log gets the configuration

Cause: only two members of a domain read the log. In a domain that was cut off from the others, and whose readers did not reach the log, all members kept an outdated configuration although the others reached the log, for as long as it lasted.

Change: while a domain is alone or some domain is unreachable, its members that are not readers read the log at random, together once in 5 s on average. Doing so always would exceed the bound of 120 reads in the trace distribution.json (trial: 143), so it depends on unreachable domains.

Measured: CutOffTest.test_domain_whose_readers_are_cut_off_from_the_log fails before (not in force after 120 s, limit 20 s) and passes after (4.85 s); 27 passed in test_logreader, test_log_era, test_introduction and test_distribution.

--- a/filbertdrift/logreader.py
+++ b/filbertdrift/logreader.py
@@ -33,6 +33,8 @@
 READERS_PER_DOMAIN = 2
 READER_CHECK_INTERVAL_S = 1.0
 PEER_SILENCE_S = 4.0
+# Mean time between the reads of all other members of a domain together.
+SPOT_READ_INTERVAL_S = 5.0
 INITIAL_BACKOFF_S = 0.2
 MAX_BACKOFF_S = 1.0
 MAX_RECORDS_PER_CHECKPOINT = 100
@@ -58,6 +60,9 @@
 
     The READERS_PER_DOMAIN members that rank first in a domain are its readers.
     A node that has heard no peer for PEER_SILENCE_S follows the log as well.
+    While the domain hears no other domain, or not all of them, its other
+    members take turns at random to read the log once, in case that the readers
+    do not reach it.
     The member that ranks first of all writes checkpoints.
 
     Args:
@@ -219,12 +224,9 @@
     async def _follow(self) -> None:
         backoff_s = INITIAL_BACKOFF_S
         while True:
-            if not (self.is_reader() or self.is_cut_off()):
-                self.is_reachable = False
-                await asyncio.sleep(self._jittered(READER_CHECK_INTERVAL_S))
-                continue
+            wait_s = await self._await_turn()
             try:
-                await self._read(LONG_POLL_S)
+                await self._read(wait_s)
             except LOG_ERRORS as exc:
                 self.is_reachable = not isinstance(exc, LogUnavailable)
                 self._log_failure(exc)
@@ -234,6 +236,25 @@
                 backoff_s = INITIAL_BACKOFF_S
                 self._log_success()
 
+    async def _await_turn(self) -> float:
+        """Wait until this node should read; return how long it may wait."""
+        while not (self.is_reader() or self.is_cut_off()):
+            self.is_reachable = False
+            await asyncio.sleep(self._jittered(READER_CHECK_INTERVAL_S))
+            if self._draws_spot_read():
+                return 0
+        return LONG_POLL_S
+
+    def _draws_spot_read(self) -> bool:
+        domain = self._membership.local_member.domain
+        table = self._membership.table
+        is_alone = len(table.domains()) == 1
+        if not is_alone and not self._membership.unreachable_domains:
+            return False
+        others = len(table.in_domain(domain)) - READERS_PER_DOMAIN
+        share = READER_CHECK_INTERVAL_S / SPOT_READ_INTERVAL_S
+        return self._rng.random() < share / max(others, 1)
+
     async def _write_checkpoints(self) -> None:
         while True:
             await asyncio.sleep(self._jittered(CHECKPOINT_CHECK_INTERVAL_S))
--- a/tests/test_logreader.py
+++ b/tests/test_logreader.py
@@ -28,6 +28,22 @@
 
         run_virtual(case())
 
+    # Guards against a domain whose readers do not reach the log.
+    def test_domain_whose_readers_are_cut_off_from_the_log(self) -> None:
+        async def case() -> None:
+            fleet = await small_fleet(seed=92, per_domain=PER_DOMAIN)
+            other = _find_other(fleet, 'b')
+            fleet.cut('b')
+            for address in fleet.domain('b'):
+                instance = fleet.instances[address]
+                is_reader = instance.node.reader.is_reader()
+                instance.log.is_partitioned = is_reader
+            await _publish(fleet)
+            took_s = await _wait_until(other, 1)
+            self.assertThat(took_s, LessThan(20))
+
+        run_virtual(case())
+
 
 class OutageTest(TestCase):
     """Readers follow the log as soon as it is back."""
