A change that may be in the log is not reported as not published

Cause: after a successful append, Publisher.publish reads the verdict. An error of that read was reported as LogUnavailable, which means that the change was not published; callers then take it for refused while it is in force.

Change: an error after an append is LogAnswerLost: the outcome is unknown and publishing the same change again is safe.

Measured: PublishErrorTest.test_log_fails_after_the_append fails before (LogUnavailable) and passes after.

--- a/filbertdrift/publisher.py
+++ b/filbertdrift/publisher.py
@@ -76,7 +76,9 @@
         deadline = loop.time() + PUBLISH_TIMEOUT_S
         appends = 0
         while True:
-            verdict = await self._find_verdict(record.record_id)
+            verdict = await self._find_verdict(
+                record.record_id, may_be_appended=appends > 0
+            )
             if verdict is not None:
                 return PublishResult(verdict, appends)
             if await self._append(record, may_be_appended=appends > 0):
@@ -102,11 +104,17 @@
             raise
         return True
 
-    async def _find_verdict(self, record_id: str) -> Verdict | None:
+    async def _find_verdict(
+        self,
+        record_id: str,
+        *,
+        may_be_appended: bool,
+    ) -> Verdict | None:
         try:
             await self._reader.catch_up()
-        except (LogGap, RulesUnknown) as exc:
-            raise LogUnavailable(exc.reason, step='publish') from exc
+        except (LogUnavailable, LogGap, RulesUnknown) as exc:
+            error = LogAnswerLost if may_be_appended else LogUnavailable
+            raise error(exc.reason, step='read verdict', peer=exc.peer) from exc
         return self._replica.state.find_verdict(record_id)
 
     async def _wait_to_retry(self, deadline: float) -> None:
