An invalid checkpoint is an error of publishing

Cause: Publisher._find_verdict let MalformedMessage of an invalid checkpoint through, which publish does not document and its callers do not handle.

Change: all errors of reading the log become LogUnavailable, or LogAnswerLost after an append.

Measured: PublishErrorTest.test_invalid_checkpoint fails before (MalformedMessage) and passes after.

--- a/filbertdrift/publisher.py
+++ b/filbertdrift/publisher.py
@@ -3,17 +3,12 @@
 import asyncio
 from dataclasses import dataclass
 
-from filbertdrift.errors import (
-    LogAnswerLost,
-    LogGap,
-    LogUnavailable,
-    RulesUnknown,
-)
+from filbertdrift.errors import LogAnswerLost, LogUnavailable
 from filbertdrift.fold import Verdict, VerdictKind
 from filbertdrift.gen import ttypes
 from filbertdrift.keeper import ConfigReplica
 from filbertdrift.log import CONFIG_STREAM, Log
-from filbertdrift.logreader import LogReader
+from filbertdrift.logreader import LOG_ERRORS, LogReader
 from filbertdrift.wire import encode
 
 PUBLISH_TIMEOUT_S = 10.0
@@ -112,7 +107,7 @@
     ) -> Verdict | None:
         try:
             await self._reader.catch_up()
-        except (LogUnavailable, LogGap, RulesUnknown) as exc:
+        except LOG_ERRORS as exc:
             error = LogAnswerLost if may_be_appended else LogUnavailable
             raise error(exc.reason, step='read verdict', peer=exc.peer) from exc
         return self._replica.state.find_verdict(record_id)
--- a/tests/test_publisher.py
+++ b/tests/test_publisher.py
@@ -2,12 +2,15 @@
 
 from testtools import ExpectedException, TestCase
 
-from filbertdrift.errors import LogAnswerLost
+from filbertdrift.errors import LogAnswerLost, LogUnavailable
 from filbertdrift.log import (
+    CHECKPOINT_STREAM,
+    CONFIG_STREAM,
     MemoryLog,
     SharedLog,
 )
 from filbertdrift.publisher import Publisher
+from filbertdrift.wire import encode
 from tests.builders import config_record, run_virtual, small_fleet
 
 
@@ -30,6 +33,23 @@
 
         run_virtual(case())
 
+    # Guards against an error that callers of a publisher do not expect.
+    def test_invalid_checkpoint(self) -> None:
+        async def case() -> None:
+            fleet = await small_fleet(seed=96)
+            for instance in fleet.instances.values():
+                instance.log.is_partitioned = True
+            await fleet.log.append(CHECKPOINT_STREAM, b'not a checkpoint')
+            expired = encode(config_record('expired', {}))
+            for _ in range(5):
+                await fleet.log.append(CONFIG_STREAM, expired)
+            fleet.log.expire(CONFIG_STREAM, 5)
+            fleet.heal()
+            with ExpectedException(LogUnavailable):
+                await fleet.publish({}, 'r')
+
+        run_virtual(case())
+
 
 class FailingLog(SharedLog):
     """A client of a log that is down as soon as it has appended a record."""
