test_endless_responses: late bytes are sent at once on any event loop

uvloop sends what is written at the end of the loop's turn, after the next exchange has begun, so under it the test of unread bytes failed without testing them. The bytes go straight to the socket.

--- a/tests/test_endless_responses.py
+++ b/tests/test_endless_responses.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import os
 from collections.abc import Coroutine
 from dataclasses import dataclass, field
 
@@ -603,7 +604,8 @@
         port = server.sockets[0].getsockname()[1]
         target = HttpTarget(f'{HOST}:{port}', 4)
         self.assertThat(await exchange_status(target), Equals(200))
-        writers[0].write(late)
+        # Sent at once, whichever event loop runs.
+        os.write(writers[0].get_extra_info('socket').fileno(), late)
         if has_arrived:
             await asyncio.sleep(0.05)
         self.assertThat(await exchange_status(target), Equals(200))
