Seeds that the log has lost are published again

Cause: SeedDiscovery believes that what it published still stands, and publishes it again after 600 s. A log that came back from an older copy had no seeds for starting nodes until then.

Change: seeds are due again as soon as the node sees a later era of the log, which it reads every 15 to 45 s. Failures to publish or to read are logged.

Measured: IntroductionTest.test_lost_seeds_are_published_again of tests/test_log_era.py fails before (no introduction 60 s later) and passes after; 9 passed in test_log_era and test_introduction.

--- a/filbertdrift/introduction.py
+++ b/filbertdrift/introduction.py
@@ -9,8 +9,11 @@
 import random
 from collections.abc import Sequence
 
+from loguru import logger
+
 from filbertdrift.errors import LogUnavailable, MalformedMessage
 from filbertdrift.gen import ttypes
+from filbertdrift.keyedlog import NO_ERA
 from filbertdrift.log import INTRODUCTION_STREAM, Log
 from filbertdrift.membership import Membership
 from filbertdrift.rendezvous import rank
@@ -49,6 +52,7 @@
         self._membership = membership
         self._rng = rng
         self._published: list[str] = []
+        self._published_era = NO_ERA
         self._republish_at = 0.0
         self._read_at = 0.0
 
@@ -78,7 +82,8 @@
                 continue
             try:
                 await self.publish_if_due()
-            except LogUnavailable:
+            except LogUnavailable as exc:
+                logger.warning('seeds not published: {}', exc)
                 await asyncio.sleep(CHECK_INTERVAL_S)
             now = asyncio.get_running_loop().time()
             if now >= self._read_at:
@@ -106,7 +111,8 @@
     async def _join_published(self) -> int:
         try:
             published = await self._read_published()
-        except LogUnavailable:
+        except LogUnavailable as exc:
+            logger.warning('published seeds not read: {}', exc)
             return 0
         return await self._membership.join(self._sample_unjoined(published))
 
@@ -117,6 +123,9 @@
     async def publish_if_due(self) -> bool:
         """Publish this domain's seeds if they changed or are due again.
 
+        They are also due if the log came back from an older copy, which may
+        not contain them.
+
         Returns:
             True if they were published.
 
@@ -125,13 +134,16 @@
         """
         ranked = self._ranked_nodes()
         now = asyncio.get_running_loop().time()
-        if ranked == self._published and now < self._republish_at:
+        is_same_era = self._log.era == self._published_era
+        is_published = is_same_era and ranked == self._published
+        if is_published and now < self._republish_at:
             return False
         record = ttypes.Introduction(
             self._membership.local_member.domain, ranked
         )
         await self._log.append(INTRODUCTION_STREAM, encode(record))
         self._published = ranked
+        self._published_era = self._log.era
         self._republish_at = now + REPUBLISH_INTERVAL_S
         return True
 
--- a/tests/test_log_era.py
+++ b/tests/test_log_era.py
@@ -6,7 +6,13 @@
 from testtools.matchers import Equals
 
 from filbertdrift.fold import decode_checkpoint, empty_state, fold
-from filbertdrift.log import CHECKPOINT_STREAM, CONFIG_STREAM
+from filbertdrift.gen import ttypes
+from filbertdrift.log import (
+    CHECKPOINT_STREAM,
+    CONFIG_STREAM,
+    INTRODUCTION_STREAM,
+)
+from filbertdrift.wire import decode
 from tests.builders import (
     Fleet,
     run_virtual,
@@ -16,6 +22,7 @@
 
 OUTAGE_S = 2.0
 IN_FORCE_LIMIT_S = 10.0
+REPUBLISHED_LIMIT_S = 60.0
 
 
 class ConfigTest(TestCase):
@@ -99,6 +106,28 @@
             self.assertThat((address, found), Equals((address, expected)))
 
 
+class IntroductionTest(TestCase):
+    """Starting nodes find the seeds that were published before."""
+
+    # Guards against seeds that are believed to be published but were lost.
+    def test_lost_seeds_are_published_again(self) -> None:
+        async def case() -> None:
+            fleet = Fleet(seed=86)
+            older = fleet.log.copy_streams()
+            for domain in ('a', 'b', 'c'):
+                await fleet.add(domain, 'desk', 3)
+            await asyncio.sleep(30)
+            fleet.log.come_back(older)
+            await asyncio.sleep(REPUBLISHED_LIMIT_S)
+            domains = {
+                decode(ttypes.Introduction, record.payload).domain
+                for record in fleet.log.records(INTRODUCTION_STREAM)
+            }
+            self.assertThat(domains, Equals({'a', 'b', 'c'}))
+
+        run_virtual(case())
+
+
 async def _lose_changes(fleet: Fleet, name: str, changes: int) -> None:
     """Publish changes that a log coming back from an older copy has lost."""
     older = fleet.log.copy_streams()
