A read of an offset that is gone tells the era of the log

Cause: a log may answer 410 to a read from an offset that it does not have. HttpLog reported it as an outage, so that a reader never learned of the later era and kept its configuration for as long as the log gave that answer.

Change: status 410 is an empty page that names the era and ends at 0. Readers and claim streams take it like any log that ends before their offset.

Measured: LogTest.test_gone_offset_tells_the_era fails before (LogUnavailable, status 410) and passes after; tests/test_log.py, 7 passed.

--- a/filbertdrift/log.py
+++ b/filbertdrift/log.py
@@ -25,6 +25,7 @@
 
 _STATUS_CREATED = 201
 _STATUS_OK = 200
+_STATUS_GONE = 410
 _STATUS_SERVER_ERROR = 500
 
 
@@ -44,7 +45,7 @@
         records: Records from the requested offset on, in order.
         first_offset: The earliest retained offset.
         next_offset: The offset of the next append; below the requested offset
-            if the log came back from an older copy.
+            if the log came back from an older copy, 0 if it does not say.
         era: Rises each time the log comes back from an older copy; offsets of
             two eras cannot be compared.
     """
@@ -189,6 +190,8 @@
             )
         except httpx.HTTPError as exc:
             raise LogUnavailable(repr(exc), step=step, peer=self._url) from exc
+        if resp.status_code == _STATUS_GONE:
+            return LogPage((), 0, 0, _era_of(resp))
         if resp.status_code != _STATUS_OK:
             raise self._to_error(resp, step)
         return _page_from_json(resp.json(), _era_of(resp))
--- a/tests/test_log.py
+++ b/tests/test_log.py
@@ -11,7 +11,7 @@
 from testtools.matchers import Equals
 
 from filbertdrift.errors import LogAnswerLost, LogUnavailable
-from filbertdrift.log import LAST_RECORD, HttpLog, Log, MemoryLog
+from filbertdrift.log import LAST_RECORD, HttpLog, Log, LogPage, MemoryLog
 from standins import log_server
 from tests.sockets import free_port
 
@@ -181,6 +181,31 @@
 
         asyncio.run(case())
 
+    # Guards against an offset that is gone being taken for an outage.
+    def test_gone_offset_tells_the_era(self) -> None:
+        async def reply(
+            reader: asyncio.StreamReader,
+            writer: asyncio.StreamWriter,
+        ) -> None:
+            await reader.readuntil(b'\r\n\r\n')
+            writer.write(
+                b'HTTP/1.1 410 Gone\r\nStore-Era: 7\r\n'
+                b'Content-Length: 0\r\n\r\n',
+            )
+            writer.close()
+
+        async def case() -> None:
+            server = await asyncio.start_server(reply, '127.0.0.1', 0)
+            port = server.sockets[0].getsockname()[1]
+            log = HttpLog(f'http://127.0.0.1:{port}')
+            page = await log.read('s', 5)
+            self.assertThat(page, Equals(LogPage((), 0, 0, 7)))
+            self.assertThat(log.era, Equals(7))
+            await log.close()
+            server.close()
+
+        asyncio.run(case())
+
     def test_stand_in_expires_and_limits(self) -> None:
         async def case() -> None:
             store = log_server.StreamStore(0, 3)
