A replica that differs from its peers is corrected soon after an outage

Cause: a node that differs from a peer at the same position replays the log at most once in 30 s (15 to 45 s with jitter). An attempt that failed, because the log was down, counted as one, and its error was not logged.

Change: a failed attempt is repeated after 2 s (1 to 3 s with jitter). It is logged, and so is a failure to load the configuration at the start.

Measured: MismatchTest.test_corrected_after_an_outage fails before (two digests 10 s after an outage of 3 s) and passes after; 26 passed in test_distribution, test_log_era and test_logreader.

--- a/filbertdrift/distribution.py
+++ b/filbertdrift/distribution.py
@@ -11,6 +11,8 @@
 from collections.abc import Coroutine, Sequence
 from dataclasses import dataclass
 
+from loguru import logger
+
 from filbertdrift.admission import RateLimit
 from filbertdrift.errors import (
     LogGap,
@@ -33,6 +35,7 @@
 FULL_SYNCS_PER_S = 20.0
 FULL_SYNC_BURST = 8
 REBUILD_INTERVAL_S = 30.0
+REBUILD_RETRY_S = 2.0
 MS_PER_S = 1000
 
 _PULL_ERRORS = (PeerUnavailable, MalformedMessage, RulesUnknown)
@@ -195,7 +198,8 @@
     async def _boot_from_log(self) -> str:
         try:
             await self._reader.boot()
-        except LOG_ERRORS:
+        except LOG_ERRORS as exc:
+            logger.warning('configuration not loaded from the log: {}', exc)
             return ''
         return 'log'
 
@@ -236,8 +240,10 @@
         self._next_rebuild_at = now + REBUILD_INTERVAL_S * jitter
         try:
             await self._reader.rebuild()
-        except LOG_ERRORS:
+        except LOG_ERRORS as exc:
             self._reader.is_reachable = False
+            self._next_rebuild_at = now + REBUILD_RETRY_S * jitter
+            logger.warning('configuration not compared with the log: {}', exc)
 
     async def _pull(self, peer: str) -> None:
         deadline = asyncio.get_running_loop().time() + PULL_TIMEOUT_S
--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -162,9 +162,14 @@
     def test_corrected(self) -> None:
         run_virtual(self._corrupt_replica())
 
-    async def _corrupt_replica(self) -> None:
+    # Guards against a replica that stays wrong long after the log is back.
+    def test_corrected_after_an_outage(self) -> None:
+        run_virtual(self._corrupt_replica(outage_s=3))
+
+    async def _corrupt_replica(self, outage_s: float = 0) -> None:
         fleet = await small_fleet(seed=22)
         replica = fleet.instances['c-1:7000'].node.replica
+        fleet.log.is_down = outage_s > 0
         files = dict(replica.state.files)
         files['60-desk.ini'] = fold.FileState(service_file('desk'), 0)
         files['60-desk.ini'] = fold.FileState('', 0)
@@ -173,6 +178,8 @@
             replica.state.rules,
             files,
         )
+        await asyncio.sleep(outage_s)
+        fleet.log.is_down = False
         await _offsets_later(fleet)
         digests = {node.replica.state.digest for node in fleet.nodes}
         self.assertThat(digests, HasLength(1))
