--- a/filbertdrift/platform/store.py
+++ b/filbertdrift/platform/store.py
@@ -37,7 +37,7 @@
 # Limit on the wait for the first byte of a response, beyond the requested wait.
 # It doubles with each consecutive timeout, so that a slow store gets through.
 RESPONSE_TIMEOUT_S = 0.8
-MAX_RESPONSE_TIMEOUT_S = 4.0
+MAX_RESPONSE_TIMEOUT_S = 2.0
 # Limits from the first byte on: on the time between two parts, and in total.
 SILENCE_TIMEOUT_S = 1.0
 TRANSFER_TIMEOUT_S = 10.0
