Evidence of currency only gets older, and does not replace having a version

A review with fresh eyes found sequences after which nodes still refused requests by an outdated configuration:

- Evidence that went round over a link with a lasting delay got newer with each hop, because the estimate of transit takes the least delay for none.
No node took over when the usual readers were turned away.
The time of a ping there and back now counts as age at both ends, so evidence is never taken for newer than it is, and no clock of a sender is used.
- A node that heard of a version and could not fetch it never read the log.
Now it does after 1.5 s without progress.
- A log that came back without its newest versions confirmed the older one that was left.
Evidence names the version found in the log; in a new era it counts after 3 s, and not below what was known before.
- A refused document confirmed the version before it.
It confirms nothing, and readers read it again.
- Evidence that had waited in the buffers of a suspended node looked new.

--- a/filbertdrift/config_holder.py
+++ b/filbertdrift/config_holder.py
@@ -57,6 +57,7 @@
         self.on_adopt: Callable[[RoutingConfig], None] = _ignore_config
         self.announced_version = NO_VERSION
         self._behind_since: float | None = None
+        self._adopted_at = 0.0
         self._parse = parse
         self._digest = b''
 
@@ -81,6 +82,10 @@
             return 0
         return asyncio.get_running_loop().time() - self._behind_since
 
+    def unchanged_s(self) -> float:
+        """Return for how long the configuration has been in force."""
+        return asyncio.get_running_loop().time() - self._adopted_at
+
     def offer(self, document: bytes, source: str) -> bool:
         """Adopt a document if it is well-formed, consistent and newer.
 
@@ -91,6 +96,21 @@
         Returns:
             True if the document was adopted.
         """
+        before = self.version
+        return self.read(document, source) is not None and (
+            self.version > before
+        )
+
+    def read(self, document: bytes, source: str) -> int | None:
+        """Adopt a document as offer does, and return its version.
+
+        Args:
+            document: The encoded configuration.
+            source: The origin of the document, for log messages.
+
+        Returns:
+            None if the document is malformed or inconsistent.
+        """
         try:
             config = self._parse(document)
             check_references(config)
@@ -102,13 +122,14 @@
                 size_bytes=len(document),
                 source=source,
             ).error('configuration from {} refused: {}', source, exc)
-            return False
+            return None
         if config.version <= self.version:
             self.counters.older_ignored += 1
-            return False
+            return config.version
         before = self.version
         behind_s = self.behind_s()
         self.config = config
+        self._adopted_at = asyncio.get_running_loop().time()
         if self.version >= self.announced_version:
             self._behind_since = None
         self.table = PrefixTable(config.routes)
@@ -125,7 +146,7 @@
             source=source,
         ).info('configuration {} is in force', config.version)
         self.on_adopt(config)
-        return True
+        return config.version
 
     def _keep_document(self, version: int, document: bytes) -> None:
         self.document = document
--- a/filbertdrift/configwatch.py
+++ b/filbertdrift/configwatch.py
@@ -10,7 +10,6 @@
 
 import asyncio
 import random
-from collections.abc import Sequence
 from dataclasses import dataclass
 
 from loguru import logger
@@ -18,11 +17,17 @@
 from filbertdrift.config_exchange import ConfigExchange
 from filbertdrift.config_holder import ConfigHolder
 from filbertdrift.errors import LogGap, LogUnavailable
-from filbertdrift.freshness import Confirmation, Freshness, LogPosition
-from filbertdrift.keyedlog import KeyedLog, KeyedPage, KeyedRecord
+from filbertdrift.freshness import (
+    REFUSED_VERSION,
+    Confirmation,
+    Freshness,
+    LogPosition,
+)
+from filbertdrift.keyedlog import KeyedLog, KeyedPage
 from filbertdrift.members import MemberStatus
 from filbertdrift.membership import Membership
 from filbertdrift.rendezvous import rank
+from filbertdrift.routing import NO_VERSION
 
 WATCHERS_PER_DOMAIN = 2
 WATCHER_CHECK_INTERVAL_S = 0.5
@@ -36,15 +41,15 @@
 MIN_POLL_INTERVAL_S = 0.2
 INITIAL_BACKOFF_S = 0.2
 MAX_BACKOFF_S = 1.0
-# Without evidence from peers for this long, a node reads the log itself: at
-# once if it hears from no peer at all, else after a random delay, as one
-# reader among its peers is enough.
+# Without evidence from peers for this long, or behind them for as long, a node
+# reads the log itself: at once if it hears from no peer at all, else after a
+# random delay, as one reader among its peers is enough.
 STALE_AFTER_S = 1.5
 ISOLATED_AFTER_S = 1.0
 MAX_TAKEOVER_DELAY_S = 0.5
 # How long a node goes on reading that has taken over.
 TAKEOVER_S = 4.0
-MAX_TAKEOVER_BACKOFF_S = 2.0
+MAX_TAKEOVER_BACKOFF_S = 3.0
 MS_PER_S = 1000
 # In log lines, in place of the age of evidence that does not exist.
 NEVER = -1
@@ -150,6 +155,8 @@
         self._backoff_s = INITIAL_BACKOFF_S
         # Limits the rate of calls, also if the log does not wait for records.
         next_at = started_at + MIN_POLL_INTERVAL_S
+        if self._position is None:
+            next_at = started_at + LONG_POLL_S
         if is_adopted:
             self._exchange.notify()
             next_at = max(next_at, loop.time() + BATCH_DELAY_S)
@@ -164,7 +171,7 @@
         self.counters.whole_reads += 1
         as_of = asyncio.get_running_loop().time()
         page = await self._log.newest(self._stream)
-        return self._accept(page, as_of)
+        return self._accept(page, as_of, NO_VERSION)
 
     # Who reads
 
@@ -175,7 +182,8 @@
             self._is_watcher = self.is_watcher()
         if self._is_watcher or now < self._takeover_until:
             return True
-        if now - self._freshness.peers_as_of <= STALE_AFTER_S:
+        is_fresh = now - self._freshness.peers_as_of <= STALE_AFTER_S
+        if is_fresh and not self._is_stuck():
             self._takeover_at = None
             return False
         if self._takeover_at is None:
@@ -188,15 +196,20 @@
         return True
 
     def _takeover_delay_s(self, now: float) -> float:
-        if self._is_reader:
+        if self._is_reader or self._is_stuck() or self._is_isolated(now):
             return 0
+        return MAX_TAKEOVER_DELAY_S * self._rng.random()
+
+    def _is_stuck(self) -> bool:
+        """Return whether this node cannot get what its peers have."""
+        holder = self._holder
+        return min(holder.behind_s(), holder.unchanged_s()) > STALE_AFTER_S
+
+    def _is_isolated(self, now: float) -> bool:
         contacts = self._membership.last_contacts.values()
-        is_isolated = all(
+        return bool(contacts) and all(
             now - contact.at > ISOLATED_AFTER_S for contact in contacts
         )
-        if is_isolated and contacts:
-            return 0
-        return MAX_TAKEOVER_DELAY_S * self._rng.random()
 
     def _set_reader(self, *, is_reader: bool) -> None:
         if is_reader == self._is_reader:
@@ -220,12 +233,11 @@
             return await self.load_newest()
         self.counters.polls += 1
         loop = asyncio.get_running_loop()
-        jitter = self._rng.uniform(MIN_POLL_JITTER, 1)
+        wait_s = self._poll_wait_s()
         sent_at = loop.time()
-        answer_at = sent_at + LONG_POLL_S * jitter
         try:
             page = await self._log.read(
-                self._stream, position.next_offset, LONG_POLL_S * jitter
+                self._stream, position.next_offset, wait_s
             )
         except LogGap:
             return await self.load_newest()
@@ -234,8 +246,14 @@
             # be narrow.
             return await self.load_newest()
         # The log responds without records only at the end of the wait.
-        as_of = sent_at if page.records else min(answer_at, loop.time())
-        return self._accept(page, as_of)
+        as_of = sent_at if page.records else min(sent_at + wait_s, loop.time())
+        return self._accept(page, as_of, position.version)
+
+    def _poll_wait_s(self) -> float:
+        if not self.is_log_reachable:
+            # A log that hung responds at once when it is back.
+            return 0
+        return LONG_POLL_S * self._rng.uniform(MIN_POLL_JITTER, 1)
 
     def _is_discontinuous(self, page: KeyedPage, position: LogPosition) -> bool:
         """Return whether a page does not continue what was read before.
@@ -254,46 +272,64 @@
             return True
         return not page.records and page.next_offset != position.next_offset
 
-    def _accept(self, page: KeyedPage, as_of: float) -> bool:
-        """Adopt what a page holds; return whether a document was adopted."""
-        is_adopted = self._adopt(page.records)
-        self._position = LogPosition(page.era, page.next_offset)
+    def _accept(self, page: KeyedPage, as_of: float, version: int) -> bool:
+        """Adopt what a page holds; return whether a document was adopted.
+
+        Args:
+            page: The page.
+            as_of: When the log ended after the page.
+            version: The newest version before the page.
+        """
+        before = self._holder.version
+        version = self._adopt(page, version)
+        position = LogPosition(page.era, page.next_offset, version)
+        # A refused document is read again.
+        self._position = None if version == REFUSED_VERSION else position
+        is_adopted = self._holder.version > before
         is_gain = self._freshness.record(
-            Confirmation(
-                version=self._holder.version,
-                position=self._position,
-                as_of=as_of,
-                reader=self._membership.local_member.node,
-            )
+            Confirmation(position, as_of, self._membership.local_member.node)
         )
         if is_gain and not is_adopted:
             self._exchange.send_confirmation()
         return is_adopted
 
-    def _adopt(self, records: Sequence[KeyedRecord]) -> bool:
-        """Adopt the newest valid document; return whether one was adopted."""
+    def _adopt(self, page: KeyedPage, version: int) -> int:
+        """Adopt the newest valid document of a page.
+
+        Args:
+            page: The page.
+            version: The newest version before the page.
+
+        Returns:
+            The newest version up to the end of the page.
+        """
         documents = [
             record.payload
-            for record in records
+            for record in page.records
             if record.key == self._key and record.payload
         ]
-        return any(
-            self._holder.offer(document, 'log')
-            for document in reversed(documents)
-        )
+        for document in reversed(documents):
+            found = self._holder.read(document, 'log')
+            if found is not None:
+                is_newest = document is documents[-1]
+                return found if is_newest else REFUSED_VERSION
+        return REFUSED_VERSION if documents else version
 
     async def _wait_after_failure(
         self, exc: LogUnavailable, started_at: float
     ) -> None:
         self.counters.failures += 1
-        waited_s = asyncio.get_running_loop().time() - started_at
+        self._takeover_until = 0
+        now = asyncio.get_running_loop().time()
+        waited_s = now - started_at
         self._set_reachable(
             is_reachable=False,
             reason=str(exc),
             waited_ms=int(waited_s * MS_PER_S),
         )
         await asyncio.sleep(self._backoff_s * (0.5 + self._rng.random()))
-        limit_s = MAX_BACKOFF_S if self._is_watcher else MAX_TAKEOVER_BACKOFF_S
+        is_needed = self._is_watcher or self._is_isolated(now)
+        limit_s = MAX_BACKOFF_S if is_needed else MAX_TAKEOVER_BACKOFF_S
         self._backoff_s = min(self._backoff_s * 2, limit_s)
 
     def _set_reachable(
--- a/filbertdrift/freshness.py
+++ b/filbertdrift/freshness.py
@@ -6,20 +6,26 @@
 """
 
 import asyncio
+import math
 from collections.abc import Callable
 from dataclasses import dataclass
 
 from filbertdrift.config_holder import ConfigHolder
 from filbertdrift.gen import ttypes
 from filbertdrift.keyedlog import NO_ERA
-from filbertdrift.transit import TransitEstimator
+from filbertdrift.routing import NO_VERSION
 
 MS_PER_S = 1000
 # Evidence that is newer by less is not passed on.
 MIN_GAIN_S = 0.5
-# A sender's clock may jump, so its offset is estimated anew at this interval.
-CLOCK_WINDOW_S = 10.0
+# After a pause of this node, evidence that had waited in its buffers arrives.
+PAUSE_RECOVERY_S = 1.0
+# In a new era, evidence counts only after this time: the log may still lack
+# versions that it had acknowledged and that are written again.
+ERA_SETTLE_S = 3.0
 LONG_AGO = float('-inf')
+# The newest document in the log is refused here, so its version is unknown.
+REFUSED_VERSION = 1_000_000_000_000_000
 
 
 @dataclass(frozen=True, slots=True)
@@ -29,24 +35,24 @@
     Args:
         era: The era of the log; offsets of different eras are unrelated.
         next_offset: The first offset that was not read.
+        version: The newest version before it in the log.
     """
 
     era: int
     next_offset: int
+    version: int
 
 
 @dataclass(frozen=True, slots=True)
 class Confirmation:
-    """Evidence that the log held nothing newer than a version.
+    """Evidence that the log ended at a position.
 
     Args:
-        version: The version.
-        position: Where a reader continues.
-        as_of: When the log held nothing newer, on this node's clock.
+        position: The position, where a reader continues.
+        as_of: When the log ended there, on this node's clock.
         reader: The node that read the log.
     """
 
-    version: int
     position: LogPosition
     as_of: float
     reader: str
@@ -55,44 +61,68 @@
 class Freshness:
     """The newest evidence about the configuration in force.
 
+    The age of evidence is never underestimated: what a message takes between
+    two nodes counts as the time that pings take there and back, once at each
+    end. So evidence that circulates only gets older.
+
     Args:
         node: This node's address.
         holder: Holds the configuration in force.
+        link_delay_s: Returns the time that a ping of this node has taken
+            lately, infinity if none was answered.
 
     Attributes:
         latest: The newest evidence, None before the first.
         era: The newest era of the log that this node has heard of.
         on_era: Called with each newer era.
+        check_pause: Called before evidence is used; detects pauses.
         peers_as_of: The time of the newest evidence of another reader.
     """
 
-    def __init__(self, node: str, holder: ConfigHolder) -> None:
+    def __init__(
+        self,
+        node: str,
+        holder: ConfigHolder,
+        link_delay_s: Callable[[], float],
+    ) -> None:
         """Start without evidence."""
         self.latest: Confirmation | None = None
         self.era = NO_ERA
         self.on_era: Callable[[int], None] = _ignore_era
+        self.check_pause: Callable[[], object] = _do_nothing
         self.peers_as_of = LONG_AGO
         self._node = node
         self._holder = holder
+        self._link_delay_s = link_delay_s
         self._confirmed_as_of = LONG_AGO
-        self._clocks = SenderClocks()
+        self._sent_as_of = LONG_AGO
+        # Evidence of earlier times, or for lower versions, does not count.
+        self._trusted_from = LONG_AGO
+        self._lowest_version = NO_VERSION
 
     def record(self, confirmation: Confirmation) -> bool:
         """Keep evidence if it is newer.
 
         Returns:
-            True if it is newer by MIN_GAIN_S, so that peers should get it.
+            True if it is newer by MIN_GAIN_S than what was passed on, so that
+            peers should get it.
         """
+        self.check_pause()
+        now = asyncio.get_running_loop().time()
         era = confirmation.position.era
         if era > self.era:
-            self.era = era
-            self.on_era(era)
-        known_as_of = self.latest.as_of if self.latest else LONG_AGO
-        if confirmation.as_of <= known_as_of:
+            self._enter_era(era, now)
+        is_newer = self.latest is None or (
+            confirmation.as_of > self.latest.as_of
+        )
+        if era < self.era or confirmation.as_of > now or not is_newer:
             return False
-        self._apply_latest()
+        self._count_latest()
         self.latest = confirmation
-        return confirmation.as_of - known_as_of >= MIN_GAIN_S
+        if confirmation.as_of - self._sent_as_of < MIN_GAIN_S:
+            return False
+        self._sent_as_of = confirmation.as_of
+        return True
 
     def record_from_peer(
         self, sender: str, message: ttypes.LogConfirmation
@@ -104,32 +134,36 @@
             message: Its message.
 
         Returns:
-            True if it is newer by MIN_GAIN_S, so that peers should get it.
+            True if peers should get it.
         """
+        self.check_pause()
         now = asyncio.get_running_loop().time()
-        transit_s = self._clocks.estimate_transit_s(
-            sender, message.sent_at_ms or 0, now
-        )
-        as_of = now - transit_s - (message.age_ms or 0) / MS_PER_S
-        position = LogPosition(message.era or 0, message.next_offset or 0)
+        as_of = now - self._link_delay_s() - (message.age_ms or 0) / MS_PER_S
         reader = message.reader or sender
-        if reader != self._node:
-            self.peers_as_of = max(self.peers_as_of, as_of)
-        return self.record(
-            Confirmation(message.version or 0, position, as_of, reader)
+        position = LogPosition(
+            message.era or 0, message.next_offset or 0, message.version or 0
         )
+        if reader != self._node and position.era >= self.era:
+            self.peers_as_of = max(self.peers_as_of, as_of)
+        return self.record(Confirmation(position, as_of, reader))
 
     def to_message(self) -> ttypes.LogConfirmation | None:
-        """Return the newest evidence as a message, None if there is none."""
-        if self.latest is None:
+        """Return the newest evidence as a message.
+
+        Returns:
+            None if there is none, or if its age is unknown.
+        """
+        delay_s = self._link_delay_s()
+        if self.latest is None or delay_s == float('inf'):
             return None
         now = asyncio.get_running_loop().time()
+        position = self.latest.position
+        age_s = now - self.latest.as_of + delay_s
         return ttypes.LogConfirmation(
-            self.latest.version,
-            self.latest.position.era,
-            self.latest.position.next_offset,
-            int((now - self.latest.as_of) * MS_PER_S),
-            int(now * MS_PER_S),
+            position.version,
+            position.era,
+            position.next_offset,
+            math.ceil(age_s * MS_PER_S),
             self.latest.reader,
         )
 
@@ -139,73 +173,52 @@
         Returns:
             Infinity if there is none.
         """
-        self._apply_latest()
+        self.check_pause()
+        self._count_latest()
         return asyncio.get_running_loop().time() - self._confirmed_as_of
 
     def position(self) -> LogPosition | None:
         """Return where to read on, None if something before it is missing."""
-        if self.latest and self.latest.version <= self._holder.version:
-            return self.latest.position
+        position = self.latest.position if self.latest else None
+        if position and position.version <= self._holder.version:
+            return position
         return None
 
     def forget(self) -> None:
-        """Drop all evidence, as the clock may have stood still."""
+        """Drop all evidence after a pause of this node."""
+        now = asyncio.get_running_loop().time()
         self.latest = None
         self.peers_as_of = LONG_AGO
         self._confirmed_as_of = LONG_AGO
+        self._sent_as_of = LONG_AGO
+        self._trusted_from = max(self._trusted_from, now + PAUSE_RECOVERY_S)
+
+    def _enter_era(self, era: int, now: float) -> None:
+        if self.era != NO_ERA:
+            self._trusted_from = now + ERA_SETTLE_S
+            self._lowest_version = self._newest_known_version()
+            self._confirmed_as_of = LONG_AGO
+        self.latest = None
+        self.era = era
+        self.on_era(era)
 
-    def prune_senders(self, known: set[str]) -> None:
-        """Drop the clocks of nodes that are no longer members."""
-        self._clocks.prune(known)
-
-    def _apply_latest(self) -> None:
+    def _count_latest(self) -> None:
+        """Count the newest evidence if it is for the version in force."""
         latest = self.latest
-        if latest and latest.version <= self._holder.version:
+        if latest is None or latest.as_of < self._trusted_from:
+            return
+        version = latest.position.version
+        is_held = version <= self._holder.version
+        is_known_newest = self._holder.version >= self._holder.announced_version
+        if self._lowest_version <= version and is_held and is_known_newest:
             self._confirmed_as_of = max(self._confirmed_as_of, latest.as_of)
 
+    def _newest_known_version(self) -> int:
+        return max(self._holder.version, self._holder.announced_version)
 
-@dataclass(slots=True)
-class _SenderClock:
-    """Estimators of one sender: of this window and of the one before."""
-
-    current: TransitEstimator
-    previous: TransitEstimator
-    ends_at: float
-
-
-class SenderClocks:
-    """Estimates how long datagrams of each sender were in transit."""
-
-    def __init__(self) -> None:
-        """Start without senders."""
-        self._clocks: dict[str, _SenderClock] = {}
 
-    def estimate_transit_s(
-        self, sender: str, sent_at_ms: int, now: float
-    ) -> float:
-        """Return how long a datagram was delayed, in seconds.
-
-        Args:
-            sender: The sending node.
-            sent_at_ms: When it was sent, on the sender's clock.
-            now: When it was received, on this node's clock.
-        """
-        clock = self._clocks.get(sender)
-        if clock is None or now >= clock.ends_at:
-            fresh = TransitEstimator()
-            previous = clock.current if clock else fresh
-            clock = _SenderClock(fresh, previous, now + CLOCK_WINDOW_S)
-            self._clocks[sender] = clock
-        return max(
-            clock.current.estimate_s(sent_at_ms, now),
-            clock.previous.estimate_s(sent_at_ms, now),
-        )
-
-    def prune(self, known: set[str]) -> None:
-        """Drop the senders that are not known."""
-        for sender in list(self._clocks):
-            if sender not in known:
-                self._clocks.pop(sender)
+def _do_nothing() -> None:
+    """Do nothing."""
 
 
 def _ignore_era(era: int) -> None:
--- a/filbertdrift/gen/ttypes.py
+++ b/filbertdrift/gen/ttypes.py
@@ -698,8 +698,7 @@
      - version
      - era: Where a reader continues: the era of the log and an offset in it.
      - next_offset
-     - age_ms: Age of the evidence when this message was sent.
-     - sent_at_ms: When this message was sent, on the clock of its sender.
+     - age_ms: Upper bound of the age of the evidence when this message was sent.
      - reader: The node that read the log.
 
     """
@@ -709,17 +708,15 @@
         'era',
         'next_offset',
         'age_ms',
-        'sent_at_ms',
         'reader',
     )
 
 
-    def __init__(self, version=None, era=None, next_offset=None, age_ms=None, sent_at_ms=None, reader=None,):
+    def __init__(self, version=None, era=None, next_offset=None, age_ms=None, reader=None,):
         self.version = version
         self.era = era
         self.next_offset = next_offset
         self.age_ms = age_ms
-        self.sent_at_ms = sent_at_ms
         self.reader = reader
 
     def read(self, iprot):
@@ -752,11 +749,6 @@
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
-                if ftype == TType.I64:
-                    self.sent_at_ms = iprot.readI64()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 6:
                 if ftype == TType.STRING:
                     self.reader = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
@@ -787,12 +779,8 @@
             oprot.writeFieldBegin('age_ms', TType.I64, 4)
             oprot.writeI64(self.age_ms)
             oprot.writeFieldEnd()
-        if self.sent_at_ms is not None:
-            oprot.writeFieldBegin('sent_at_ms', TType.I64, 5)
-            oprot.writeI64(self.sent_at_ms)
-            oprot.writeFieldEnd()
         if self.reader is not None:
-            oprot.writeFieldBegin('reader', TType.STRING, 6)
+            oprot.writeFieldBegin('reader', TType.STRING, 5)
             oprot.writeString(self.reader.encode('utf-8') if sys.version_info[0] == 2 else self.reader)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -4125,8 +4113,7 @@
     (2, TType.I64, 'era', None, None, ),  # 2
     (3, TType.I64, 'next_offset', None, None, ),  # 3
     (4, TType.I64, 'age_ms', None, None, ),  # 4
-    (5, TType.I64, 'sent_at_ms', None, None, ),  # 5
-    (6, TType.STRING, 'reader', 'UTF8', None, ),  # 6
+    (5, TType.STRING, 'reader', 'UTF8', None, ),  # 5
 )
 all_structs.append(ConfigNotice)
 ConfigNotice.thrift_spec = (
--- a/filbertdrift/mesh.py
+++ b/filbertdrift/mesh.py
@@ -147,7 +147,11 @@
         )
         self.membership.on_change = self._on_members_changed
         self.holder = ConfigHolder(parse)
-        self.freshness = Freshness(identity.address, self.holder)
+        self.freshness = Freshness(
+            identity.address,
+            self.holder,
+            self.membership.prober.recent_delay_s,
+        )
         self.exchange = ConfigExchange(
             self.holder,
             self.freshness,
@@ -219,6 +223,7 @@
         self.supervisor = Supervisor()
         self.pause = PauseDetector()
         self.pause.on_pause = self._on_pause
+        self.freshness.check_pause = self.pause.check
         self.peer_server = PeerServer(
             PeerHandlers(
                 membership=self.membership,
@@ -462,7 +467,6 @@
             }
             self.chooser.remove_missing(alive_nodes)
             self.membership.prune_last_contacts(alive_nodes)
-            self.freshness.prune_senders(alive_nodes)
             config = self.holder.config
             if config is not None:
                 route_names = {route.name for route in config.routes}
--- a/filbertdrift/prober.py
+++ b/filbertdrift/prober.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -11,6 +12,7 @@
 INDIRECT_PINGS = 3
 INDIRECT_TIMEOUT_FACTOR = 2
 PING_BATCH = 64
+RECENT_S = 1.5
 
 Send = Callable[[str, object], None]
 
@@ -55,6 +57,8 @@
         self._sequence = 0
         self._acks: dict[int, asyncio.Future[None]] = {}
         self._ping_order: list[str] = []
+        # When pings were acked lately, and how long that took.
+        self._round_trips: deque[tuple[float, float]] = deque()
 
     def next_in_domain(self, domain: str) -> Member | None:
         """Return the next member of a domain to ping.
@@ -77,9 +81,27 @@
     async def ping(self, node: str) -> bool:
         """Ping a node; return whether its ack arrived in time."""
         self.counters.pings += 1
+        sent_at = asyncio.get_running_loop().time()
         sequence, fut = self._expect_ack()
         self._send(node, ttypes.Ping(sequence, self._digest()))
-        return await self._await_ack(sequence, fut, self._ack_timeout_s)
+        is_acked = await self._await_ack(sequence, fut, self._ack_timeout_s)
+        if is_acked:
+            self._record_round_trip(sent_at)
+        return is_acked
+
+    def recent_delay_s(self) -> float:
+        """Return the least round trip of the pings acked lately.
+
+        Returns:
+            Infinity if none was acked within RECENT_S.
+        """
+        now = asyncio.get_running_loop().time()
+        while self._round_trips and self._round_trips[0][0] < now - RECENT_S:
+            self._round_trips.popleft()
+        return min(
+            (delay_s for _, delay_s in self._round_trips),
+            default=float('inf'),
+        )
 
     async def probe(self, member: Member) -> bool:
         """Ping a member, then also indirectly through relays in its domain.
@@ -124,6 +146,10 @@
         if fut and not fut.done():
             fut.set_result(None)
 
+    def _record_round_trip(self, sent_at: float) -> None:
+        now = asyncio.get_running_loop().time()
+        self._round_trips.append((now, now - sent_at))
+
     def _expect_ack(self) -> tuple[int, asyncio.Future[None]]:
         self._sequence += 1
         fut = asyncio.get_running_loop().create_future()
--- a/idl/filbertdrift.thrift
+++ b/idl/filbertdrift.thrift
@@ -59,12 +59,10 @@
   /** Where a reader continues: the era of the log and an offset in it. */
   2: i64 era
   3: i64 next_offset
-  /** Age of the evidence when this message was sent. */
+  /** Upper bound of the age of the evidence when this message was sent. */
   4: i64 age_ms
-  /** When this message was sent, on the clock of its sender. */
-  5: i64 sent_at_ms
   /** The node that read the log. */
-  6: string reader
+  5: string reader
 }
 
 /**
