One node takes over the reading of the log, and only if nobody reads it

About forty nodes took over at 9.25 to 9.6 s although their readers were well. A poll that waits for a record is evidence for the time at which it was sent only, so after a change evidence was up to 2 s old; each node that took over went on for seconds and read each document of 274 KB over a narrow link.

- Evidence also says when its reader last read the log; takeovers go by that, refusals for good by the evidence.
- The first response to a node that takes over comes at once, so that others hear of it; of several, the one with the lowest address goes on, and none beside a usual reader.
A node that is behind leaves the document to its peers, unless it gets nothing from them.
- The first watcher of a domain polls for up to 1 s, the other for up to 3 s, and up to 0.5 s after a change, so evidence is younger than 2 s.
- Evidence is forwarded within the own domain only.

test_changes_cause_no_takeovers had 4 takeovers in 20 s in a fleet of 18 before, now none; evidence stays under 2 s.

--- a/filbertdrift/config_exchange.py
+++ b/filbertdrift/config_exchange.py
@@ -117,7 +117,12 @@
         if is_adopted:
             self.notify()
         elif is_confirmed:
-            self.send_confirmation()
+            # Each domain has readers of its own, and some of them send far.
+            self.counters.confirmations += 1
+            self._membership.gossip(
+                self._build_notice(()),
+                self._membership.sample_peers(is_far=False),
+            )
         self.compare(sender, version, notice.config_digest or b'')
 
     def compare(self, sender: str, version: int, digest: bytes) -> None:
--- a/filbertdrift/configwatch.py
+++ b/filbertdrift/configwatch.py
@@ -10,6 +10,7 @@
 
 import asyncio
 import random
+from collections.abc import Sequence
 from dataclasses import dataclass
 
 from loguru import logger
@@ -32,23 +33,25 @@
 WATCHERS_PER_DOMAIN = 2
 WATCHER_CHECK_INTERVAL_S = 0.5
 FRESHNESS_CHECK_INTERVAL_S = 0.1
-# The log responds to a long poll after this time even without records. Polls
-# of several readers that start together are spread by MIN_POLL_JITTER.
-LONG_POLL_S = 2.0
+# The log responds to a long poll after this time even without records: to the
+# first watcher of a domain, and to the others. After a change it responds
+# sooner, as what was read up to then tells nothing about the time of the wait.
+# Polls of several readers that start together are spread by MIN_POLL_JITTER.
+LONG_POLL_S = 1.0
+STANDBY_POLL_S = 3.0
+POLL_AFTER_CHANGE_S = 0.5
 MIN_POLL_JITTER = 0.5
 # Delay after a change, so that changes in quick succession are read together.
 BATCH_DELAY_S = 0.25
 MIN_POLL_INTERVAL_S = 0.2
 INITIAL_BACKOFF_S = 0.2
 MAX_BACKOFF_S = 1.0
-# Without evidence from peers for this long, or behind them for as long, a node
-# reads the log itself: at once if it hears from no peer at all, else after a
-# random delay, as one reader among its peers is enough.
+# If no peer has read the log for this long, or if it is behind its peers for as
+# long, a node reads the log itself: at once if it hears from no peer at all,
+# else after a random delay, as one reader among its peers is enough.
 STALE_AFTER_S = 1.5
 ISOLATED_AFTER_S = 1.0
 MAX_TAKEOVER_DELAY_S = 0.5
-# How long a node goes on reading that has taken over.
-TAKEOVER_S = 4.0
 MAX_TAKEOVER_BACKOFF_S = 3.0
 MS_PER_S = 1000
 # In log lines, in place of the age of evidence that does not exist.
@@ -78,6 +81,10 @@
         exchange: Announces new configurations to the other nodes.
         membership: The members that are ranked.
         rng: Source of jitter.
+
+    Attributes:
+        is_reader: Whether this node reads the log now.
+        is_log_reachable: Whether the last read succeeded.
     """
 
     def __init__(
@@ -105,12 +112,12 @@
         # Where to read on; None to read the newest records.
         self._position: LogPosition | None = None
         self._backoff_s = INITIAL_BACKOFF_S
-        self._is_reader = False
+        self.is_reader = False
         self._is_watcher = False
         self._check_watcher_at = 0.0
-        # The start of a takeover if no evidence arrives, and its end.
+        # The start of a takeover unless a peer is found to read the log.
         self._takeover_at: float | None = None
-        self._takeover_until = 0.0
+        self._poll_s = 0.0
 
     def is_watcher(self) -> bool:
         """Return whether this node follows the log for its domain.
@@ -119,17 +126,19 @@
         in time.
         """
         me = self._membership.local_member
-        members = self._membership.table.in_domain(me.domain)
+        return me.node in self._rank_domain()[:WATCHERS_PER_DOMAIN]
+
+    def _rank_domain(self) -> Sequence[str]:
+        domain = self._membership.local_member.domain
         link_mbps = {
             member.node: member.link_mbps
-            for member in members
+            for member in self._membership.table.in_domain(domain)
             if member.status < MemberStatus.LEAVING
         }
-        ranked = sorted(
+        return sorted(
             rank(self._stream, link_mbps),
             key=lambda node: -link_mbps[node],
         )
-        return me.node in ranked[:WATCHERS_PER_DOMAIN]
 
     async def run(self) -> None:
         """Follow the log until cancelled."""
@@ -137,7 +146,7 @@
         self._takeover_at = now + STALE_AFTER_S + self._takeover_delay_s(now)
         while True:
             self._set_reader(is_reader=self._should_read())
-            if self._is_reader:
+            if self.is_reader:
                 await self.poll_once()
             else:
                 await asyncio.sleep(FRESHNESS_CHECK_INTERVAL_S)
@@ -153,15 +162,24 @@
             return
         self._set_reachable(is_reachable=True)
         self._backoff_s = INITIAL_BACKOFF_S
+        self._poll_s = self._next_poll_s(is_adopted=is_adopted)
         # Limits the rate of calls, also if the log does not wait for records.
         next_at = started_at + MIN_POLL_INTERVAL_S
         if self._position is None:
+            # The newest document is refused here.
             next_at = started_at + LONG_POLL_S
         if is_adopted:
             self._exchange.notify()
             next_at = max(next_at, loop.time() + BATCH_DELAY_S)
         await asyncio.sleep(next_at - loop.time())
 
+    def _next_poll_s(self, *, is_adopted: bool) -> float:
+        if is_adopted:
+            return POLL_AFTER_CHANGE_S
+        node = self._membership.local_member.node
+        is_standby = self._is_watcher and self._rank_domain()[:1] != [node]
+        return STANDBY_POLL_S if is_standby else LONG_POLL_S
+
     async def load_newest(self) -> bool:
         """Read the newest records; return whether a document was adopted.
 
@@ -180,23 +198,33 @@
         if now >= self._check_watcher_at:
             self._check_watcher_at = now + WATCHER_CHECK_INTERVAL_S
             self._is_watcher = self.is_watcher()
-        if self._is_watcher or now < self._takeover_until:
+        if self._is_watcher:
             return True
-        is_fresh = now - self._freshness.peers_as_of <= STALE_AFTER_S
-        if is_fresh and not self._is_stuck():
+        if not self._is_needed(now):
             self._takeover_at = None
             return False
         if self._takeover_at is None:
             self._takeover_at = now + self._takeover_delay_s(now)
         if now < self._takeover_at:
             return False
-        self._takeover_at = None
-        self._takeover_until = now + TAKEOVER_S * (0.5 + self._rng.random())
-        self.counters.takeovers += 1
+        self.counters.takeovers += not self.is_reader
         return True
 
+    def _is_needed(self, now: float) -> bool:
+        """Return whether this node should read the log, though no watcher."""
+        if self._is_stuck():
+            return True
+        if self._holder.behind_s() and not self._is_isolated(now):
+            # Peers have what it lacks, and send it in fewer bytes.
+            return False
+        read_at = self._freshness.peers_read_at
+        if self.is_reader:
+            # Of several nodes that took over, one goes on.
+            read_at = self._freshness.senior_read_at
+        return now - read_at > STALE_AFTER_S
+
     def _takeover_delay_s(self, now: float) -> float:
-        if self._is_reader or self._is_stuck() or self._is_isolated(now):
+        if self.is_reader or self._is_stuck() or self._is_isolated(now):
             return 0
         return MAX_TAKEOVER_DELAY_S * self._rng.random()
 
@@ -212,11 +240,13 @@
         )
 
     def _set_reader(self, *, is_reader: bool) -> None:
-        if is_reader == self._is_reader:
+        if is_reader == self.is_reader:
             return
-        self._is_reader = is_reader
+        self.is_reader = is_reader
         if is_reader:
             self._position = self._freshness.position()
+            # The first response comes at once, so that peers hear of it.
+            self._poll_s = 0
         event = 'watch_started' if is_reader else 'watch_ended'
         logger.bind(
             event=event,
@@ -233,7 +263,7 @@
             return await self.load_newest()
         self.counters.polls += 1
         loop = asyncio.get_running_loop()
-        wait_s = self._poll_wait_s()
+        wait_s = self._poll_s * self._rng.uniform(MIN_POLL_JITTER, 1)
         sent_at = loop.time()
         try:
             page = await self._log.read(
@@ -249,12 +279,6 @@
         as_of = sent_at if page.records else min(sent_at + wait_s, loop.time())
         return self._accept(page, as_of, position.version)
 
-    def _poll_wait_s(self) -> float:
-        if not self.is_log_reachable:
-            # A log that hung responds at once when it is back.
-            return 0
-        return LONG_POLL_S * self._rng.uniform(MIN_POLL_JITTER, 1)
-
     def _is_discontinuous(self, page: KeyedPage, position: LogPosition) -> bool:
         """Return whether a page does not continue what was read before.
 
@@ -287,7 +311,13 @@
         self._position = None if version == REFUSED_VERSION else position
         is_adopted = self._holder.version > before
         is_gain = self._freshness.record(
-            Confirmation(position, as_of, self._membership.local_member.node)
+            Confirmation(
+                position=position,
+                as_of=as_of,
+                read_at=asyncio.get_running_loop().time(),
+                reader=self._membership.local_member.node,
+                is_takeover=not self._is_watcher,
+            )
         )
         if is_gain and not is_adopted:
             self._exchange.send_confirmation()
@@ -319,7 +349,8 @@
         self, exc: LogUnavailable, started_at: float
     ) -> None:
         self.counters.failures += 1
-        self._takeover_until = 0
+        # A log that hung responds at once when it is back.
+        self._poll_s = 0
         now = asyncio.get_running_loop().time()
         waited_s = now - started_at
         self._set_reachable(
--- a/filbertdrift/freshness.py
+++ b/filbertdrift/freshness.py
@@ -50,12 +50,17 @@
     Args:
         position: The position, where a reader continues.
         as_of: When the log ended there, on this node's clock.
+        read_at: When the read ended. A read that waited for a record says
+            nothing about the time between.
         reader: The node that read the log.
+        is_takeover: It is not one of the usual readers.
     """
 
     position: LogPosition
     as_of: float
+    read_at: float
     reader: str
+    is_takeover: bool = False
 
 
 class Freshness:
@@ -76,7 +81,9 @@
         era: The newest era of the log that this node has heard of.
         on_era: Called with each newer era.
         check_pause: Called before evidence is used; detects pauses.
-        peers_as_of: The time of the newest evidence of another reader.
+        peers_read_at: When another reader last read the log.
+        senior_read_at: When one did that is a usual reader, or whose address
+            is lower than that of this node.
     """
 
     def __init__(
@@ -90,7 +97,8 @@
         self.era = NO_ERA
         self.on_era: Callable[[int], None] = _ignore_era
         self.check_pause: Callable[[], object] = _do_nothing
-        self.peers_as_of = LONG_AGO
+        self.peers_read_at = LONG_AGO
+        self.senior_read_at = LONG_AGO
         self._node = node
         self._holder = holder
         self._link_delay_s = link_delay_s
@@ -137,15 +145,18 @@
             True if peers should get it.
         """
         self.check_pause()
-        now = asyncio.get_running_loop().time()
-        as_of = now - self._link_delay_s() - (message.age_ms or 0) / MS_PER_S
-        reader = message.reader or sender
-        position = LogPosition(
-            message.era or 0, message.next_offset or 0, message.version or 0
+        sent_at = asyncio.get_running_loop().time() - self._link_delay_s()
+        confirmation = Confirmation(
+            position=LogPosition(
+                message.era or 0, message.next_offset or 0, message.version or 0
+            ),
+            as_of=sent_at - (message.age_ms or 0) / MS_PER_S,
+            read_at=sent_at - (message.read_age_ms or 0) / MS_PER_S,
+            reader=message.reader or sender,
+            is_takeover=bool(message.is_takeover),
         )
-        if reader != self._node and position.era >= self.era:
-            self.peers_as_of = max(self.peers_as_of, as_of)
-        return self.record(Confirmation(position, as_of, reader))
+        self._note_reader(confirmation)
+        return self.record(confirmation)
 
     def to_message(self) -> ttypes.LogConfirmation | None:
         """Return the newest evidence as a message.
@@ -157,14 +168,15 @@
         if self.latest is None or delay_s == float('inf'):
             return None
         now = asyncio.get_running_loop().time()
-        position = self.latest.position
-        age_s = now - self.latest.as_of + delay_s
+        latest = self.latest
         return ttypes.LogConfirmation(
-            position.version,
-            position.era,
-            position.next_offset,
-            math.ceil(age_s * MS_PER_S),
-            self.latest.reader,
+            version=latest.position.version,
+            era=latest.position.era,
+            next_offset=latest.position.next_offset,
+            age_ms=math.ceil((now - latest.as_of + delay_s) * MS_PER_S),
+            reader=latest.reader,
+            read_age_ms=math.ceil((now - latest.read_at + delay_s) * MS_PER_S),
+            is_takeover=latest.is_takeover,
         )
 
     def age_s(self) -> float:
@@ -188,11 +200,20 @@
         """Drop all evidence after a pause of this node."""
         now = asyncio.get_running_loop().time()
         self.latest = None
-        self.peers_as_of = LONG_AGO
+        self.peers_read_at = LONG_AGO
+        self.senior_read_at = LONG_AGO
         self._confirmed_as_of = LONG_AGO
         self._sent_as_of = LONG_AGO
         self._trusted_from = max(self._trusted_from, now + PAUSE_RECOVERY_S)
 
+    def _note_reader(self, confirmation: Confirmation) -> None:
+        reader, read_at = confirmation.reader, confirmation.read_at
+        if reader == self._node or confirmation.position.era < self.era:
+            return
+        self.peers_read_at = max(self.peers_read_at, read_at)
+        if not confirmation.is_takeover or reader < self._node:
+            self.senior_read_at = max(self.senior_read_at, read_at)
+
     def _enter_era(self, era: int, now: float) -> None:
         if self.era != NO_ERA:
             self._trusted_from = now + ERA_SETTLE_S
--- a/filbertdrift/gen/ttypes.py
+++ b/filbertdrift/gen/ttypes.py
@@ -699,7 +699,9 @@
      - era: Where a reader continues: the era of the log and an offset in it.
      - next_offset
      - age_ms: Upper bound of the age of the evidence when this message was sent.
-     - reader: The node that read the log.
+     - reader: The node that read the log, and how long ago at the most.
+     - read_age_ms
+     - is_takeover: It is not one of the usual readers.
 
     """
 
@@ -709,15 +711,19 @@
         'next_offset',
         'age_ms',
         'reader',
+        'read_age_ms',
+        'is_takeover',
     )
 
 
-    def __init__(self, version=None, era=None, next_offset=None, age_ms=None, reader=None,):
+    def __init__(self, version=None, era=None, next_offset=None, age_ms=None, reader=None, read_age_ms=None, is_takeover=None,):
         self.version = version
         self.era = era
         self.next_offset = next_offset
         self.age_ms = age_ms
         self.reader = reader
+        self.read_age_ms = read_age_ms
+        self.is_takeover = is_takeover
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -753,6 +759,16 @@
                     self.reader = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I64:
+                    self.read_age_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.BOOL:
+                    self.is_takeover = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -783,6 +799,14 @@
             oprot.writeFieldBegin('reader', TType.STRING, 5)
             oprot.writeString(self.reader.encode('utf-8') if sys.version_info[0] == 2 else self.reader)
             oprot.writeFieldEnd()
+        if self.read_age_ms is not None:
+            oprot.writeFieldBegin('read_age_ms', TType.I64, 6)
+            oprot.writeI64(self.read_age_ms)
+            oprot.writeFieldEnd()
+        if self.is_takeover is not None:
+            oprot.writeFieldBegin('is_takeover', TType.BOOL, 7)
+            oprot.writeBool(self.is_takeover)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4114,6 +4138,8 @@
     (3, TType.I64, 'next_offset', None, None, ),  # 3
     (4, TType.I64, 'age_ms', None, None, ),  # 4
     (5, TType.STRING, 'reader', 'UTF8', None, ),  # 5
+    (6, TType.I64, 'read_age_ms', None, None, ),  # 6
+    (7, TType.BOOL, 'is_takeover', None, None, ),  # 7
 )
 all_structs.append(ConfigNotice)
 ConfigNotice.thrift_spec = (
--- a/filbertdrift/membership.py
+++ b/filbertdrift/membership.py
@@ -164,9 +164,16 @@
             self._expire_members(),
         )
 
-    def sample_peers(self) -> list[str]:
-        """Return a random sample of members to gossip to."""
+    def sample_peers(self, *, is_far: bool = True) -> list[str]:
+        """Return a random sample of members to gossip to.
+
+        Args:
+            is_far: Whether members of other domains are sampled as well.
+        """
         own = self._healthy_peers(self.local_member.domain)
+        sampled = _sample(self._rng, own, self._profile.fanout)
+        if not is_far:
+            return sampled
         far = [
             node
             for domain in self.table.domains()
@@ -174,7 +181,6 @@
             not in {self.local_member.domain, *self.unreachable_domains}
             for node in self._healthy_peers(domain)
         ]
-        sampled = _sample(self._rng, own, self._profile.fanout)
         return sampled + _sample(self._rng, far, self._profile.far_fanout)
 
     def gossip(
--- a/idl/filbertdrift.thrift
+++ b/idl/filbertdrift.thrift
@@ -61,8 +61,11 @@
   3: i64 next_offset
   /** Upper bound of the age of the evidence when this message was sent. */
   4: i64 age_ms
-  /** The node that read the log. */
+  /** The node that read the log, and how long ago at the most. */
   5: string reader
+  6: i64 read_age_ms
+  /** It is not one of the usual readers. */
+  7: bool is_takeover
 }
 
 /**
--- a/tests/test_freshness.py
+++ b/tests/test_freshness.py
@@ -39,14 +39,20 @@
 ) -> Confirmation:
     """Return evidence of another reader."""
     position = LogPosition(era, next_offset, version)
-    return Confirmation(position, as_of, 'b-0:7000')
+    return Confirmation(position, as_of, as_of, 'b-0:7000')
 
 
 def message(
-    version: int, age_ms: int, reader: str = 'b-0:7000'
+    version: int,
+    age_ms: int,
+    reader: str = 'b-0:7000',
+    *,
+    is_takeover: bool = False,
 ) -> ttypes.LogConfirmation:
     """Return evidence as a peer sends it."""
-    return ttypes.LogConfirmation(version, 1, 7, age_ms, reader)
+    return ttypes.LogConfirmation(
+        version, 1, 7, age_ms, reader, age_ms, is_takeover=is_takeover
+    )
 
 
 def freshness_of(holder: ConfigHolder, delay_s: float = 0) -> Freshness:
@@ -100,10 +106,25 @@
     async def _echo(self) -> None:
         freshness = freshness_of(holder_of(3))
         freshness.record_from_peer('b-1:7000', message(3, 0, 'a-0:7000'))
-        self.assertThat(freshness.peers_as_of, Equals(-NEVER_S))
+        self.assertThat(freshness.peers_read_at, Equals(-NEVER_S))
         now = asyncio.get_running_loop().time()
         freshness.record_from_peer('b-1:7000', message(3, 500))
-        self.assertThat(freshness.peers_as_of, Equals(now - 0.5))
+        self.assertThat(freshness.peers_read_at, Equals(now - 0.5))
+
+    def test_one_of_several_takeovers_is_senior(self) -> None:
+        run_virtual(self._senior())
+
+    async def _senior(self) -> None:
+        freshness = freshness_of(holder_of(3))
+        taken = message(3, 0, 'b-1:7000', is_takeover=True)
+        freshness.record_from_peer('b-1:7000', taken)
+        now = asyncio.get_running_loop().time()
+        self.assertThat(freshness.peers_read_at, Equals(now))
+        self.assertThat(freshness.senior_read_at, Equals(-NEVER_S))
+        # The address of this node is higher than that of the reader.
+        taken = message(3, 0, 'a-0:6999', is_takeover=True)
+        freshness.record_from_peer('b-1:7000', taken)
+        self.assertThat(freshness.senior_read_at, Equals(now))
 
     # DENIED: evidence that waited on a full link looked newer than it was.
     def test_round_trips_count_as_age(self) -> None:
--- a/tests/test_outdated_config.py
+++ b/tests/test_outdated_config.py
@@ -138,6 +138,48 @@
         self.assertThat(set(fleet.versions().values()), Equals({2}))
 
 
+class CalmFleetTest(TestCase):
+    """Nodes other than the watchers leave the log alone."""
+
+    # Evidence looked old whenever a poll had waited for a change, so all nodes
+    # read the log, and its documents filled their links.
+    def test_changes_cause_no_takeovers(self) -> None:
+        run_virtual(self._changes())
+
+    async def _changes(self) -> None:
+        fleet = await settled_fleet(62, 'aaaaaabbbbbbcccccc')
+        nodes = [instance.node for instance in fleet.instances.values()]
+        before = sum(node.watch.counters.takeovers for node in nodes)
+        oldest_s = 0.0
+        for version in range(2, 14):
+            await fleet.publish(config_document(version))
+            for _ in range(17):
+                await asyncio.sleep(0.1)
+                ages = (node.freshness.age_s() for node in nodes)
+                oldest_s = max(oldest_s, *ages)
+        takeovers = sum(node.watch.counters.takeovers for node in nodes)
+        self.assertThat(takeovers - before, Equals(0))
+        self.assertThat(oldest_s, LessThan(CONFIG_APPLY_S))
+
+    # Each node that took over went on for seconds, beside all others.
+    def test_one_node_of_a_domain_takes_over(self) -> None:
+        run_virtual(self._one_takes_over())
+
+    async def _one_takes_over(self) -> None:
+        fleet = await settled_fleet(63, 'aaaaaaaabbbbbbbb')
+        for instance in fleet.instances.values():
+            instance.log.is_partitioned = instance.node.watch.is_watcher()
+            instance.log.silence()
+        await asyncio.sleep(10)
+        readers = [
+            address
+            for address, instance in fleet.instances.items()
+            if instance.node.watch.is_reader
+            and not instance.node.watch.is_watcher()
+        ]
+        self.assertThat(len(readers), LessThan(3))
+
+
 class SlowLinkTest(TestCase):
     """One node is behind a link with a lasting delay."""
 
