Drain: wait until the connections accepted at the last moment are closed

The trace: node-0 got SIGTERM, closed its idle connections after 2.2 s, found no request in progress, and stopped 3 ms later. A connection that had been accepted while the others were closed was not known yet; its request was handed over in those 3 ms and its connection was aborted.

The node now closes idle connections until none is left and no request is in progress, for as long as it may. The test got no response before, and gets the whole one now.

--- a/filbertdrift/mesh.py
+++ b/filbertdrift/mesh.py
@@ -285,8 +285,7 @@
         self.entry.is_closing = True
         self.entry.closes_by = deadline - FINAL_RESPONSE_S
         await asyncio.sleep(LEAVE_PROPAGATION_S)
-        self.entry.close_idle()
-        await self._wait_for_requests(self.entry.closes_by)
+        await self._wait_for_callers(self.entry.closes_by)
         # Better a final response than a connection that ends without one.
         self.entry.interrupt()
         await self._wait_for_requests(deadline)
@@ -307,6 +306,20 @@
         await self.network.close()
         await self.log.close()
 
+    async def _wait_for_callers(self, deadline: float) -> None:
+        """Wait until no caller is connected and no request in progress.
+
+        Connections that were just accepted are not known to be idle yet.
+        """
+        loop = asyncio.get_running_loop()
+        is_done = False
+        while loop.time() < deadline and not is_done:
+            self.entry.close_idle()
+            await asyncio.sleep(DRAIN_POLL_S)
+            is_done = self.entry.is_empty and not (
+                self._has_requests_in_progress()
+            )
+
     async def _wait_for_requests(self, deadline: float) -> None:
         loop = asyncio.get_running_loop()
         while loop.time() < deadline and self._has_requests_in_progress():
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import random
+import socket
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
@@ -12,6 +13,7 @@
 from testtools.matchers import Contains, Equals, LessThan, StartsWith
 
 from filbertdrift.configwatch import LONG_POLL_S
+from filbertdrift.errors import RequestNotRun
 from filbertdrift.identity import Identity
 from filbertdrift.keyedlog import KeyedRecord, MemoryKeyedLog
 from filbertdrift.lifecycle import Heartbeat
@@ -298,6 +300,41 @@
                 self.assertThat(response, Contains(b'connection: close'))
             await draining
 
+    # LOST: a connection that was accepted while the node closed the others was
+    # served until the node ended, and then cut.
+    def test_connection_accepted_at_the_last_moment(self) -> None:
+        asyncio.run(self._last_moment())
+
+    async def _last_moment(self) -> None:
+        async with socket_mesh() as mesh:
+            entry = mesh.node.entry
+            close_idle = entry.close_idle
+            ours, theirs = socket.socketpair()
+            accepted: list[asyncio.Task[None]] = []
+
+            async def accept() -> None:
+                await entry.serve(*await asyncio.open_connection(sock=theirs))
+
+            def close_and_accept() -> None:
+                close_idle()
+                if not accepted:
+                    accepted.append(asyncio.ensure_future(accept()))
+
+            async def dispatch(routed: RoutedRequest) -> RoutedResponse:
+                await asyncio.sleep(TARGET_WORK_S)
+                raise RequestNotRun('no room', retry_after_ms=1)
+
+            entry.close_idle = close_and_accept  # type: ignore[method-assign]
+            mesh.node.dispatcher.dispatch = dispatch  # type: ignore[method-assign]
+            reader, writer = await asyncio.open_connection(sock=ours)
+            writer.write(request(keep=True))
+            await mesh.node.drain()
+            await mesh.node.stop()
+            async with asyncio.timeout(1):
+                response = await reader.read()
+            self.assertThat(response, StartsWith(b'HTTP/1.1 503 '))
+            writer.close()
+
 
 class StoppingTest(TestCase):
     """Responses to the requests that are in progress when a node stops."""
