Evidence without a known delay: sent with an assumed one, not counted

A node that had no answer to its pings sent no evidence, so an overloaded reader looked like none and its peers would have read the log in its place. Evidence that reached such a node was kept with an infinite age, whose encoding would fail.

Evidence is sent with 1.5 s added when no ping was answered lately, and says when its reader read the log in any case. A node whose own pings are not answered notes that others read the log, and does not count the evidence.

--- a/filbertdrift/freshness.py
+++ b/filbertdrift/freshness.py
@@ -20,6 +20,8 @@
 MIN_GAIN_S = 0.5
 # After a pause of this node, evidence that had waited in its buffers arrives.
 PAUSE_RECOVERY_S = 1.0
+# What a message takes at the most while no ping is answered, by assumption.
+UNKNOWN_DELAY_S = 1.5
 # In a new era, evidence counts only after this time: the log may still lack
 # versions that it had acknowledged and that are written again.
 ERA_SETTLE_S = 3.0
@@ -66,9 +68,9 @@
 class Freshness:
     """The newest evidence about the configuration in force.
 
-    The age of evidence is never underestimated: what a message takes between
-    two nodes counts as the time that pings take there and back, once at each
-    end. So evidence that circulates only gets older.
+    What a message takes between two nodes counts as the time that pings take
+    there and back, once at each end. So evidence that circulates only gets
+    older.
 
     Args:
         node: This node's address.
@@ -145,7 +147,11 @@
             True if peers should get it.
         """
         self.check_pause()
-        sent_at = asyncio.get_running_loop().time() - self._link_delay_s()
+        delay_s = self._link_delay_s()
+        has_answers = delay_s < float('inf')
+        sent_at = asyncio.get_running_loop().time()
+        if has_answers:
+            sent_at -= delay_s
         confirmation = Confirmation(
             position=LogPosition(
                 message.era or 0, message.next_offset or 0, message.version or 0
@@ -156,26 +162,23 @@
             is_takeover=bool(message.is_takeover),
         )
         self._note_reader(confirmation)
-        return self.record(confirmation)
+        # Without answers to pings, this may have been in transit for long.
+        return has_answers and self.record(confirmation)
 
     def to_message(self) -> ttypes.LogConfirmation | None:
-        """Return the newest evidence as a message.
-
-        Returns:
-            None if there is none, or if its age is unknown.
-        """
-        delay_s = self._link_delay_s()
-        if self.latest is None or delay_s == float('inf'):
+        """Return the newest evidence as a message, None if there is none."""
+        latest = self.latest
+        if latest is None:
             return None
         now = asyncio.get_running_loop().time()
-        latest = self.latest
+        delay_s = min(self._link_delay_s(), UNKNOWN_DELAY_S)
         return ttypes.LogConfirmation(
             version=latest.position.version,
             era=latest.position.era,
             next_offset=latest.position.next_offset,
             age_ms=math.ceil((now - latest.as_of + delay_s) * MS_PER_S),
             reader=latest.reader,
-            read_age_ms=math.ceil((now - latest.read_at + delay_s) * MS_PER_S),
+            read_age_ms=math.ceil((now - latest.read_at) * MS_PER_S),
             is_takeover=latest.is_takeover,
         )
 
