--- a/filbertdrift/config_holder.py
+++ b/filbertdrift/config_holder.py
@@ -76,6 +76,19 @@
         if version > self.version and self._behind_since is None:
             self._behind_since = asyncio.get_running_loop().time()
 
+    def forget_lost_announcement(self, version: int, as_of: float) -> None:
+        """Forget an announced version if the log does not hold it any more.
+
+        Args:
+            version: The newest version in the log.
+            as_of: When that was so, on the clock of the event loop.
+        """
+        if self._behind_since is None or as_of <= self._behind_since:
+            return
+        if version <= self.version:
+            self.announced_version = self.version
+            self._behind_since = None
+
     def behind_s(self) -> float:
         """Return for how long this node has known of a newer version."""
         if self._behind_since is None:
--- a/filbertdrift/configwatch.py
+++ b/filbertdrift/configwatch.py
@@ -2,10 +2,10 @@
 
 The members that rank first in each failure domain long-poll the log; the
 others get the configuration from them, with the evidence that it is current.
-The load on the log therefore depends only on the number of domains. Those with
-the fastest links rank first, since the log sends whole documents. A node that
-gets no such evidence reads the log itself: it may be cut off, or the readers
-may be.
+While all is well, the load on the log depends only on the number of domains.
+Those with the fastest links rank first, since the log sends whole documents. A
+node that gets no such evidence reads the log itself: it may be cut off, or the
+readers may be.
 """
 
 import asyncio
@@ -33,10 +33,10 @@
 WATCHERS_PER_DOMAIN = 2
 WATCHER_CHECK_INTERVAL_S = 0.5
 FRESHNESS_CHECK_INTERVAL_S = 0.1
-# The log responds to a long poll after this time even without records: to the
-# first watcher of a domain, and to the others. After a change it responds
-# sooner, as what was read up to then tells nothing about the time of the wait.
-# Polls of several readers that start together are spread by MIN_POLL_JITTER.
+# The log responds to a long poll after this time even without records. The
+# standby is the second watcher of a domain. After a change the wait is short,
+# since a poll that waited for a record is no evidence for the time of its wait.
+# Each wait is drawn from MIN_POLL_JITTER to 1 times these.
 LONG_POLL_S = 1.0
 STANDBY_POLL_S = 3.0
 POLL_AFTER_CHANGE_S = 0.5
@@ -46,10 +46,12 @@
 MIN_POLL_INTERVAL_S = 0.2
 INITIAL_BACKOFF_S = 0.2
 MAX_BACKOFF_S = 1.0
-# If no peer has read the log for this long, or if it is behind its peers for as
-# long, a node reads the log itself: at once if it hears from no peer at all,
-# else after a random delay, as one reader among its peers is enough.
+# A node reads the log itself if no other has read it for STALE_AFTER_S, or if
+# it has been behind its peers for STUCK_AFTER_S: after a random delay, as one
+# reader among its peers is enough, but at once if it has heard from no peer for
+# ISOLATED_AFTER_S.
 STALE_AFTER_S = 1.5
+STUCK_AFTER_S = 1.2
 ISOLATED_AFTER_S = 1.0
 MAX_TAKEOVER_DELAY_S = 0.5
 MAX_TAKEOVER_BACKOFF_S = 3.0
@@ -176,8 +178,13 @@
     def _next_poll_s(self, *, is_adopted: bool) -> float:
         if is_adopted:
             return POLL_AFTER_CHANGE_S
+        now = asyncio.get_running_loop().time()
         node = self._membership.local_member.node
-        is_standby = self._is_watcher and self._rank_domain()[:1] != [node]
+        is_standby = (
+            self._is_watcher
+            and now - self._freshness.peers_read_at <= STALE_AFTER_S
+            and self._rank_domain()[:1] != [node]
+        )
         return STANDBY_POLL_S if is_standby else LONG_POLL_S
 
     async def load_newest(self) -> bool:
@@ -211,7 +218,7 @@
         return True
 
     def _is_needed(self, now: float) -> bool:
-        """Return whether this node should read the log, though no watcher."""
+        """Return whether this node should read although it is no watcher."""
         if self._is_stuck():
             return True
         if self._holder.behind_s() and not self._is_isolated(now):
@@ -224,14 +231,14 @@
         return now - read_at > STALE_AFTER_S
 
     def _takeover_delay_s(self, now: float) -> float:
-        if self.is_reader or self._is_stuck() or self._is_isolated(now):
+        if self.is_reader or self._is_isolated(now):
             return 0
         return MAX_TAKEOVER_DELAY_S * self._rng.random()
 
     def _is_stuck(self) -> bool:
         """Return whether this node cannot get what its peers have."""
         holder = self._holder
-        return min(holder.behind_s(), holder.unchanged_s()) > STALE_AFTER_S
+        return min(holder.behind_s(), holder.unchanged_s()) > STUCK_AFTER_S
 
     def _is_isolated(self, now: float) -> bool:
         contacts = self._membership.last_contacts.values()
@@ -310,6 +317,7 @@
         # A refused document is read again.
         self._position = None if version == REFUSED_VERSION else position
         is_adopted = self._holder.version > before
+        self._holder.forget_lost_announcement(version, as_of)
         is_gain = self._freshness.record(
             Confirmation(
                 position=position,
--- a/filbertdrift/directory.py
+++ b/filbertdrift/directory.py
@@ -63,6 +63,8 @@
         # Consecutive reads that found a node of this domain absent.
         self._missed_reads: Counter[str] = Counter()
         self._era = NO_ERA
+        # A page was read that stated no era, or era zero.
+        self._has_read_without_era = False
         self._has_new_era = asyncio.Event()
 
     def on_era(self, era: int) -> None:
@@ -73,7 +75,7 @@
         """
         if era <= self._era:
             return
-        is_first = self._era == NO_ERA
+        is_first = self._era == NO_ERA and not self._has_read_without_era
         self._era = era
         if not is_first:
             self.is_registered = False
@@ -102,6 +104,7 @@
             LogUnavailable: The directory cannot be read or changed.
         """
         page = await self._log.newest(self._stream)
+        self._has_read_without_era |= page.era == NO_ERA
         self.on_era(page.era)
         entries = {
             record.key: record.payload.decode('utf-8', 'replace')
--- a/filbertdrift/freshness.py
+++ b/filbertdrift/freshness.py
@@ -20,7 +20,8 @@
 MIN_GAIN_S = 0.5
 # After a pause of this node, evidence that had waited in its buffers arrives.
 PAUSE_RECOVERY_S = 1.0
-# What a message takes at the most while no ping is answered, by assumption.
+# Added to the age of evidence that is sent while no ping is answered. This is
+# no bound: a full link may hold a message for longer.
 UNKNOWN_DELAY_S = 1.5
 # In a new era, evidence counts only after this time: the log may still lack
 # versions that it had acknowledged and that are written again.
@@ -68,18 +69,21 @@
 class Freshness:
     """The newest evidence about the configuration in force.
 
-    What a message takes between two nodes counts as the time that pings take
-    there and back, once at each end. So evidence that circulates only gets
-    older.
+    What a message takes between two nodes counts as the time that the quickest
+    recent ping took there and back, once at each end. So evidence that
+    circulates only gets older. The time that it waits in the buffers of a busy
+    node is not seen.
 
     Args:
         node: This node's address.
         holder: Holds the configuration in force.
         link_delay_s: Returns the time that a ping of this node has taken
-            lately, infinity if none was answered.
+            lately, infinity if none was answered. Then evidence is sent with
+            UNKNOWN_DELAY_S added, and what arrives does not count.
 
     Attributes:
-        latest: The newest evidence, None before the first.
+        latest: The newest evidence, None before the first. It may be for a
+            version that is not in force here.
         era: The newest era of the log that this node has heard of.
         on_era: Called with each newer era.
         check_pause: Called before evidence is used; detects pauses.
@@ -147,6 +151,9 @@
             True if peers should get it.
         """
         self.check_pause()
+        ages_ms = (message.age_ms, message.read_age_ms)
+        if None in ages_ms or min(ages_ms) < 0:
+            return False
         delay_s = self._link_delay_s()
         has_answers = delay_s < float('inf')
         sent_at = asyncio.get_running_loop().time()
@@ -156,8 +163,8 @@
             position=LogPosition(
                 message.era or 0, message.next_offset or 0, message.version or 0
             ),
-            as_of=sent_at - (message.age_ms or 0) / MS_PER_S,
-            read_at=sent_at - (message.read_age_ms or 0) / MS_PER_S,
+            as_of=sent_at - message.age_ms / MS_PER_S,
+            read_at=sent_at - message.read_age_ms / MS_PER_S,
             reader=message.reader or sender,
             is_takeover=bool(message.is_takeover),
         )
@@ -218,7 +225,7 @@
             self.senior_read_at = max(self.senior_read_at, read_at)
 
     def _enter_era(self, era: int, now: float) -> None:
-        if self.era != NO_ERA:
+        if self.era != NO_ERA or self.latest:
             self._trusted_from = now + ERA_SETTLE_S
             self._lowest_version = self._newest_known_version()
             self._confirmed_as_of = LONG_AGO
--- a/filbertdrift/gen/ttypes.py
+++ b/filbertdrift/gen/ttypes.py
@@ -699,7 +699,7 @@
      - era: Where a reader continues: the era of the log and an offset in it.
      - next_offset
      - age_ms: Upper bound of the age of the evidence when this message was sent.
-     - reader: The node that read the log, and how long ago at the most.
+     - reader: The node that read the log, and how long before this was sent.
      - read_age_ms
      - is_takeover: It is not one of the usual readers.
 
--- a/filbertdrift/mesh.py
+++ b/filbertdrift/mesh.py
@@ -50,6 +50,7 @@
 EXPIRY_INTERVAL_S = 5.0
 DEFAULT_CONFIG_APPLY_S = 2.0
 DRAIN_POLL_S = 0.05
+QUIET_DRAIN_POLLS = 2
 # Callers and peers need this time to detect that a node is leaving.
 LEAVE_PROPAGATION_S = 2.2
 # Part of the termination grace period reserved for stop, after drain.
@@ -312,13 +313,14 @@
         Connections that were just accepted are not known to be idle yet.
         """
         loop = asyncio.get_running_loop()
-        is_done = False
-        while loop.time() < deadline and not is_done:
+        quiet_polls = 0
+        while loop.time() < deadline and quiet_polls < QUIET_DRAIN_POLLS:
             self.entry.close_idle()
             await asyncio.sleep(DRAIN_POLL_S)
-            is_done = self.entry.is_empty and not (
+            is_quiet = self.entry.is_empty and not (
                 self._has_requests_in_progress()
             )
+            quiet_polls = quiet_polls + 1 if is_quiet else 0
 
     async def _wait_for_requests(self, deadline: float) -> None:
         loop = asyncio.get_running_loop()
--- a/filbertdrift/prober.py
+++ b/filbertdrift/prober.py
@@ -95,9 +95,7 @@
         Returns:
             Infinity if none was acked within RECENT_S.
         """
-        now = asyncio.get_running_loop().time()
-        while self._round_trips and self._round_trips[0][0] < now - RECENT_S:
-            self._round_trips.popleft()
+        self._drop_old_round_trips()
         return min(
             (delay_s for _, delay_s in self._round_trips),
             default=float('inf'),
@@ -149,6 +147,12 @@
     def _record_round_trip(self, sent_at: float) -> None:
         now = asyncio.get_running_loop().time()
         self._round_trips.append((now, now - sent_at))
+        self._drop_old_round_trips()
+
+    def _drop_old_round_trips(self) -> None:
+        now = asyncio.get_running_loop().time()
+        while self._round_trips and self._round_trips[0][0] < now - RECENT_S:
+            self._round_trips.popleft()
 
     def _expect_ack(self) -> tuple[int, asyncio.Future[None]]:
         self._sequence += 1
--- a/idl/filbertdrift.thrift
+++ b/idl/filbertdrift.thrift
@@ -61,7 +61,7 @@
   3: i64 next_offset
   /** Upper bound of the age of the evidence when this message was sent. */
   4: i64 age_ms
-  /** The node that read the log, and how long ago at the most. */
+  /** The node that read the log, and how long before this was sent. */
   5: string reader
   6: i64 read_age_ms
   /** It is not one of the usual readers. */
--- a/tests/test_freshness.py
+++ b/tests/test_freshness.py
@@ -182,6 +182,48 @@
         offer(holder, 4)
         self.assertThat(freshness.age_s(), Equals(0))
 
+    # DENIED: a store that states era zero, or none before its first drill.
+    def test_first_drill(self) -> None:
+        run_virtual(self._first_drill())
+
+    async def _first_drill(self) -> None:
+        freshness = freshness_of(holder_of(3))
+        loop = asyncio.get_running_loop()
+        freshness.record(confirmation(3, loop.time(), era=0))
+        await asyncio.sleep(1)
+        freshness.record(confirmation(3, loop.time(), era=1))
+        self.assertThat(freshness.age_s(), Equals(NEVER_S))
+        await asyncio.sleep(ERA_SETTLE_S)
+        freshness.record(confirmation(3, loop.time(), era=1))
+        self.assertThat(freshness.age_s(), Equals(0))
+
+    def test_evidence_without_an_age_is_ignored(self) -> None:
+        run_virtual(self._no_age())
+
+    async def _no_age(self) -> None:
+        freshness = freshness_of(holder_of(3))
+        for age_ms in (None, -5):
+            received = ttypes.LogConfirmation(3, 1, 7, age_ms, 'b-0', 0)
+            freshness.record_from_peer('b-0:7000', received)
+            self.assertThat(freshness.age_s(), Equals(NEVER_S))
+
+    # A version that its only holder took along kept nodes reading for ever.
+    def test_lost_announcement_is_forgotten(self) -> None:
+        run_virtual(self._lost_announcement())
+
+    async def _lost_announcement(self) -> None:
+        holder = holder_of(3)
+        holder.record_announcement(9)
+        heard_at = asyncio.get_running_loop().time()
+        holder.forget_lost_announcement(3, heard_at)
+        self.assertThat(holder.announced_version, Equals(9))
+        await asyncio.sleep(1)
+        holder.forget_lost_announcement(9, heard_at + 1)
+        self.assertThat(holder.announced_version, Equals(9))
+        holder.forget_lost_announcement(3, heard_at + 1)
+        self.assertThat(holder.announced_version, Equals(3))
+        self.assertThat(holder.behind_s(), Equals(0))
+
     # DENIED: what waited in the buffers of a suspended node looked new.
     def test_evidence_is_dropped_after_a_pause(self) -> None:
         run_virtual(self._pause())
