--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -126,6 +126,25 @@
             await registered_nodes(fleet), Equals(set(fleet.instances))
         )
 
+    # The first drill of a store that states era zero was no change of era.
+    def test_told_of_the_first_era(self) -> None:
+        run_virtual(self._first_era())
+
+    async def _first_era(self) -> None:
+        fleet = MeshFleet(9)
+        fleet.log.era = 0
+        copy = fleet.log.snapshot()
+        for domain in 'aabb':
+            await fleet.add(domain, 'desk')
+        await asyncio.sleep(5)
+        fleet.log.restore(copy)
+        for instance in fleet.instances.values():
+            instance.node.directory.on_era(fleet.log.era)
+        await asyncio.sleep(1.5)
+        self.assertThat(
+            await registered_nodes(fleet), Equals(set(fleet.instances))
+        )
+
     def test_told_of_the_same_era(self) -> None:
         run_virtual(self._same())
 
