--- a/tests/test_outdated_config.py
+++ b/tests/test_outdated_config.py
@@ -65,6 +65,20 @@
     raise PeerUnavailable('silent', step='ask', peer=peer)
 
 
+def turn_readers_away(fleet: MeshFleet) -> None:
+    """Let the log refuse its usual readers; their pending reads get nothing."""
+    for instance in fleet.instances.values():
+        instance.log.is_partitioned = instance.node.watch.is_watcher()
+        instance.log.silence()
+
+
+async def publish_second(fleet: MeshFleet) -> float:
+    """Publish version 2; return after how many seconds it is in force."""
+    await asyncio.sleep(0.1)
+    await fleet.publish(config_document(2))
+    return await fleet.wait_until_in_force(2, 30)
+
+
 def cut_from_peers(fleet: MeshFleet, address: str) -> None:
     """Cut a node from all others, but not from the log."""
     others = [other for other in fleet.instances if other != address]
@@ -98,9 +112,7 @@
         fleet.simulator.delay_s = lambda sender, address: (
             NEVER_S if address == deaf else DELAY_S
         )
-        await asyncio.sleep(0.1)
-        await fleet.publish(config_document(2))
-        took_s = await fleet.wait_until_in_force(2, 30)
+        took_s = await publish_second(fleet)
         self.assertThat(took_s, LessThan(CONFIG_APPLY_S))
 
 
@@ -117,9 +129,7 @@
             fleet = await settled_fleet(seed, 'aaaabbbbcccc')
             for instance in fleet.instances.values():
                 instance.log.silence()
-            await asyncio.sleep(0.1)
-            await fleet.publish(config_document(2))
-            took_s = await fleet.wait_until_in_force(2, 30)
+            took_s = await publish_second(fleet)
             self.assertThat(took_s, LessThan(CONFIG_APPLY_S))
 
     # DENIED: the readers were turned away by the store, which served others.
@@ -128,12 +138,8 @@
 
     async def _turned_away(self) -> None:
         fleet = await settled_fleet(56, 'aaaabbbb')
-        for instance in fleet.instances.values():
-            instance.log.is_partitioned = instance.node.watch.is_watcher()
-            instance.log.silence()
-        await asyncio.sleep(0.1)
-        await fleet.publish(config_document(2))
-        took_s = await fleet.wait_until_in_force(2, 30)
+        turn_readers_away(fleet)
+        took_s = await publish_second(fleet)
         self.assertThat(took_s, LessThan(CONFIG_APPLY_S))
         self.assertThat(set(fleet.versions().values()), Equals({2}))
 
@@ -167,9 +173,7 @@
 
     async def _one_takes_over(self) -> None:
         fleet = await settled_fleet(63, 'aaaaaaaabbbbbbbb')
-        for instance in fleet.instances.values():
-            instance.log.is_partitioned = instance.node.watch.is_watcher()
-            instance.log.silence()
+        turn_readers_away(fleet)
         await asyncio.sleep(10)
         readers = [
             address
@@ -194,12 +198,8 @@
             slow = address_of_no_reader(fleet)
             fleet.simulator.delay_s = delays_of(slow, there_s, back_s)
             await asyncio.sleep(30)
-            for instance in fleet.instances.values():
-                instance.log.is_partitioned = instance.node.watch.is_watcher()
-                instance.log.silence()
-            await asyncio.sleep(0.1)
-            await fleet.publish(config_document(2))
-            took_s = await fleet.wait_until_in_force(2, 30)
+            turn_readers_away(fleet)
+            took_s = await publish_second(fleet)
             self.assertThat(took_s, LessThan(CONFIG_APPLY_S + there_s + back_s))
             for instance in fleet.instances.values():
                 instance.log.is_partitioned = True
