Failing tests: evidence that waited on its way looks new

Evidence that the version in force is the newest is aged by the quickest recent ping, so the time that it waits in the buffers of a busy node or behind a burst on a link does not count.

--- a/tests/test_freshness.py
+++ b/tests/test_freshness.py
@@ -4,7 +4,7 @@
 import json
 
 from testtools import TestCase
-from testtools.matchers import Equals, Is, LessThan
+from testtools.matchers import Equals, GreaterThan, Is, LessThan
 
 from filbertdrift.config_holder import ConfigHolder
 from filbertdrift.freshness import (
@@ -80,6 +80,45 @@
         freshness.forget()
         self.assertThat(freshness.age_s(), Equals(NEVER_S))
 
+    # CONFIG: evidence that had waited in the buffers of a busy node looked new,
+    # so the node refused requests for good on an outdated configuration.
+    def test_evidence_that_waited_on_the_way_is_older(self) -> None:
+        run_virtual(self._waited())
+
+    async def _waited(self) -> None:
+        sender, receiver = (
+            freshness_of(holder_of(3)),
+            freshness_of(holder_of(3)),
+        )
+        now = asyncio.get_running_loop().time()
+        sender.record(confirmation(3, now))
+        receiver.record_from_peer('b-0:7000', sender.to_message())
+        await asyncio.sleep(1)
+        sender.record(confirmation(3, now + 1))
+        waiting = sender.to_message()
+        # Pings that were answered before still show a quick connection.
+        await asyncio.sleep(1.4)
+        receiver.record_from_peer('b-0:7000', waiting)
+        self.assertThat(receiver.age_s(), GreaterThan(1.39))
+
+    # CONFIG: as above, after the sender was suspended, which stops its clock.
+    def test_a_sender_that_was_suspended_counts_again(self) -> None:
+        run_virtual(self._suspended())
+
+    async def _suspended(self) -> None:
+        receiver = freshness_of(holder_of(3))
+        clock_ms = 60_000
+        for stopped_ms in (0, 5_000, 0, 0, 0, 0):
+            clock_ms += 4_000 - stopped_ms
+            received = message(3, 0)
+            received.sent_at_ms = clock_ms
+            receiver.record_from_peer('b-0:7000', received)
+            await asyncio.sleep(4)
+        received = message(3, 0)
+        received.sent_at_ms = clock_ms + 4_000
+        receiver.record_from_peer('b-0:7000', received)
+        self.assertThat(receiver.age_s(), LessThan(0.1))
+
     # DENIED: a node that knows of a newer version is not current by evidence
     # for that version until it holds it.
     def test_evidence_for_a_version_that_is_missing(self) -> None:
