Evidence of currency counts the time that it waited on its way

Cause: what a datagram takes between two nodes was estimated by the quickest recent ping alone. Evidence that a stalled node read 1.4 s late counted as new, so a refusal for good could rest on evidence older than config_apply_s.

Change: evidence carries the time of sending on the sender's clock; what it took longer than others of that sender within 8 to 16 s counts as age. The window makes up for senders that restart or are suspended.

--- a/filbertdrift/freshness.py
+++ b/filbertdrift/freshness.py
@@ -7,13 +7,14 @@
 
 import asyncio
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from dataclasses import dataclass
 
 from filbertdrift.config_holder import ConfigHolder
 from filbertdrift.gen import ttypes
 from filbertdrift.keyedlog import NO_ERA
 from filbertdrift.routing import NO_VERSION
+from filbertdrift.transit import RecentTransitEstimator
 
 MS_PER_S = 1000
 # Evidence that is newer by less is not passed on.
@@ -70,9 +71,9 @@
     """The newest evidence about the configuration in force.
 
     What a message takes between two nodes counts as the time that the quickest
-    recent ping took there and back, once at each end. So evidence that
-    circulates only gets older. The time that it waits in the buffers of a busy
-    node is not seen.
+    recent ping took there and back, once at each end, and the time by which it
+    took longer than others of the same sender lately, such as in the buffers
+    of a busy node. So evidence that circulates only gets older.
 
     Args:
         node: This node's address.
@@ -108,6 +109,7 @@
         self._node = node
         self._holder = holder
         self._link_delay_s = link_delay_s
+        self._transits: dict[str, RecentTransitEstimator] = {}
         self._confirmed_as_of = LONG_AGO
         self._sent_as_of = LONG_AGO
         # Evidence of earlier times, or for lower versions, does not count.
@@ -157,6 +159,7 @@
         delay_s = self._link_delay_s()
         has_answers = delay_s < float('inf')
         sent_at = asyncio.get_running_loop().time()
+        sent_at -= self._transit_s(sender, message, sent_at)
         if has_answers:
             sent_at -= delay_s
         confirmation = Confirmation(
@@ -187,6 +190,7 @@
             reader=latest.reader,
             read_age_ms=math.ceil((now - latest.read_at) * MS_PER_S),
             is_takeover=latest.is_takeover,
+            sent_at_ms=int(now * MS_PER_S),
         )
 
     def age_s(self) -> float:
@@ -210,12 +214,28 @@
         """Drop all evidence after a pause of this node."""
         now = asyncio.get_running_loop().time()
         self.latest = None
+        # This node's clock may have stopped.
+        self._transits.clear()
         self.peers_read_at = LONG_AGO
         self.senior_read_at = LONG_AGO
         self._confirmed_as_of = LONG_AGO
         self._sent_as_of = LONG_AGO
         self._trusted_from = max(self._trusted_from, now + PAUSE_RECOVERY_S)
 
+    def remove_missing(self, nodes: Collection[str]) -> None:
+        """Remove what is known of the clocks of members that are gone."""
+        for sender in set(self._transits).difference(nodes):
+            self._transits.pop(sender)
+
+    def _transit_s(
+        self, sender: str, message: ttypes.LogConfirmation, now: float
+    ) -> float:
+        transit = self._transits.get(sender)
+        if transit is None:
+            transit = RecentTransitEstimator()
+            self._transits[sender] = transit
+        return transit.estimate_s(message.sent_at_ms, now)
+
     def _note_reader(self, confirmation: Confirmation) -> None:
         reader, read_at = confirmation.reader, confirmation.read_at
         if reader == self._node or confirmation.position.era < self.era:
--- a/filbertdrift/gen/ttypes.py
+++ b/filbertdrift/gen/ttypes.py
@@ -702,6 +702,7 @@
      - reader: The node that read the log, and how long before this was sent.
      - read_age_ms
      - is_takeover: It is not one of the usual readers.
+     - sent_at_ms: When this was sent, on a clock of the sender.
 
     """
 
@@ -713,10 +714,11 @@
         'reader',
         'read_age_ms',
         'is_takeover',
+        'sent_at_ms',
     )
 
 
-    def __init__(self, version=None, era=None, next_offset=None, age_ms=None, reader=None, read_age_ms=None, is_takeover=None,):
+    def __init__(self, version=None, era=None, next_offset=None, age_ms=None, reader=None, read_age_ms=None, is_takeover=None, sent_at_ms=None,):
         self.version = version
         self.era = era
         self.next_offset = next_offset
@@ -724,6 +726,7 @@
         self.reader = reader
         self.read_age_ms = read_age_ms
         self.is_takeover = is_takeover
+        self.sent_at_ms = sent_at_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -769,6 +772,11 @@
                     self.is_takeover = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.I64:
+                    self.sent_at_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -807,6 +815,10 @@
             oprot.writeFieldBegin('is_takeover', TType.BOOL, 7)
             oprot.writeBool(self.is_takeover)
             oprot.writeFieldEnd()
+        if self.sent_at_ms is not None:
+            oprot.writeFieldBegin('sent_at_ms', TType.I64, 8)
+            oprot.writeI64(self.sent_at_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4140,6 +4152,7 @@
     (5, TType.STRING, 'reader', 'UTF8', None, ),  # 5
     (6, TType.I64, 'read_age_ms', None, None, ),  # 6
     (7, TType.BOOL, 'is_takeover', None, None, ),  # 7
+    (8, TType.I64, 'sent_at_ms', None, None, ),  # 8
 )
 all_structs.append(ConfigNotice)
 ConfigNotice.thrift_spec = (
--- a/filbertdrift/mesh.py
+++ b/filbertdrift/mesh.py
@@ -481,6 +481,7 @@
                 member.node for member in self.membership.table.alive()
             }
             self.chooser.remove_missing(alive_nodes)
+            self.freshness.remove_missing(alive_nodes)
             self.membership.prune_last_contacts(alive_nodes)
             config = self.holder.config
             if config is not None:
--- a/filbertdrift/transit.py
+++ b/filbertdrift/transit.py
@@ -13,6 +13,9 @@
 # A request that was delayed for longer is refused: its caller may have left,
 # and the cancellation is late as well.
 MAX_TRANSIT_S = 0.4
+# How long a sample of another node's clock counts at least. A node that is
+# suspended stops its clock, and one that restarts may set it anew.
+CLOCK_WINDOW_S = 8.0
 
 
 class TransitEstimator:
@@ -37,6 +40,38 @@
         return (offset_ms - self._least_offset_ms) / MS_PER_S
 
 
+class RecentTransitEstimator:
+    """Estimates the time in transit of the messages of one node.
+
+    Unlike a connection, a node may restart or be suspended, so only the
+    samples of the last CLOCK_WINDOW_S to twice that count.
+    """
+
+    def __init__(self) -> None:
+        """Start without samples."""
+        self._older = TransitEstimator()
+        self._newer = TransitEstimator()
+        self._renew_at = 0.0
+
+    def estimate_s(self, sent_at_ms: int | None, received_at_s: float) -> float:
+        """Return how long a message was delayed, in seconds.
+
+        Args:
+            sent_at_ms: When it was sent, on the sender's clock; None if the
+                sender does not state it.
+            received_at_s: When it was received, on this node's clock.
+        """
+        if received_at_s >= self._renew_at:
+            is_idle = received_at_s >= self._renew_at + CLOCK_WINDOW_S
+            self._older = TransitEstimator() if is_idle else self._newer
+            self._newer = TransitEstimator()
+            self._renew_at = received_at_s + CLOCK_WINDOW_S
+        return max(
+            self._older.estimate_s(sent_at_ms, received_at_s),
+            self._newer.estimate_s(sent_at_ms, received_at_s),
+        )
+
+
 def check_transit(transit_s: float, peer: str) -> None:
     """Check that a request was not late between the nodes.
 
--- a/idl/filbertdrift.thrift
+++ b/idl/filbertdrift.thrift
@@ -66,6 +66,8 @@
   6: i64 read_age_ms
   /** It is not one of the usual readers. */
   7: bool is_takeover
+  /** When this was sent, on a clock of the sender. */
+  8: optional i64 sent_at_ms
 }
 
 /**
