--- a/filbertdrift/chooser.py
+++ b/filbertdrift/chooser.py
@@ -33,6 +33,9 @@
 # How long a gate that was full for a kind of request is skipped. Its queue
 # advances by some requests in that time.
 FULL_BACKOFF_S = 0.04
+# A target whose limit is reached is taken for full until its gate allows
+# another request, but at most this long: the limit may have ended.
+MAX_LIMITED_S = 1.0
 IDLE_COST_PERMILLE = 200
 FULL_PERMILLE = 1000
 
@@ -47,6 +50,7 @@
     last_contact_at: float = 0.0
     load_permille: int = 0
     load_updated_at: float = 0.0
+    limited_until: float = 0.0
     latency_s: float = 0.0
     large_body_latency_s: float = 0.0
     failures: int = 0
@@ -210,24 +214,31 @@
         load_permille: int,
         now: float,
         kind: str = '',
+        *,
+        is_rate_limited: bool = False,
     ) -> None:
         """Record that a request was refused.
 
         A gate with a free slot refuses only if its target fails, so that
-        counts as a failure.
+        counts as a failure, unless the target has reached its limit.
 
         Args:
             member: The target's member.
             load_permille: The load of its gate.
             now: The time on the event loop's clock.
             kind: The kind of request, if the gate distinguishes kinds.
+            is_rate_limited: The target has reached the limit that it states.
         """
-        if load_permille < FULL_PERMILLE:
+        if load_permille < FULL_PERMILLE and not is_rate_limited:
             self.failed(member, now, unreachable=True)
             return
         self.record_load(member, load_permille, now)
         if kind:
-            self._full_until[member.node, kind] = now + FULL_BACKOFF_S
+            full_until = now + FULL_BACKOFF_S
+            if is_rate_limited:
+                stats = self._stats_for(member, now)
+                full_until = max(full_until, stats.limited_until)
+            self._full_until[member.node, kind] = full_until
 
     def record_load(
         self,
@@ -246,6 +257,19 @@
         stats.load_permille = load_permille
         stats.load_updated_at = now
 
+    def record_limited(
+        self, member: Member, limited_s: float, now: float
+    ) -> None:
+        """Record when the limit of a target allows another request.
+
+        Args:
+            member: The target's member.
+            limited_s: After which time, 0 if now.
+            now: The time on the event loop's clock.
+        """
+        stats = self._stats_for(member, now)
+        stats.limited_until = now + min(limited_s, MAX_LIMITED_S)
+
     def is_in_own_domain(self, member: Member) -> bool:
         """Return whether a target is in this node's failure domain."""
         return self._is_in_domain(member)
@@ -343,6 +367,9 @@
         if stats is None or stats.generation != member.generation:
             return SLOW_START_PENALTY_PERMILLE
         age = now - stats.load_updated_at
+        if now < stats.limited_until:
+            # No request is admitted meanwhile, so the load does not decay.
+            age = 0
         load = stats.load_permille * 0.5 ** (age / LOAD_HALF_LIFE_S)
         in_flight_load = (
             stats.in_flight * IN_FLIGHT_LOAD_PERMILLE / max(member.slots, 1)
--- a/filbertdrift/contract.py
+++ b/filbertdrift/contract.py
@@ -4,12 +4,19 @@
 adapter defines one set of names.
 """
 
+import re
 from dataclasses import dataclass
 
+from loguru import logger
+
 from filbertdrift import http1
 
 # In milliseconds it fits the messages between nodes.
 MAX_TIMEOUT_S = 86_400.0
+MAX_LOGGED_CHARS = 40
+
+_DECIMAL = re.compile(r'\d{1,9}(\.\d{1,9})?', re.ASCII)
+_IS_LEAVING = '1'
 
 
 @dataclass(frozen=True, slots=True)
@@ -26,6 +33,10 @@
             made the response.
         not_run: Marks a refusal of a request that was not run.
         load: Running requests, waiting requests and slots of the target.
+        instance: Instance id of the target, in responses to health checks.
+        rate_limit: Requests a second that the target takes from all nodes
+            together, for as long as its responses state it.
+        leaving: Stated by a target that accepts no new requests.
     """
 
     request_id: bytes
@@ -35,6 +46,9 @@
     seal: bytes
     not_run: bytes
     load: bytes
+    instance: bytes
+    rate_limit: bytes
+    leaving: bytes
 
     def reserved_headers(self) -> frozenset[bytes]:
         """Return the headers that only nodes set; a caller's are dropped."""
@@ -43,6 +57,44 @@
         )
 
 
+@dataclass(frozen=True, slots=True)
+class TargetStatement:
+    """What a target states of itself with a response.
+
+    Args:
+        limit_per_s: Requests a second that it takes from all nodes together,
+            None if it states no limit.
+        is_leaving: It accepts no new requests.
+    """
+
+    limit_per_s: float | None = None
+    is_leaving: bool = False
+
+
+def parse_statement(
+    headers: http1.Headers, names: HeaderNames
+) -> TargetStatement:
+    """Return what a response states of its target.
+
+    A limit that is no decimal number counts as none.
+
+    Args:
+        headers: The response's headers.
+        names: Names of the platform's headers.
+    """
+    is_leaving = http1.find_header(headers, names.leaving) == _IS_LEAVING
+    if not any(name == names.rate_limit for name, _ in headers):
+        return TargetStatement(is_leaving=is_leaving)
+    text = http1.find_header(headers, names.rate_limit).strip()
+    if _DECIMAL.fullmatch(text):
+        return TargetStatement(float(text), is_leaving)
+    logger.bind(event='target_limit_malformed').warning(
+        'a target states a limit that is no number: {!r}',
+        text[:MAX_LOGGED_CHARS],
+    )
+    return TargetStatement(is_leaving=is_leaving)
+
+
 def parse_timeout_s(headers: http1.Headers, name: bytes) -> float | None:
     """Return the caller's timeout, None without a valid deadline header.
 
--- a/filbertdrift/dispatch.py
+++ b/filbertdrift/dispatch.py
@@ -11,9 +11,11 @@
 from filbertdrift.chooser import TargetChooser
 from filbertdrift.crashes import CrashLedger, fingerprint
 from filbertdrift.errors import NoFreeSlot, RequestNotRun, RequestUnknown
+from filbertdrift.knowntargets import KnownTargets
 from filbertdrift.link import LinkPool
 from filbertdrift.members import Member
 from filbertdrift.retrybudget import SharedRetryBudget
+from filbertdrift.returnturns import ReturnTurns
 from filbertdrift.target_attempt import (
     RoutedRequest,
     RoutedResponse,
@@ -112,6 +114,10 @@
         budget: Limits retries.
         rng: Adds jitter to the retry-after delays, and selects the requests
             that search in a full fleet.
+        node_count: Returns how many nodes send requests to the targets.
+
+    Attributes:
+        known_targets: What targets have stated.
     """
 
     def __init__(
@@ -122,15 +128,19 @@
         crashes: CrashLedger,
         budget: SharedRetryBudget,
         rng: random.Random,
+        node_count: Callable[[], int],
     ) -> None:
         """Start without requests."""
         self.counters = DispatchCounters()
+        self.known_targets = KnownTargets()
         self._links = links
         self._chooser = chooser
         self._endpoints = endpoints
         self._crashes = crashes
         self._budget = budget
         self._rng = rng
+        self._node_count = node_count
+        self._return_turns = ReturnTurns()
         # Moving average of the share of busy gates, by service.
         self._busy_share: dict[str, float] = defaultdict(float)
 
@@ -226,16 +236,13 @@
             search.end()
             member = self._choose(routed, search, now)
         if member is None:
-            raise unknown or RequestNotRun(
-                f'no target of {routed.service} has room',
-                retry_after_ms=self._retry_after_ms(),
-                step='choose target',
-            )
+            raise unknown or self._no_room_error(routed, now)
         routed.req.tried.append(member.node)
         search.excluded.append(member.node)
         return TargetAttempt(
             self._links,
             self._chooser,
+            self.known_targets,
             member,
             routed,
             may_wait=search.is_over
@@ -314,8 +321,40 @@
         self.counters.repeats += 1
         return True
 
-    def _retry_after_ms(self) -> int:
-        return RETRY_AFTER_MS + int(RETRY_AFTER_SPREAD_MS * self._rng.random())
+    def _no_room_error(
+        self, routed: RoutedRequest, now: float
+    ) -> RequestNotRun:
+        """Return the refusal of a request that no target has room for.
+
+        If all targets of the service state limits, the callers that this node
+        refuses return one after the other, at its share of the limits.
+        """
+        reason = f'no target of {routed.service} has room'
+        retry_after_ms = RETRY_AFTER_MS
+        limit_per_s = self._find_common_limit(routed.service)
+        if limit_per_s is not None:
+            reason = f'{reason}: together they take {limit_per_s:g} a second'
+            share_per_s = limit_per_s / max(self._node_count(), 1)
+            queue = (routed.service, routed.route.rank)
+            delay_s = self._return_turns.next_delay_s(queue, share_per_s, now)
+            retry_after_ms = int(delay_s * MS_PER_S)
+        spread_ms = int(RETRY_AFTER_SPREAD_MS * self._rng.random())
+        return RequestNotRun(
+            reason,
+            retry_after_ms=retry_after_ms + spread_ms,
+            step='choose target',
+            is_rate_limited=limit_per_s is not None,
+        )
+
+    def _find_common_limit(self, service: str) -> float | None:
+        """Return the sum of the limits of all targets, None if one has none."""
+        limits_per_s = [
+            self.known_targets.find_limit(member.node)
+            for member in self._endpoints(service)
+        ]
+        stated_per_s = [each for each in limits_per_s if each is not None]
+        is_common = bool(limits_per_s) and limits_per_s == stated_per_s
+        return sum(stated_per_s) if is_common else None
 
     def _log(self, routed: RoutedRequest, outcome: str, reason: str) -> None:
         now = asyncio.get_running_loop().time()
--- a/filbertdrift/errors.py
+++ b/filbertdrift/errors.py
@@ -93,6 +93,8 @@
         step: The operation that refused the request.
         peer: The node or target that refused it.
         status: The HTTP status of the response to the caller.
+        is_rate_limited: The target has reached the limit that it states, so
+            the refusal does not mean that it fails.
     """
 
     def __init__(
@@ -103,11 +105,13 @@
         step: str = '',
         peer: str = '',
         status: int = STATUS_UNAVAILABLE,
+        is_rate_limited: bool = False,
     ) -> None:
         """Store the reason, the retry-after delay and the status."""
         super().__init__(reason, step=step, peer=peer)
         self.retry_after_ms = retry_after_ms
         self.status = status
+        self.is_rate_limited = is_rate_limited
 
 
 class NoFreeSlot(RequestNotRun):
--- a/filbertdrift/gen/ttypes.py
+++ b/filbertdrift/gen/ttypes.py
@@ -2577,6 +2577,112 @@
         return not (self == other)
 
 
+class TargetNotice(object):
+    """
+    What one start of a target has said of itself with its responses.
+
+    Attributes:
+     - instance
+     - born_ms
+     - limit_per_s: Requests a second that it takes from all nodes; none if unlimited.
+     - is_leaving: It accepts no new requests.
+
+    """
+
+    __slots__ = (
+        'instance',
+        'born_ms',
+        'limit_per_s',
+        'is_leaving',
+    )
+
+
+    def __init__(self, instance=None, born_ms=None, limit_per_s=None, is_leaving=None,):
+        self.instance = instance
+        self.born_ms = born_ms
+        self.limit_per_s = limit_per_s
+        self.is_leaving = is_leaving
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.instance = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.born_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.DOUBLE:
+                    self.limit_per_s = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.BOOL:
+                    self.is_leaving = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('TargetNotice')
+        if self.instance is not None:
+            oprot.writeFieldBegin('instance', TType.STRING, 1)
+            oprot.writeString(self.instance.encode('utf-8') if sys.version_info[0] == 2 else self.instance)
+            oprot.writeFieldEnd()
+        if self.born_ms is not None:
+            oprot.writeFieldBegin('born_ms', TType.I64, 2)
+            oprot.writeI64(self.born_ms)
+            oprot.writeFieldEnd()
+        if self.limit_per_s is not None:
+            oprot.writeFieldBegin('limit_per_s', TType.DOUBLE, 3)
+            oprot.writeDouble(self.limit_per_s)
+            oprot.writeFieldEnd()
+        if self.is_leaving is not None:
+            oprot.writeFieldBegin('is_leaving', TType.BOOL, 4)
+            oprot.writeBool(self.is_leaving)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class RequestOpen(object):
     """
     Opens one forwarded request; remaining_ms is the caller's deadline.
@@ -2603,6 +2709,7 @@
      - is_offer: Only the head: the first credit asks for the body, which must follow.
      - sent_at_ms: When it was sent, on a clock of the sender that never stops.
      - has_large_body: Its body takes a while on a narrow link.
+     - known_target: What the sender has heard of the target, for a node that restarted.
 
     """
 
@@ -2628,10 +2735,11 @@
         'is_offer',
         'sent_at_ms',
         'has_large_body',
+        'known_target',
     )
 
 
-    def __init__(self, method=None, path=None, headers=None, remaining_ms=None, service_name=None, importance=None, customer=None, body=None, end=None, request_id=None, fingerprint=None, refusal_statuses=None, generation=None, stall_ms=None, objective_ms=None, route_name=None, is_idempotent=None, no_wait=None, is_offer=None, sent_at_ms=None, has_large_body=None,):
+    def __init__(self, method=None, path=None, headers=None, remaining_ms=None, service_name=None, importance=None, customer=None, body=None, end=None, request_id=None, fingerprint=None, refusal_statuses=None, generation=None, stall_ms=None, objective_ms=None, route_name=None, is_idempotent=None, no_wait=None, is_offer=None, sent_at_ms=None, has_large_body=None, known_target=None,):
         self.method = method
         self.path = path
         self.headers = headers
@@ -2653,6 +2761,7 @@
         self.is_offer = is_offer
         self.sent_at_ms = sent_at_ms
         self.has_large_body = has_large_body
+        self.known_target = known_target
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2779,6 +2888,12 @@
                     self.has_large_body = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 23:
+                if ftype == TType.STRUCT:
+                    self.known_target = TargetNotice()
+                    self.known_target.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2879,6 +2994,10 @@
             oprot.writeFieldBegin('has_large_body', TType.BOOL, 22)
             oprot.writeBool(self.has_large_body)
             oprot.writeFieldEnd()
+        if self.known_target is not None:
+            oprot.writeFieldBegin('known_target', TType.STRUCT, 23)
+            self.known_target.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3060,6 +3179,8 @@
      - body
      - end
      - load_permille
+     - notice: Set while the target states a limit or that it leaves.
+     - limited_ms: When the target's limit allows another request.
 
     """
 
@@ -3069,15 +3190,19 @@
         'body',
         'end',
         'load_permille',
+        'notice',
+        'limited_ms',
     )
 
 
-    def __init__(self, status=None, headers=None, body=None, end=None, load_permille=None,):
+    def __init__(self, status=None, headers=None, body=None, end=None, load_permille=None, notice=None, limited_ms=None,):
         self.status = status
         self.headers = headers
         self.body = body
         self.end = end
         self.load_permille = load_permille
+        self.notice = notice
+        self.limited_ms = limited_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3119,6 +3244,17 @@
                     self.load_permille = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.STRUCT:
+                    self.notice = TargetNotice()
+                    self.notice.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I32:
+                    self.limited_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3152,6 +3288,14 @@
             oprot.writeFieldBegin('load_permille', TType.I32, 5)
             oprot.writeI32(self.load_permille)
             oprot.writeFieldEnd()
+        if self.notice is not None:
+            oprot.writeFieldBegin('notice', TType.STRUCT, 6)
+            self.notice.write(oprot)
+            oprot.writeFieldEnd()
+        if self.limited_ms is not None:
+            oprot.writeFieldBegin('limited_ms', TType.I32, 7)
+            oprot.writeI32(self.limited_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3186,6 +3330,9 @@
      - load_permille
      - reached_target: The target itself refused, so the retry budget counts the arrival.
      - no_free_slot: It would have had to wait and was told not to.
+     - notice: As in AnswerOpen.
+     - limited_ms
+     - is_rate_limited: The target has reached its limit, which is no failure.
 
     """
 
@@ -3196,16 +3343,22 @@
         'load_permille',
         'reached_target',
         'no_free_slot',
+        'notice',
+        'limited_ms',
+        'is_rate_limited',
     )
 
 
-    def __init__(self, kind=None, reason=None, come_back_ms=None, load_permille=None, reached_target=None, no_free_slot=None,):
+    def __init__(self, kind=None, reason=None, come_back_ms=None, load_permille=None, reached_target=None, no_free_slot=None, notice=None, limited_ms=None, is_rate_limited=None,):
         self.kind = kind
         self.reason = reason
         self.come_back_ms = come_back_ms
         self.load_permille = load_permille
         self.reached_target = reached_target
         self.no_free_slot = no_free_slot
+        self.notice = notice
+        self.limited_ms = limited_ms
+        self.is_rate_limited = is_rate_limited
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3246,6 +3399,22 @@
                     self.no_free_slot = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.STRUCT:
+                    self.notice = TargetNotice()
+                    self.notice.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.I32:
+                    self.limited_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.BOOL:
+                    self.is_rate_limited = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3280,6 +3449,18 @@
             oprot.writeFieldBegin('no_free_slot', TType.BOOL, 6)
             oprot.writeBool(self.no_free_slot)
             oprot.writeFieldEnd()
+        if self.notice is not None:
+            oprot.writeFieldBegin('notice', TType.STRUCT, 7)
+            self.notice.write(oprot)
+            oprot.writeFieldEnd()
+        if self.limited_ms is not None:
+            oprot.writeFieldBegin('limited_ms', TType.I32, 8)
+            oprot.writeI32(self.limited_ms)
+            oprot.writeFieldEnd()
+        if self.is_rate_limited is not None:
+            oprot.writeFieldBegin('is_rate_limited', TType.BOOL, 9)
+            oprot.writeBool(self.is_rate_limited)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4275,6 +4456,14 @@
     (1, TType.STRING, 'name', 'BINARY', None, ),  # 1
     (2, TType.STRING, 'content', 'BINARY', None, ),  # 2
 )
+all_structs.append(TargetNotice)
+TargetNotice.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'instance', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'born_ms', None, None, ),  # 2
+    (3, TType.DOUBLE, 'limit_per_s', None, None, ),  # 3
+    (4, TType.BOOL, 'is_leaving', None, None, ),  # 4
+)
 all_structs.append(RequestOpen)
 RequestOpen.thrift_spec = (
     None,  # 0
@@ -4300,6 +4489,7 @@
     (20, TType.BOOL, 'is_offer', None, None, ),  # 20
     (21, TType.I64, 'sent_at_ms', None, None, ),  # 21
     (22, TType.BOOL, 'has_large_body', None, None, ),  # 22
+    (23, TType.STRUCT, 'known_target', [TargetNotice, None], None, ),  # 23
 )
 all_structs.append(BodyChunk)
 BodyChunk.thrift_spec = (
@@ -4320,6 +4510,8 @@
     (3, TType.STRING, 'body', 'BINARY', None, ),  # 3
     (4, TType.BOOL, 'end', None, None, ),  # 4
     (5, TType.I32, 'load_permille', None, None, ),  # 5
+    (6, TType.STRUCT, 'notice', [TargetNotice, None], None, ),  # 6
+    (7, TType.I32, 'limited_ms', None, None, ),  # 7
 )
 all_structs.append(Refusal)
 Refusal.thrift_spec = (
@@ -4330,6 +4522,9 @@
     (4, TType.I32, 'load_permille', None, None, ),  # 4
     (5, TType.BOOL, 'reached_target', None, None, ),  # 5
     (6, TType.BOOL, 'no_free_slot', None, None, ),  # 6
+    (7, TType.STRUCT, 'notice', [TargetNotice, None], None, ),  # 7
+    (8, TType.I32, 'limited_ms', None, None, ),  # 8
+    (9, TType.BOOL, 'is_rate_limited', None, None, ),  # 9
 )
 all_structs.append(Cancel)
 Cancel.thrift_spec = (
--- a/filbertdrift/handover.py
+++ b/filbertdrift/handover.py
@@ -6,13 +6,14 @@
 
 import asyncio
 import contextlib
+import math
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
 from loguru import logger
 
 from filbertdrift.callstream import CallStream
-from filbertdrift.contract import HeaderNames
+from filbertdrift.contract import HeaderNames, TargetStatement
 from filbertdrift.crashes import CrashLedger
 from filbertdrift.errors import (
     FilbertdriftError,
@@ -28,7 +29,12 @@
 from filbertdrift.metrics import DurationHistogram
 from filbertdrift.objective_gate import SlotRequest
 from filbertdrift.target import Exchange, TargetRequest
-from filbertdrift.target_run import FIRST_CREDIT_BYTES, RefusedBy, TargetRun
+from filbertdrift.target_run import (
+    FIRST_CREDIT_BYTES,
+    RefusedBy,
+    TargetReport,
+    TargetRun,
+)
 from filbertdrift.transit import check_transit
 
 MS_PER_S = 1000
@@ -48,6 +54,7 @@
 
     answered: int = 0
     not_run: int = 0
+    rate_limited: int = 0
     target_refused: int = 0
     unknown: int = 0
     cancelled: int = 0
@@ -134,10 +141,14 @@
         refusal.come_back_ms = exc.retry_after_ms
         refusal.reached_target = refused_by.target
         refusal.no_free_slot = isinstance(exc, NoFreeSlot)
-        if not refusal.no_free_slot:
+        refusal.is_rate_limited = exc.is_rate_limited or (
+            refused_by.target and self._has_limit()
+        )
+        self.counters.rate_limited += refusal.is_rate_limited
+        if refusal.is_rate_limited or not refusal.no_free_slot:
             # Without a free slot, the ingress asks the next node's gate and
             # logs the outcome itself.
-            self.counters.not_run += 1
+            self.counters.not_run += not refusal.no_free_slot
             self.counters.target_refused += refused_by.target
             self._log_outcome(call, req, 'not_run', str(exc))
         await call.send(refusal)
@@ -172,15 +183,36 @@
                     self._header_names,
                     refused_by,
                     self._pacer,
+                    self._build_report(current),
                 )
-                load = current.gate.load_permille
-                status = await run.run(slot_request.deadline, load)
+                status = await run.run(slot_request.deadline)
             self.counters.stray_answers += run.stray_answers
             spent_s = loop.time() - started_at
         finally:
             current.gate.release(slot_request.kind, spent_s)
         self._record_response(status, req)
 
+    def _build_report(self, current: Incarnation) -> TargetReport:
+        """Return the report of a run that begins now."""
+        gate = current.gate
+        sent_at = asyncio.get_running_loop().time()
+        load_permille = gate.load_permille
+
+        def record(statement: TargetStatement) -> None:
+            self._lifecycle.record_statement(current, statement, sent_at)
+
+        def annotate(opened: ttypes.AnswerOpen) -> None:
+            opened.load_permille = load_permille
+            if gate.limit.per_s is not None:
+                opened.load_permille = gate.load_permille
+            _add_limit(opened, current)
+
+        return TargetReport(record, annotate)
+
+    def _has_limit(self) -> bool:
+        current = self._lifecycle.current
+        return current is not None and current.gate.limit.per_s is not None
+
     async def _receive_body(
         self, call: CallStream, req: ttypes.RequestOpen, deadline: float
     ) -> None:
@@ -207,6 +239,8 @@
 
     def _find_target(self, req: ttypes.RequestOpen) -> Incarnation:
         current = self._lifecycle.current
+        if req.known_target:
+            self._lifecycle.record_notice(req.known_target)
         if current is None or current.heartbeat.service != req.service_name:
             reason = f'no target of {req.service_name} here'
         elif req.generation != self._generation():
@@ -306,7 +340,10 @@
     ) -> ttypes.Refusal:
         current = self._lifecycle.current
         load = current.gate.load_permille if current else 0
-        return ttypes.Refusal(kind, str(exc), 0, load, reached_target=False)
+        refusal = ttypes.Refusal(kind, str(exc), 0, load, reached_target=False)
+        if current:
+            _add_limit(refusal, current)
+        return refusal
 
     def _log_outcome(
         self,
@@ -322,6 +359,7 @@
             instance=current.heartbeat.instance if current else '',
             running=current.gate.running if current else 0,
             waiting=current.gate.waiting if current else 0,
+            limit_per_s=current.gate.limit.per_s if current else None,
             transit_ms=int(call.transit_s * MS_PER_S),
             outcome=outcome,
             reason=reason,
@@ -355,6 +393,16 @@
     req.end = body.end
 
 
+def _add_limit(
+    message: ttypes.AnswerOpen | ttypes.Refusal, current: Incarnation
+) -> None:
+    """Add what the target states, and when its limit allows a request."""
+    message.notice = current.build_notice()
+    wait_s = current.gate.limit_wait_s
+    if wait_s:
+        message.limited_ms = math.ceil(wait_s * MS_PER_S)
+
+
 def _build_slot_request(req: ttypes.RequestOpen, sent_at: float) -> SlotRequest:
     """Return the request for a slot, with times on the loop's clock.
 
--- a/filbertdrift/health.py
+++ b/filbertdrift/health.py
@@ -31,7 +31,8 @@
     """Monitors the health of the local target.
 
     Attributes:
-        probe: Probes the target and returns whether it is healthy.
+        probe: Probes the target and returns whether it is healthy, None if
+            it was not probed.
         on_change: Called with the new health when it changes.
         interval_s: Time between two probes.
         probe_when_healthy: Also probe a healthy target that gets no requests.
@@ -39,7 +40,7 @@
 
     def __init__(self) -> None:
         """Create the monitor of a healthy target."""
-        self.probe: Callable[[], Awaitable[bool]] = _assume_healthy
+        self.probe: Callable[[], Awaitable[bool | None]] = _assume_healthy
         self.on_change: Callable[[bool], None] = _ignore_change
         self.counters = HealthCounters()
         self.is_healthy = True
@@ -86,8 +87,10 @@
 
     async def _probe_once(self) -> None:
         observed_at = self._observed_at
-        self.counters.probes += 1
         is_healthy = await self.probe()
+        if is_healthy is None:
+            return
+        self.counters.probes += 1
         if not is_healthy:
             self.counters.failed_probes += 1
         if self._observed_at != observed_at:
--- a/filbertdrift/lifecycle.py
+++ b/filbertdrift/lifecycle.py
@@ -12,10 +12,13 @@
 
 from loguru import logger
 
+from filbertdrift.contract import TargetStatement
+from filbertdrift.gen import ttypes
 from filbertdrift.members import MemberStatus
 from filbertdrift.membership import Membership
 from filbertdrift.objective_gate import ObjectiveGate
 from filbertdrift.target import Target
+from filbertdrift.targetlimit import TargetLimit
 
 # The other nodes receive the LEAVING status within this time. Until then the
 # gate still admits the requests they send, which saves a retry.
@@ -58,6 +61,18 @@
     gate: ObjectiveGate
     is_leaving: bool = False
 
+    def build_notice(self) -> ttypes.TargetNotice | None:
+        """Return what other nodes should know of it, None for nothing."""
+        limit_per_s = self.gate.limit.per_s
+        if limit_per_s is None and not self.is_leaving:
+            return None
+        return ttypes.TargetNotice(
+            self.heartbeat.instance,
+            self.heartbeat.born_ms,
+            limit_per_s,
+            self.is_leaving,
+        )
+
 
 @dataclass(slots=True)
 class LifecycleCounters:
@@ -135,6 +150,39 @@
         elif born_ms is not None:
             self._record_departure(instance, born_ms)
 
+    def record_statement(
+        self,
+        incarnation: Incarnation,
+        statement: TargetStatement,
+        sent_at: float,
+    ) -> None:
+        """Record what a response of a target states.
+
+        Args:
+            incarnation: The incarnation that responded.
+            statement: What it states.
+            sent_at: When the request was sent, on the loop's clock.
+        """
+        incarnation.gate.record_limit(statement.limit_per_s, sent_at)
+
+    def record_notice(self, notice: ttypes.TargetNotice) -> None:
+        """Record what another node has heard of the target before.
+
+        This node may have restarted since then. A later start of the target
+        is not bound by what an earlier one has stated.
+
+        Args:
+            notice: The notice of the other node.
+        """
+        current = self.current
+        if current is None or (notice.instance, notice.born_ms) != (
+            current.heartbeat.instance,
+            current.heartbeat.born_ms,
+        ):
+            return
+        if notice.limit_per_s is not None:
+            current.gate.limit.adopt(notice.limit_per_s)
+
     def set_health(self, *, is_healthy: bool) -> None:
         """Set the target's health and announce its status."""
         self.is_healthy = is_healthy
@@ -201,7 +249,9 @@
         self.current = Incarnation(
             heartbeat,
             self._open_target(heartbeat.service, heartbeat.address),
-            ObjectiveGate(heartbeat.slots, self._rng),
+            ObjectiveGate(
+                heartbeat.slots, self._rng, TargetLimit(heartbeat.instance)
+            ),
         )
         self.is_healthy = True
         self.announce_status()
--- a/filbertdrift/mesh.py
+++ b/filbertdrift/mesh.py
@@ -11,12 +11,13 @@
 
 from loguru import logger
 
+from filbertdrift import http1
 from filbertdrift.callerwait import CallerWaitEstimator
 from filbertdrift.chooser import TargetChooser
 from filbertdrift.config_exchange import ConfigExchange
 from filbertdrift.config_holder import ConfigHolder, ParseDocument
 from filbertdrift.configwatch import NEVER, ConfigWatch, age_ms
-from filbertdrift.contract import HeaderNames
+from filbertdrift.contract import HeaderNames, parse_statement
 from filbertdrift.crash_sync import CrashSync
 from filbertdrift.crashes import CrashLedger
 from filbertdrift.directory import Directory
@@ -29,7 +30,11 @@
 from filbertdrift.identity import Identity
 from filbertdrift.inbound import InboundPacer
 from filbertdrift.keyedlog import KeyedLog
-from filbertdrift.lifecycle import OpenTarget, TargetLifecycle
+from filbertdrift.lifecycle import (
+    Incarnation,
+    OpenTarget,
+    TargetLifecycle,
+)
 from filbertdrift.link import LinkPool
 from filbertdrift.members import Member
 from filbertdrift.membership import Membership
@@ -134,6 +139,7 @@
         self.network = network
         self.log = log
         self.is_leaving = False
+        self._header_names = header_names
         self.links = LinkPool(network)
         self._rng = rng
         local_member = Member(
@@ -201,6 +207,7 @@
             self.crashes,
             self.budget,
             rng,
+            lambda: len(self.membership.table),
         )
         self.wait_estimator = CallerWaitEstimator()
         self.health = TargetHealth()
@@ -441,7 +448,8 @@
 
     # The local target
 
-    async def _probe_target(self) -> bool:
+    async def _probe_target(self) -> bool | None:
+        """Probe the target, and return None if it cannot be probed now."""
         current = self.lifecycle.current
         if current is None:
             return True
@@ -450,7 +458,24 @@
         if config is not None:
             service_config = config.services.get(current.heartbeat.service)
         path = service_config.probe_path if service_config else ''
-        return await current.target.check_health(path)
+        if current.gate.limit_wait_s:
+            # The limit leaves no request for a probe.
+            return None
+        current.gate.limit.take()
+        sent_at = asyncio.get_running_loop().time()
+
+        def on_head(head: http1.ResponseHead) -> None:
+            self._record_probed(current, head, sent_at)
+
+        return await current.target.check_health(path, on_head)
+
+    def _record_probed(
+        self, current: Incarnation, head: http1.ResponseHead, sent_at: float
+    ) -> None:
+        instance = http1.find_header(head.headers, self._header_names.instance)
+        if instance in {'', current.heartbeat.instance}:
+            statement = parse_statement(head.headers, self._header_names)
+            self.lifecycle.record_statement(current, statement, sent_at)
 
     def _on_health_changed(self, is_healthy: bool) -> None:
         self.lifecycle.set_health(is_healthy=is_healthy)
@@ -482,6 +507,7 @@
             }
             self.chooser.remove_missing(alive_nodes)
             self.freshness.remove_missing(alive_nodes)
+            self.dispatcher.known_targets.remove_missing(alive_nodes)
             self.membership.prune_last_contacts(alive_nodes)
             config = self.holder.config
             if config is not None:
--- a/filbertdrift/mesh_metrics.py
+++ b/filbertdrift/mesh_metrics.py
@@ -9,6 +9,8 @@
 STATUS_OK = 200
 STATUS_NOT_FOUND = 404
 METRICS_PATH = '/metrics'
+# In place of a limit that does not exist.
+NO_LIMIT = -1.0
 TEXT_FORMAT = b'text/plain; version=0.0.4; charset=utf-8'
 
 
@@ -66,6 +68,8 @@
     collector.add_gauge('gate_running', lambda: _read_gate(node, 'running'))
     collector.add_gauge('gate_waiting', lambda: _read_gate(node, 'waiting'))
     collector.add_gauge('gate_slots', lambda: _read_gate(node, 'slots'))
+    collector.add_gauge('gate_sent_per_second', lambda: _read_rate(node))
+    collector.add_gauge('gate_limit_per_second', lambda: _read_limit(node))
     return collector
 
 
@@ -89,6 +93,18 @@
         )
 
 
+def _read_rate(node: MeshNode) -> float:
+    current = node.lifecycle.current
+    return current.gate.limit.sent_per_s() if current else 0
+
+
+def _read_limit(node: MeshNode) -> float:
+    """Return the limit that the local target states, NO_LIMIT for none."""
+    current = node.lifecycle.current
+    limit_per_s = current.gate.limit.per_s if current else None
+    return NO_LIMIT if limit_per_s is None else limit_per_s
+
+
 def _read_gate(node: MeshNode, field: str) -> int:
     current = node.lifecycle.current
     return int(getattr(current.gate, field)) if current else 0
--- a/filbertdrift/objective_gate.py
+++ b/filbertdrift/objective_gate.py
@@ -6,6 +6,9 @@
 slots which they leave let it meet its deadline. Otherwise it is refused at
 once, with a retry-after delay in which the queue drains. More urgent
 priorities go first, and displace less urgent requests from a full queue.
+
+If the target states a limit on the rate of its requests, a request waits for
+its turn within the limit as it waits for a slot.
 """
 
 import asyncio
@@ -19,6 +22,7 @@
 from typing import NamedTuple
 
 from filbertdrift.errors import NoFreeSlot, RequestNotRun
+from filbertdrift.targetlimit import TargetLimit
 
 PERMILLE = 1000
 MS_PER_S = 1000
@@ -41,6 +45,9 @@
 LATE_WAIT_SHARE = 0.5
 # Limit of queued requests per slot; a target with more is certainly too slow.
 QUEUE_PER_SLOT = 4
+MAX_LOAD_PERMILLE = 1_000_000
+# Shortest time after which the queue is woken for the limit.
+MIN_WAKE_S = 0.001
 
 
 @dataclass(slots=True)
@@ -98,22 +105,32 @@
     Args:
         slots: How many requests the target runs at a time.
         rng: Adds jitter to the retry-after delays.
+        limit: The rate of requests that the target takes.
 
     Attributes:
+        limit: As given.
         running: How many requests hold a slot.
         incoming: How many requests without a slot are still being received.
         closes_at: When the gate closes, on the loop's clock.
     """
 
-    def __init__(self, slots: int, rng: random.Random) -> None:
+    def __init__(
+        self,
+        slots: int,
+        rng: random.Random,
+        limit: TargetLimit | None = None,
+    ) -> None:
         """Start empty and open."""
         self.slots = max(slots, 1)
+        self.limit = limit or TargetLimit()
         self.counters = ObjectiveGateCounters()
         self.running = 0
         self.incoming = 0
         self.closes_at = float('inf')
         self._rng = rng
         self._queue: list[_Waiter] = []
+        # Wakes the queue when the limit allows another request.
+        self._timer: asyncio.TimerHandle | None = None
         self._numbers = itertools.count()
         # Moving average of the service time of all requests.
         self._mean_s = FIRST_SERVICE_TIME_S
@@ -131,9 +148,23 @@
 
     @property
     def load_permille(self) -> int:
-        """Return running, queued and incoming requests per slot, in 1/1000."""
+        """Return running, queued and incoming requests per slot, in 1/1000.
+
+        A request that waits for the limit counts as much as one that waits for
+        a slot for as long.
+        """
         requests = self.running + self.waiting + self.incoming
-        return requests * PERMILLE // self.slots
+        load = requests * PERMILLE // self.slots
+        wait_s = self.limit_wait_s
+        if wait_s:
+            limit_load = int(PERMILLE * (1 + wait_s / self._mean_s))
+            load = max(load, min(limit_load, MAX_LOAD_PERMILLE))
+        return load
+
+    @property
+    def limit_wait_s(self) -> float:
+        """Return how long the limit makes another request wait."""
+        return self.limit.wait_s(self.waiting + self.incoming)
 
     @contextlib.contextmanager
     def track_incoming(self, req: SlotRequest) -> Iterator[None]:
@@ -148,7 +179,8 @@
         """
         now = asyncio.get_running_loop().time()
         self._check_open(req, now)
-        if self._queue or self.running + self.incoming >= self.slots:
+        is_full = self.running + self.incoming >= self.slots
+        if self._queue or is_full or self.limit_wait_s:
             self._check_may_wait(req)
             self._classify(req, now)
         self.incoming += 1
@@ -173,7 +205,7 @@
         """
         now = asyncio.get_running_loop().time()
         self._check_open(req, now)
-        if not self._queue and self.running < self.slots:
+        if not self._queue and self._has_room():
             self._take_slot(
                 _PriorityClass(req.rank, misses_objective=False), req.kind
             )
@@ -209,6 +241,25 @@
             self._mean_s += step * (service_time_s - self._mean_s)
         self._wake()
 
+    def record_limit(self, per_s: float | None, sent_at: float) -> None:
+        """Record the limit on the rate that a response of the target states.
+
+        Args:
+            per_s: Requests a second, None if it states no limit.
+            sent_at: When the request was sent, on the loop's clock.
+        """
+        before = self.limit.per_s
+        self.limit.record(per_s, sent_at)
+        if self.limit.per_s == before:
+            return
+        # Refuses the waiters whose turn within the limit comes too late.
+        now = asyncio.get_running_loop().time()
+        for index in reversed(range(len(self._queue))):
+            waiter = self._queue[index]
+            if self._is_expired(waiter, now + self.limit.wait_s(index)):
+                self._expire(self._queue.pop(index))
+        self._wake()
+
     def _check_open(self, req: SlotRequest, now: float) -> None:
         if now >= self.closes_at:
             raise self._refusal('the target is leaving')
@@ -218,7 +269,15 @@
     def _check_may_wait(self, req: SlotRequest) -> None:
         if not req.may_wait:
             self.counters.not_free += 1
-            raise NoFreeSlot('no free slot', retry_after_ms=0, step='admit')
+            raise NoFreeSlot(
+                self.limit.explain('no free slot', self.limit_wait_s),
+                retry_after_ms=0,
+                step='admit',
+                is_rate_limited=bool(self.limit_wait_s),
+            )
+
+    def _has_room(self) -> bool:
+        return self.running < self.slots and not self.limit.wait_s()
 
     def _enqueue(self, req: SlotRequest, now: float) -> _Waiter:
         priority_class, latest_start = self._classify(req, now)
@@ -271,16 +330,18 @@
             priority_class.rank,
             key=_rank_of,
         )
-        slot_interval_s = self._mean_s / self.slots
-        wait_s = (
-            (ahead + 1)
-            * slot_interval_s
-            / self._remaining_share(priority_class)
-        )
+        wait_s = self._turn_s(ahead) / self._remaining_share(priority_class)
         ahead_in_rank = ahead - before_rank
-        return min(
-            wait_s, (ahead_in_rank + 1) * slot_interval_s / GUARANTEED_SHARE
-        )
+        return min(wait_s, self._turn_s(ahead_in_rank) / GUARANTEED_SHARE)
+
+    def _turn_s(self, ahead: int) -> float:
+        """Return when a request gets its turn if all slots are for its class.
+
+        Args:
+            ahead: Requests that get their turn before it.
+        """
+        slot_wait_s = (ahead + 1) * self._mean_s / self.slots
+        return max(slot_wait_s, self.limit.wait_s(ahead))
 
     def _remaining_share(self, priority_class: _PriorityClass) -> float:
         """Return the share of slots that preceding classes leave."""
@@ -318,6 +379,7 @@
             step = CLASS_SHARE_WEIGHT * ((other == priority_class) - share)
             shares[other] = share + step
         self.running += 1
+        self.limit.take()
         self.counters.admitted += 1
 
     def _withdraw(self, waiter: _Waiter) -> None:
@@ -335,7 +397,7 @@
 
     def _wake(self) -> None:
         now = asyncio.get_running_loop().time()
-        while self._queue and self.running < self.slots:
+        while self._queue and (self._has_room() or now >= self.closes_at):
             waiter = self._next_waiter(now)
             if waiter.admitted.done():
                 continue
@@ -345,6 +407,19 @@
             self._take_slot(waiter.priority_class, waiter.req.kind)
             waiter.admitted.set_result(None)
         self._expire_last_late(now)
+        self._schedule_wake(now)
+
+    def _schedule_wake(self, now: float) -> None:
+        """Wake the queue again when the limit allows it or the gate closes."""
+        if self._timer:
+            self._timer.cancel()
+            self._timer = None
+        wait_s = self.limit.wait_s()
+        if self._queue and wait_s:
+            loop = asyncio.get_running_loop()
+            self._timer = loop.call_at(
+                min(now + max(wait_s, MIN_WAKE_S), self.closes_at), self._wake
+            )
 
     def _expire_last_late(self, now: float) -> None:
         """Refuse the last late waiter if its expected wait is too long."""
@@ -353,6 +428,7 @@
             if not waiter.priority_class.misses_objective:
                 continue
             wait_s = index * self._mean_s / self.slots
+            wait_s = max(wait_s, self.limit.wait_s(index))
             wait_s /= self._remaining_share(waiter.priority_class)
             if wait_s > (waiter.latest_start - now) * LATE_WAIT_SHARE:
                 self._expire(self._queue.pop(index))
@@ -416,13 +492,17 @@
 
     def _refusal(self, reason: str) -> RequestNotRun:
         self.counters.refused += 1
-        drain_ms = self.waiting * self._mean_s / self.slots * MS_PER_S
-        base_ms = MIN_RETRY_AFTER_MS + drain_ms
+        drain_s = max(
+            self.waiting * self._mean_s / self.slots,
+            self.limit.wait_s(self.waiting),
+        )
+        base_ms = MIN_RETRY_AFTER_MS + drain_s * MS_PER_S
         retry_after_ms = base_ms * (0.5 + self._rng.random())
         return RequestNotRun(
-            reason,
+            self.limit.explain(reason, self.limit_wait_s),
             retry_after_ms=min(int(retry_after_ms), MAX_RETRY_AFTER_MS),
             step='admit',
+            is_rate_limited=bool(self.limit_wait_s),
         )
 
 
--- a/filbertdrift/platform/headers.py
+++ b/filbertdrift/platform/headers.py
@@ -12,4 +12,7 @@
     seal=b'server-seal',
     not_run=b'not-executed',
     load=b'backend-load',
+    instance=b'instance-id',
+    rate_limit=b'server-limit',
+    leaving=b'server-leaving',
 )
--- a/filbertdrift/target.py
+++ b/filbertdrift/target.py
@@ -24,6 +24,12 @@
 # later the target may close it while a request is in flight.
 KEEP_ALIVE_REUSE_SHARE = 0.5
 
+OnHead = Callable[[http1.ResponseHead], None]
+
+
+def ignore_head(head: http1.ResponseHead) -> None:
+    """Do nothing."""
+
 
 @dataclass(slots=True)
 class TargetRequest:
@@ -119,12 +125,15 @@
         """Return whether the target accepts a connection now."""
 
     @abstractmethod
-    async def check_health(self, probe_path: str) -> bool:
+    async def check_health(
+        self, probe_path: str, on_head: OnHead = ignore_head
+    ) -> bool:
         """Probe the target's health endpoint.
 
         Args:
             probe_path: Path of the endpoint; if empty, only a connection is
                 required.
+            on_head: Called with the head of the response.
 
         Returns:
             True if it responds in time with a status below 400.
@@ -407,7 +416,9 @@
             return False
         return True
 
-    async def check_health(self, probe_path: str) -> bool:
+    async def check_health(
+        self, probe_path: str, on_head: OnHead = ignore_head
+    ) -> bool:
         """Probe the target's health endpoint."""
         if not probe_path:
             return await self.is_up()
@@ -415,15 +426,16 @@
         request = TargetRequest('GET', probe_path, [host], b'', is_whole=True)
         try:
             async with asyncio.timeout(PROBE_TIMEOUT_S):
-                return await self._probe(request)
+                return await self._probe(request, on_head)
         except (PeerUnavailable, MalformedMessage, TimeoutError):
             return False
 
-    async def _probe(self, request: TargetRequest) -> bool:
+    async def _probe(self, request: TargetRequest, on_head: OnHead) -> bool:
         exchange = await self.open_exchange(request)
         try:
             await exchange.send_head()
             head = await exchange.head()
+            on_head(head)
             end = False
             while not end:
                 part = await exchange.part()
--- a/filbertdrift/target_attempt.py
+++ b/filbertdrift/target_attempt.py
@@ -17,6 +17,7 @@
 )
 from filbertdrift.forwarded import ForwardedResponse
 from filbertdrift.gen import ttypes
+from filbertdrift.knowntargets import KnownTargets
 from filbertdrift.link import SUSPECT_AFTER_S, LinkPool, PeerLink
 from filbertdrift.members import Member
 from filbertdrift.request import IngressRequest
@@ -93,6 +94,7 @@
     Args:
         links: Connections to the other nodes.
         chooser: Records the outcome.
+        known_targets: Receives what the target states.
         member: The target's node.
         routed: The request.
         may_wait: The request may be queued for a slot of the target.
@@ -109,6 +111,7 @@
         self,
         links: LinkPool,
         chooser: TargetChooser,
+        known_targets: KnownTargets,
         member: Member,
         routed: RoutedRequest,
         *,
@@ -122,6 +125,7 @@
         self._is_refused = False
         self._links = links
         self._chooser = chooser
+        self._known_targets = known_targets
         self._member = member
         self._routed = routed
         self.may_wait = may_wait
@@ -168,6 +172,8 @@
         self, opened: ttypes.AnswerOpen, latency_s: float
     ) -> None:
         now = asyncio.get_running_loop().time()
+        self._known_targets.record(self._member.node, opened.notice)
+        self._record_limit(opened, now)
         if opened.status >= STATUS_SERVER_ERROR:
             self._chooser.answered_with_error(self._member, now)
             return
@@ -180,6 +186,12 @@
             has_large_body=self._routed.has_large_body,
         )
 
+    def _record_limit(
+        self, message: ttypes.AnswerOpen | ttypes.Refusal, now: float
+    ) -> None:
+        limited_s = (message.limited_ms or 0) / MS_PER_S
+        self._chooser.record_limited(self._member, limited_s, now)
+
     async def _begin_call(self) -> tuple[PeerLink, CallStream]:
         node = self._member.node
         try:
@@ -300,6 +312,7 @@
             is_offer=self.is_offer,
             has_large_body=routed.has_large_body or None,
             sent_at_ms=int(call.clock_s() * MS_PER_S),
+            known_target=self._known_targets.find(self._member.node),
         )
 
     def _refusal_error(self, body: ttypes.Refusal) -> Exception:
@@ -310,6 +323,9 @@
             return self._unknown_error(body.reason or '')
         self._req.may_have_run = self._may_have_run_before
         load = body.load_permille or 0
+        if body.notice:
+            self._known_targets.record(self._member.node, body.notice)
+        self._record_limit(body, now)
         if body.no_free_slot:
             self._chooser.record_load(self._member, load, now)
             return NoFreeSlot(
@@ -317,14 +333,19 @@
                 retry_after_ms=RETRY_AFTER_MS,
                 step='gate',
                 peer=self._member.node,
+                is_rate_limited=bool(body.is_rate_limited),
             )
         kind = self._routed.route.name
-        self._chooser.refused(self._member, load, now, kind)
+        is_rate_limited = bool(body.is_rate_limited)
+        self._chooser.refused(
+            self._member, load, now, kind, is_rate_limited=is_rate_limited
+        )
         return RequestNotRun(
             body.reason or '',
             retry_after_ms=body.come_back_ms or RETRY_AFTER_MS,
             step='gate',
             peer=self._member.node,
+            is_rate_limited=is_rate_limited,
         )
 
     def _call_error(
--- a/filbertdrift/target_run.py
+++ b/filbertdrift/target_run.py
@@ -1,13 +1,18 @@
 """Runs one admitted request on the local target and forwards its response."""
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from loguru import logger
 
 from filbertdrift import http1
 from filbertdrift.callstream import CHUNK_BYTES, CallStream
-from filbertdrift.contract import HeaderNames
+from filbertdrift.contract import (
+    HeaderNames,
+    TargetStatement,
+    parse_statement,
+)
 from filbertdrift.errors import (
     MalformedMessage,
     PeerUnavailable,
@@ -46,6 +51,19 @@
     target: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class TargetReport:
+    """Exchanges what is known of the target's state during a run.
+
+    Args:
+        record: Records what the target states with its response.
+        annotate: Adds the state of the target's gate to a response.
+    """
+
+    record: Callable[[TargetStatement], None]
+    annotate: Callable[[ttypes.AnswerOpen], None]
+
+
 class TargetRun:
     """Relays one admitted request to the target and its response to the peer.
 
@@ -56,6 +74,7 @@
         header_names: Names of the platform's headers.
         refused_by: Set if the target refuses the request.
         pacer: Limits the bodies that are in transit to this node.
+        report: Takes and adds the state of the target.
 
     Attributes:
         stray_answers: Number of responses of other requests that were
@@ -70,6 +89,7 @@
         header_names: HeaderNames,
         refused_by: RefusedBy,
         pacer: InboundPacer,
+        report: TargetReport,
     ) -> None:
         """Create the run; nothing is sent yet."""
         self.stray_answers = 0
@@ -79,14 +99,14 @@
         self._header_names = header_names
         self._refused_by = refused_by
         self._pacer = pacer
+        self._report = report
         self._upload_task: asyncio.Task[None] | None = None
 
-    async def run(self, deadline: float, load_permille: int) -> int:
+    async def run(self, deadline: float) -> int:
         """Send the request and forward the response.
 
         Args:
             deadline: Deadline of the request, on the loop's clock.
-            load_permille: The gate's load, reported with the response.
 
         Returns:
             The status of the target's response.
@@ -97,7 +117,7 @@
         """
         try:
             async with asyncio.timeout_at(deadline + RESPONSE_SLACK_S):
-                return await self._run(load_permille)
+                return await self._run()
         except TimeoutError as exc:
             raise RequestUnknown(
                 'the deadline passed',
@@ -113,16 +133,17 @@
             if self._upload_task:
                 self._upload_task.cancel()
 
-    async def _run(self, load_permille: int) -> int:
+    async def _run(self) -> int:
         await self._exchange.send_head()
         if not self._req.end:
             loop = asyncio.get_running_loop()
             self._upload_task = loop.create_task(self._forward_body())
         head = await self._read_matching_head()
+        self._record_statement(head)
         await self._check_not_refused(head)
         self._check_authentic(head)
         first = await self._read_up_to(MAX_BUFFERED_RESPONSE_BYTES)
-        await self._forward_response(head, first, load_permille)
+        await self._forward_response(head, first)
         if self._upload_task:
             # The body is sent to its end even if the response came early.
             await self._upload_task
@@ -148,6 +169,15 @@
                 break
         raise MalformedMessage('answers of other requests', step='read head')
 
+    def _record_statement(self, head: http1.ResponseHead) -> None:
+        """Record what the target states, also with refusals and errors.
+
+        Another instance at the same address responds with 421.
+        """
+        if head.status != STATUS_MISDIRECTED and self._is_genuine(head):
+            statement = parse_statement(head.headers, self._header_names)
+            self._report.record(statement)
+
     async def _check_not_refused(self, head: http1.ResponseHead) -> None:
         is_marked_not_run = http1.find_header(
             head.headers, self._header_names.not_run
@@ -177,19 +207,22 @@
             ).info('body of a refusal: {!r}', exc)
 
     def _check_authentic(self, head: http1.ResponseHead) -> None:
-        """Raise if a success is not the application's own response.
+        """Raise if a success is not the application's own response."""
+        if not self._is_genuine(head):
+            raise MalformedMessage('not a genuine success', step='read head')
 
-        A genuine one echoes the request id, carries the response signature and
-        has no content coding.
+    def _is_genuine(self, head: http1.ResponseHead) -> bool:
+        """Return whether a response is no forged success.
+
+        A genuine success echoes the request id, carries the response signature
+        and has no content coding.
         """
         if not FIRST_SUCCESS_STATUS <= head.status < FIRST_REDIRECT_STATUS:
-            return
+            return True
         names = {name for name, _ in head.headers}
         has_id = self._header_names.request_id in names
         is_signed = self._header_names.seal in names
-        if has_id and is_signed and b'content-encoding' not in names:
-            return
-        raise MalformedMessage('not a genuine success', step='read head')
+        return has_id and is_signed and b'content-encoding' not in names
 
     async def _read_up_to(self, limit_bytes: int) -> http1.BodyPart:
         part = self._exchange.buffered_part()
@@ -205,21 +238,19 @@
         self,
         head: http1.ResponseHead,
         part: http1.BodyPart,
-        load_permille: int,
     ) -> None:
         headers = [
             ttypes.Header(name, content)
             for name, content in http1.end_to_end_headers(head.headers)
         ]
-        await self._call.send(
-            ttypes.AnswerOpen(
-                status=head.status,
-                headers=headers,
-                body=part.chunk,
-                end=part.end,
-                load_permille=load_permille,
-            ),
+        opened = ttypes.AnswerOpen(
+            status=head.status,
+            headers=headers,
+            body=part.chunk,
+            end=part.end,
         )
+        self._report.annotate(opened)
+        await self._call.send(opened)
         while not part.end:
             part = await self._exchange.part()
             await self._call.send_chunk(part.chunk, end=part.end)
--- a/idl/filbertdrift.thrift
+++ b/idl/filbertdrift.thrift
@@ -193,6 +193,16 @@
   2: binary content
 }
 
+/** What one start of a target has said of itself with its responses. */
+struct TargetNotice {
+  1: string instance
+  2: i64 born_ms
+  /** Requests a second that it takes from all nodes; none if unlimited. */
+  3: optional double limit_per_s
+  /** It accepts no new requests. */
+  4: bool is_leaving
+}
+
 /** Opens one forwarded request; remaining_ms is the caller's deadline. */
 struct RequestOpen {
   1: string method
@@ -223,6 +233,8 @@
   21: optional i64 sent_at_ms
   /** Its body takes a while on a narrow link. */
   22: optional bool has_large_body
+  /** What the sender has heard of the target, for a node that restarted. */
+  23: optional TargetNotice known_target
 }
 
 struct BodyChunk {
@@ -240,6 +252,10 @@
   3: binary body
   4: bool end
   5: i32 load_permille
+  /** Set while the target states a limit or that it leaves. */
+  6: optional TargetNotice notice
+  /** When the target's limit allows another request. */
+  7: optional i32 limited_ms
 }
 
 enum RefusalKind {
@@ -256,6 +272,11 @@
   5: bool reached_target
   /** It would have had to wait and was told not to. */
   6: bool no_free_slot
+  /** As in AnswerOpen. */
+  7: optional TargetNotice notice
+  8: optional i32 limited_ms
+  /** The target has reached its limit, which is no failure. */
+  9: optional bool is_rate_limited
 }
 
 struct Cancel {
--- a/standins/scripted_target.py
+++ b/standins/scripted_target.py
@@ -8,7 +8,13 @@
 from filbertdrift import http1
 from filbertdrift.errors import PeerUnavailable
 from filbertdrift.platform.headers import HEADERS
-from filbertdrift.target import Exchange, Target, TargetRequest
+from filbertdrift.target import (
+    Exchange,
+    OnHead,
+    Target,
+    TargetRequest,
+    ignore_head,
+)
 
 CONNECT_DELAY_S = 0.001
 CONNECT_TIMEOUT_S = 1.0
@@ -110,11 +116,14 @@
             await asyncio.sleep(CONNECT_TIMEOUT_S)
         return self.script.is_up
 
-    async def check_health(self, probe_path: str) -> bool:
+    async def check_health(
+        self, probe_path: str, on_head: OnHead = ignore_head
+    ) -> bool:
         """Return whether the target is up."""
         if not self.script.is_up:
             return False
         self.script.probe_times.append(asyncio.get_running_loop().time())
+        on_head(_response(200, '', self.script))
         return self.script.is_healthy
 
     def close(self) -> None:
--- a/tests/test_target_limit.py
+++ b/tests/test_target_limit.py
@@ -17,7 +17,6 @@
 
 from filbertdrift.errors import FilbertdriftError, RequestNotRun
 from standins.mesh_fleet import MeshFleet, MeshInstance, config_document
-from standins.scripted_target import TargetScript
 from tests.builders import run_virtual
 
 WINDOW_S = 4.0
