Targets that state in their responses that they leave

Cause: only heartbeats were read for it. A target that says with its responses that it leaves went on to get requests until its heartbeat said so.

The nodes that passed such responses on tell a gate that has restarted; a later start under the same id is not leaving.

--- a/filbertdrift/lifecycle.py
+++ b/filbertdrift/lifecycle.py
@@ -164,6 +164,8 @@
             sent_at: When the request was sent, on the loop's clock.
         """
         incarnation.gate.record_limit(statement.limit_per_s, sent_at)
+        if statement.is_leaving and incarnation is self.current:
+            self._start_departure(incarnation.heartbeat)
 
     def record_notice(self, notice: ttypes.TargetNotice) -> None:
         """Record what another node has heard of the target before.
@@ -182,6 +184,9 @@
             return
         if notice.limit_per_s is not None:
             current.gate.limit.adopt(notice.limit_per_s)
+        if notice.is_leaving and not current.is_leaving:
+            self._start_departure(current.heartbeat)
+            self._close_gate_now()
 
     def set_health(self, *, is_healthy: bool) -> None:
         """Set the target's health and announce its status."""
