--- a/filbertdrift/mesh.py
+++ b/filbertdrift/mesh.py
@@ -458,10 +458,11 @@
         if config is not None:
             service_config = config.services.get(current.heartbeat.service)
         path = service_config.probe_path if service_config else ''
-        if current.gate.limit_wait_s:
-            # The limit leaves no request for a probe.
-            return None
-        current.gate.limit.take()
+        if path:
+            if current.gate.limit_wait_s:
+                # The limit leaves no request for a probe.
+                return None
+            current.gate.limit.take()
         sent_at = asyncio.get_running_loop().time()
 
         def on_head(head: http1.ResponseHead) -> None:
--- a/standins/platform_target.py
+++ b/standins/platform_target.py
@@ -15,6 +15,8 @@
 HEARTBEAT_INTERVAL_S = 1.0
 CALL_TIMEOUT_S = 1.0
 QUEUE_LIMIT = 16
+LIMIT_HEADER = b'server-limit'
+LEAVING_HEADER = b'server-leaving'
 
 
 @dataclass(frozen=True, slots=True)
@@ -34,20 +36,42 @@
     at: float
 
 
+@dataclass(slots=True)
+class StatedLimit:
+    """A limit that a target has stated with its responses.
+
+    Args:
+        instance: Id of the target's incarnation.
+        per_s: Requests a second.
+        since: Monotonic time of the first response that stated it.
+        until: Monotonic time of the last one.
+    """
+
+    instance: str
+    per_s: float
+    since: float
+    until: float
+
+
 @dataclass
 class RunLog:
-    """Requests and departures of all targets of a fleet.
+    """Requests, departures and limits of all targets of a fleet.
 
     Args:
         runs: Number of executions by request id.
         arrivals: The requests received.
         acknowledged: Monotonic time at which the node acknowledged that an
             instance leaves.
+        stated_leaving: Monotonic time of the first response in which an
+            instance stated that it leaves.
+        limits: The limits that targets have stated.
     """
 
     runs: Counter[str] = field(default_factory=Counter)
     arrivals: list[Arrival] = field(default_factory=list)
     acknowledged: dict[str, float] = field(default_factory=dict)
+    stated_leaving: dict[str, float] = field(default_factory=dict)
+    limits: list[StatedLimit] = field(default_factory=list)
 
 
 def response_body(request_id: str, body: bytes) -> bytes:
@@ -72,6 +96,9 @@
         slots: Number of slots in the target's heartbeats; QUEUE_LIMIT more
             requests are accepted, further ones are refused as not run.
         instance: Instance id of the current incarnation.
+        limit_per_s: The limit that responses state, None for none; set by
+            state_limit.
+        states_leaving: Whether responses state that the target leaves.
     """
 
     def __init__(
@@ -86,6 +113,9 @@
         self.work_s = 0.02
         self.slots = 8
         self.instance = ''
+        self.limit_per_s: float | None = None
+        self.states_leaving = False
+        self._stated: StatedLimit | None = None
         self._address = address
         self._advertised_address = advertised_address
         self._control_address = control_address
@@ -106,6 +136,7 @@
         self.instance = f'i-{self._address[0]}-{self._born_ms}'
         self._sequence = 0
         self._state = 'ready'
+        self.states_leaving = False
         self._server = await asyncio.start_server(self._serve, *self._address)
         loop = asyncio.get_running_loop()
         self._heartbeat_task = loop.create_task(self._send_heartbeats())
@@ -119,6 +150,11 @@
         for writer in list(self._writers):
             writer.transport.abort()
 
+    def state_limit(self, per_s: float | None) -> None:
+        """State another limit with responses from now on, None for none."""
+        self.limit_per_s = per_s
+        self._stated = None
+
     async def leave(self) -> None:
         """Report draining until it is acknowledged, and record when.
 
@@ -209,9 +245,9 @@
                 Arrival(self.instance, self._name, request_id, time.monotonic())
             )
         if self._running >= self.slots + QUEUE_LIMIT:
-            _write_response(
-                writer, 503, [request_id_header, (HEADERS.not_run, b'1')], b''
-            )
+            not_run = (HEADERS.not_run, b'1')
+            headers = [request_id_header, not_run, *self._statement()]
+            _write_response(writer, 503, headers, b'')
             return
         if not head.path.startswith('/health'):
             self._log.runs[request_id] += 1
@@ -221,11 +257,29 @@
         finally:
             self._running -= 1
         body = response_body(request_id, b''.join(chunks))
-        _write_response(
-            writer, 200, [request_id_header, (HEADERS.seal, b'seal')], body
-        )
+        seal = (HEADERS.seal, b'seal')
+        headers = [request_id_header, seal, *self._statement()]
+        _write_response(writer, 200, headers, body)
         await writer.drain()
 
+    def _record_limit(self, per_s: float) -> None:
+        now = time.monotonic()
+        if self._stated is None or self._stated.instance != self.instance:
+            self._stated = StatedLimit(self.instance, per_s, now, now)
+            self._log.limits.append(self._stated)
+        self._stated.until = now
+
+    def _statement(self) -> http1.Headers:
+        """Return what responses state of the target now."""
+        headers = []
+        if self.limit_per_s is not None:
+            self._record_limit(self.limit_per_s)
+            headers.append((LIMIT_HEADER, b'%g' % self.limit_per_s))
+        if self.states_leaving:
+            self._log.stated_leaving.setdefault(self.instance, time.monotonic())
+            headers.append((LEAVING_HEADER, b'1'))
+        return headers
+
 
 def _write_response(
     writer: asyncio.StreamWriter,
--- a/standins/soak_history.py
+++ b/standins/soak_history.py
@@ -4,10 +4,10 @@
 injected into it within the last STABILITY_S.
 """
 
-from collections.abc import Iterator
+from collections.abc import Iterator, Sequence
 from dataclasses import dataclass, field
 
-from standins.platform_target import RunLog
+from standins.platform_target import Arrival, RunLog
 
 STABILITY_S = 3.0
 # How long after its caller has left a request may reach a target.
@@ -16,6 +16,11 @@
 MAX_LATE_ARRIVALS = 3
 # A target may get requests for this long after its acknowledged departure.
 DRAIN_S = 2.0
+# From STABILITY_S after a target has first stated a limit, it gets at most this
+# multiple of it, and so many more requests, within any window.
+LIMIT_WINDOW_S = 4.0
+LIMIT_FACTOR = 1.5
+LIMIT_EXTRA = 5
 
 
 @dataclass(frozen=True, slots=True)
@@ -41,6 +46,7 @@
         cut: Instances by the id of requests whose connection ended without a
             response, and when the request was sent and cut.
         refused: Ids of requests that were refused as not run.
+        ingress: Name of the instance that each request was sent to, by its id.
     """
 
     disturbed: dict[str, list[tuple[float, float]]] = field(
@@ -49,6 +55,7 @@
     departures: dict[str, Departure] = field(default_factory=dict)
     cut: dict[str, tuple[str, float, float]] = field(default_factory=dict)
     refused: set[str] = field(default_factory=set)
+    ingress: dict[str, str] = field(default_factory=dict)
 
     def disturb(self, instance: str, since: float, until: float) -> None:
         """Record a fault of an instance."""
@@ -78,6 +85,42 @@
         yield from self._cut_and_run(log)
         yield from self._late_arrivals(log)
         yield from _after_departure(log)
+        yield from self._after_statement(log)
+        yield from self._over_limits(log)
+
+    def _after_statement(self, log: RunLog) -> Iterator[str]:
+        """Yield instances that got work after they stated that they leave."""
+        for arrival in log.arrivals:
+            stated_at = log.stated_leaving.get(arrival.instance)
+            if stated_at is None or arrival.at <= stated_at + DRAIN_S:
+                continue
+            if not self._is_excused(arrival, stated_at):
+                yield f'{arrival.instance} got work after it had stated leaving'
+
+    def _over_limits(self, log: RunLog) -> Iterator[str]:
+        for limit in log.limits:
+            times = sorted(
+                arrival.at
+                for arrival in log.arrivals
+                if arrival.instance == limit.instance
+                and limit.since - LIMIT_WINDOW_S < arrival.at <= limit.until
+                and not self._is_excused(arrival, limit.since)
+            )
+            allowed = LIMIT_FACTOR * LIMIT_WINDOW_S * limit.per_s + LIMIT_EXTRA
+            # What was sent before anybody knew of the limit does not count.
+            before = sum(at <= limit.since for at in times)
+            most = _most_in_window(times[before:], limit.since + STABILITY_S)
+            if most > allowed:
+                yield (
+                    f'{limit.instance} got {most} requests in '
+                    f'{LIMIT_WINDOW_S:g} s; its limit of {limit.per_s:g} '
+                    f'allows {allowed:g}'
+                )
+
+    def _is_excused(self, arrival: Arrival, since: float) -> bool:
+        """Return whether the ingress of a request was disturbed."""
+        ingress = self.ingress.get(arrival.request_id)
+        return ingress is None or self.is_disturbed(ingress, since, arrival.at)
 
     def _refused_and_run(self, log: RunLog) -> Iterator[str]:
         for request_id in sorted(self.refused):
@@ -107,6 +150,18 @@
             yield f'{len(late)} requests arrived after their clients had left'
 
 
+def _most_in_window(times: Sequence[float], since: float) -> int:
+    """Return the most of some sorted times in a window that ends later."""
+    most = 0
+    start = 0
+    for end, at in enumerate(times):
+        while times[start] <= at - LIMIT_WINDOW_S:
+            start += 1
+        if at >= since:
+            most = max(most, end - start + 1)
+    return most
+
+
 def _repeated(log: RunLog) -> Iterator[str]:
     for request_id, count in log.runs.items():
         if count > 1 and not request_id.startswith(('read', 'probe')):
--- a/standins/soak_instance.py
+++ b/standins/soak_instance.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import os
+import random
 import signal
 import sys
 from pathlib import Path
@@ -22,6 +23,8 @@
 GRACE_S = 6.0
 # Narrow enough for nodes to pace the bodies of uploads.
 LINK_MBPS = 6
+LIMITS_PER_S = (0.5, 2, 6, 20)
+LIMIT_DURATION_S = (4, 8)
 
 # Concurrent soak tests use separate loopback networks, from 127.10.0 up.
 FIRST_NETWORK = 10
@@ -119,6 +122,18 @@
             return False
         return True
 
+    async def state_limits(self, rng: random.Random) -> None:
+        """Let the target state a limit, which falls and then ends."""
+        if self.target.limit_per_s is not None:
+            return
+        limit_per_s = rng.choice(LIMITS_PER_S)
+        for stated_per_s in (limit_per_s, limit_per_s / 2):
+            self.target.state_limit(stated_per_s)
+            await asyncio.sleep(rng.uniform(*LIMIT_DURATION_S))
+            if self.target.limit_per_s is None:
+                return
+        self.target.state_limit(None)
+
     async def close(self) -> None:
         """Kill the node process and stop target and proxies."""
         self.signal(signal.SIGCONT)
