Callers refused because of limits return in turns, whoever refuses them

Cause: a gate computes the delay from its own queue, so the callers that many nodes refuse return together, to one request's turn. The turns at this node's share of the sum were only given to those that were sent to no gate. Change: the ingress assigns the turn to each refusal because of limits, if all targets of the service state one.

--- a/filbertdrift/dispatch.py
+++ b/filbertdrift/dispatch.py
@@ -165,6 +165,7 @@
             response = await self._attempt_targets(routed)
         except RequestNotRun as exc:
             self.counters.not_run += 1
+            self._assign_turn(routed, exc)
             self._log(routed, 'not_run', str(exc))
             raise
         except RequestUnknown as exc:
@@ -236,7 +237,7 @@
             search.end()
             member = self._choose(routed, search, now)
         if member is None:
-            raise unknown or self._no_room_error(routed, now)
+            raise unknown or self._no_room_error(routed)
         routed.req.tried.append(member.node)
         search.excluded.append(member.node)
         return TargetAttempt(
@@ -321,31 +322,39 @@
         self.counters.repeats += 1
         return True
 
-    def _no_room_error(
-        self, routed: RoutedRequest, now: float
-    ) -> RequestNotRun:
-        """Return the refusal of a request that no target has room for.
-
-        If all targets of the service state limits, the callers that this node
-        refuses return one after the other, at its share of the limits.
-        """
+    def _no_room_error(self, routed: RoutedRequest) -> RequestNotRun:
         reason = f'no target of {routed.service} has room'
-        retry_after_ms = RETRY_AFTER_MS
         limit_per_s = self._find_common_limit(routed.service)
         if limit_per_s is not None:
             reason = f'{reason}: together they take {limit_per_s:g} a second'
-            share_per_s = limit_per_s / max(self._node_count(), 1)
-            queue = (routed.service, routed.route.rank)
-            delay_s = self._return_turns.next_delay_s(queue, share_per_s, now)
-            retry_after_ms = int(delay_s * MS_PER_S)
-        spread_ms = int(RETRY_AFTER_SPREAD_MS * self._rng.random())
         return RequestNotRun(
             reason,
-            retry_after_ms=retry_after_ms + spread_ms,
+            retry_after_ms=RETRY_AFTER_MS + self._spread_ms(),
             step='choose target',
             is_rate_limited=limit_per_s is not None,
         )
 
+    def _assign_turn(self, routed: RoutedRequest, exc: RequestNotRun) -> None:
+        """Tell a caller that was refused because of limits when to return.
+
+        If all targets of the service state limits, the callers that this node
+        refuses return one after the other, at its share of the limits.
+        """
+        limit_per_s = self._find_common_limit(routed.service)
+        if not exc.is_rate_limited or limit_per_s is None:
+            return
+        share_per_s = limit_per_s / max(self._node_count(), 1)
+        delay_s = self._return_turns.next_delay_s(
+            (routed.service, routed.route.rank),
+            share_per_s,
+            asyncio.get_running_loop().time(),
+        )
+        turn_ms = int(delay_s * MS_PER_S) + self._spread_ms()
+        exc.retry_after_ms = max(exc.retry_after_ms, turn_ms)
+
+    def _spread_ms(self) -> int:
+        return int(RETRY_AFTER_SPREAD_MS * self._rng.random())
+
     def _find_common_limit(self, service: str) -> float | None:
         """Return the sum of the limits of all targets, None if one has none."""
         limits_per_s = [
--- a/tests/broken_daemon.py
+++ b/tests/broken_daemon.py
@@ -6,7 +6,15 @@
 import sys
 from collections.abc import Callable, Mapping
 
-from filbertdrift import dispatch, lifecycle, target_attempt, target_run
+from filbertdrift import (
+    contract,
+    dispatch,
+    http1,
+    lifecycle,
+    target_attempt,
+    target_run,
+    targetlimit,
+)
 from filbertdrift.config_holder import ConfigHolder
 from filbertdrift.errors import RequestNotRun, RequestUnknown
 from filbertdrift.platform import daemon
@@ -65,22 +73,44 @@
         self: object,
         head: object,
         part: object,
-        load: int,
     ) -> None:
         before, bodies[0] = bodies[0], part.chunk
         if len(before) == len(part.chunk):
             part = type(part)(before, part.end)
-        await original(self, head, part, load)
+        await original(self, head, part)
 
     target_run.TargetRun._forward_response = forward_previous
 
 
+def ignore_limits() -> None:
+    """Pass as many requests on to a target as it has slots."""
+    targetlimit.TargetLimit.record = _ignore_limit  # type: ignore[method-assign]
+
+
+def _ignore_limit(limit: object, per_s: float | None, sent_at: float) -> None:
+    """Do nothing."""
+
+
+def ignore_stated_leaving() -> None:
+    """Take note of departures in heartbeats only."""
+    original = contract.parse_statement
+
+    def parse_limit(
+        headers: http1.Headers, names: contract.HeaderNames
+    ) -> contract.TargetStatement:
+        return contract.TargetStatement(original(headers, names).limit_per_s)
+
+    target_run.parse_statement = parse_limit
+
+
 VARIANTS: Mapping[str, Callable[[], None]] = {
     'repeat_writes': repeat_writes,
     'lie_not_run': lie_not_run,
     'ignore_leaving': ignore_leaving,
     'keep_first_config': keep_first_config,
     'cross_answers': cross_answers,
+    'ignore_limits': ignore_limits,
+    'ignore_stated_leaving': ignore_stated_leaving,
 }
 
 if __name__ == '__main__':
--- a/tests/test_targetlimit.py
+++ b/tests/test_targetlimit.py
@@ -365,7 +365,7 @@
         delays_ms = [exc.retry_after_ms for exc in outcomes.refusals]
         # The next turn is a second away, for some callers much later.
         self.assertThat(max(delays_ms), GreaterThan(900))
-        self.assertThat(sum(delays_ms) / len(delays_ms), GreaterThan(400))
+        self.assertThat(sum(delays_ms) / len(delays_ms), GreaterThan(1500))
 
 
 class ProbeTest(TestCase):
