--- a/standins/scripted_target.py
+++ b/standins/scripted_target.py
@@ -32,6 +32,8 @@
         is_up: Whether connections are accepted.
         failure_share: Share of requests that fail with status 500.
         refuses: Whether requests are refused with 503 and marked as not run.
+        is_other_instance: Whether requests are refused with 421, as by another
+            instance at the address.
         stray_responses: Number of responses of another request that precede
             the response of each request (desynchronised connection).
         has_signature: Whether responses carry the response signature.
@@ -58,6 +60,7 @@
     is_up: bool = True
     failure_share: float = 0.0
     refuses: bool = False
+    is_other_instance: bool = False
     stray_responses: int = 0
     has_signature: bool = True
     encoding: str = ''
@@ -146,10 +149,10 @@
         script = self._script
         script.arrivals += 1
         script.arrival_times.append(asyncio.get_running_loop().time())
-        self._is_refused = script.refuses
+        self._is_refused = script.refuses or script.is_other_instance
         deadline = http1.find_header(self._request.headers, HEADERS.deadline_ms)
         script.deadlines_ms.append(int(deadline))
-        if not script.refuses:
+        if not self._is_refused:
             script.runs[self._request_id()] += 1
             script.run_times.append(asyncio.get_running_loop().time())
         if self._request.is_whole:
@@ -169,6 +172,8 @@
         if self._stray_responses_left:
             self._stray_responses_left -= 1
             return _response(200, 'another-request', self._script)
+        if self._script.is_other_instance:
+            return _response(421, self._request_id(), self._script)
         if self._is_refused:
             head = _response(503, self._request_id(), self._script)
             head.headers.append((HEADERS.not_run, b'1'))
--- a/tests/test_targetlimit.py
+++ b/tests/test_targetlimit.py
@@ -17,6 +17,7 @@
 
 from filbertdrift.errors import FilbertdriftError, RequestNotRun
 from standins.mesh_fleet import MeshFleet, MeshInstance, config_document
+from standins.scripted_target import TargetScript
 from tests.builders import run_virtual
 
 WINDOW_S = 4.0
@@ -312,6 +313,38 @@
         self.assertThat(outcomes.count('answered'), Equals(total))
 
 
+class StatementTest(TestCase):
+    """Which responses state the limit of a target."""
+
+    def test_responses_of_the_target(self) -> None:
+        for script in (
+            TargetScript(),
+            TargetScript(refuses=True),
+            TargetScript(failure_share=1),
+            TargetScript(truncates=True),
+        ):
+            self.assertThat(run_virtual(self._limit(script)), Equals(3))
+
+    def test_responses_that_are_not_its_own(self) -> None:
+        for script in (
+            TargetScript(is_other_instance=True),
+            TargetScript(has_signature=False),
+            TargetScript(encoding='gzip'),
+        ):
+            self.assertThat(run_virtual(self._limit(script)), Equals(None))
+
+    async def _limit(self, script: TargetScript) -> float | None:
+        """Return the limit in force after one response of a target."""
+        fleet = MeshFleet(91)
+        await fleet.publish(config_document())
+        script.limit = '3'
+        instance = await fleet.add('a', 'desk', script)
+        await asyncio.sleep(SETTLE_S)
+        address = instance.identity.address
+        await call_once(fleet, address, '/write/1', Outcomes())
+        return instance.node.lifecycle.current.gate.limit.per_s
+
+
 class RefusalTest(TestCase):
     """What a refusal because of a limit does, and does not do."""
 
