--- a/standins/soak.py
+++ b/standins/soak.py
@@ -266,18 +266,22 @@
 
     async def _restart(self, instance: SoakInstance) -> None:
         ended = instance.process
+        since = time.monotonic()
         await instance.wait(GRACE_S)
         await asyncio.sleep(self._rng.uniform(0.1, 1))
         if instance.process is ended:
             now = time.monotonic()
             self._history.disturb(instance.name, now, now)
             await instance.start_node()
+        self._history.interrupt(instance.name, since)
 
     async def _pause(self, instance: SoakInstance) -> None:
+        since = time.monotonic()
         with self._disturbance(instance):
             instance.signal(signal.SIGSTOP)
             await asyncio.sleep(self._rng.uniform(0.3, 3.5))
             instance.signal(signal.SIGCONT)
+        self._history.interrupt(instance.name, since)
 
     async def _break_target(self, instance: SoakInstance) -> None:
         with self._disturbance(instance):
--- a/standins/soak_history.py
+++ b/standins/soak_history.py
@@ -4,6 +4,7 @@
 injected into it within the last STABILITY_S.
 """
 
+import time
 from collections.abc import Iterator, Sequence
 from dataclasses import dataclass, field
 
@@ -42,6 +43,8 @@
 
     Args:
         disturbed: Begin and end of the faults of each instance.
+        interrupted: Begin and end of the restarts and freezes of each
+            instance.
         departures: Clients that left, by request id.
         cut: Instances by the id of requests whose connection ended without a
             response, and when the request was sent and cut.
@@ -52,6 +55,9 @@
     disturbed: dict[str, list[tuple[float, float]]] = field(
         default_factory=dict
     )
+    interrupted: dict[str, list[tuple[float, float]]] = field(
+        default_factory=dict
+    )
     departures: dict[str, Departure] = field(default_factory=dict)
     cut: dict[str, tuple[str, float, float]] = field(default_factory=dict)
     refused: set[str] = field(default_factory=set)
@@ -61,6 +67,11 @@
         """Record a fault of an instance."""
         self.disturbed.setdefault(instance, []).append((since, until))
 
+    def interrupt(self, instance: str, since: float) -> None:
+        """Record a restart or freeze of an instance that ends now."""
+        span = (since, time.monotonic())
+        self.interrupted.setdefault(instance, []).append(span)
+
     def is_disturbed(self, instance: str, since: float, until: float) -> bool:
         """Return whether an instance had a fault in a span of time.
 
@@ -118,9 +129,12 @@
                 )
 
     def _is_excused(self, arrival: Arrival, since: float) -> bool:
-        """Return whether the ingress of a request was disturbed."""
+        """Return whether the ingress of a request forgot what it was told."""
         ingress = self.ingress.get(arrival.request_id)
-        return ingress is None or self.is_disturbed(ingress, since, arrival.at)
+        return ingress is None or any(
+            begin <= arrival.at and end >= since
+            for begin, end in self.interrupted.get(ingress, ())
+        )
 
     def _refused_and_run(self, log: RunLog) -> Iterator[str]:
         for request_id in sorted(self.refused):
