Crash notices go to a member of each failure domain

Cause: a notice that a request crashes targets went to the own domain and to one member of one other domain, by each receiver. In a fleet of two nodes a domain, the receivers may all choose the same one, and the third domain waits for the digest of a ping across domains, for some seconds; meanwhile the request may crash a target there.

Change: notices of crashes, which are rare, go to a member of each reachable domain.

--- a/filbertdrift/membership.py
+++ b/filbertdrift/membership.py
@@ -194,6 +194,18 @@
             self.sample_peers() if receivers is None else receivers, body
         )
 
+    def broadcast(self, body: object) -> None:
+        """Send a datagram to members of each reachable domain.
+
+        For rare messages that have to be everywhere soon.
+
+        Args:
+            body: The message.
+        """
+        receivers = self._sampler.sample_near(self._profile.fanout)
+        receivers += self._sampler.sample_each_domain()
+        self._send_to_all(receivers, body)
+
     def prune_last_contacts(self, known: Collection[str]) -> None:
         """Drop the last contacts of nodes that are no longer members.
 
--- a/filbertdrift/mesh.py
+++ b/filbertdrift/mesh.py
@@ -185,7 +185,7 @@
         self.freshness.on_era = self.directory.on_era
         log.on_era = self.directory.on_era
         self.crashes = CrashLedger(identity.address, rng)
-        self.crashes.send_notice = self.membership.gossip
+        self.crashes.send_notice = self.membership.broadcast
         self.crash_sync = CrashSync(self.crashes, self.links)
         self.membership.crashes_digest = self.crashes.digest
         self.membership.on_crashes_digest = self.crash_sync.compare
--- a/filbertdrift/node.py
+++ b/filbertdrift/node.py
@@ -144,7 +144,7 @@
         self.introducer = SeedDiscovery(log, self.membership, seeds, rng)
         self.chooser = TargetChooser(identity.domain, identity.region, rng)
         self.crashes = CrashLedger(identity.address, rng)
-        self.crashes.send_notice = self.membership.gossip
+        self.crashes.send_notice = self.membership.broadcast
         self.crash_sync = CrashSync(self.crashes, self.links)
         self.membership.crashes_digest = self.crashes.digest
         self.membership.on_crashes_digest = self.crash_sync.compare
--- a/filbertdrift/peersample.py
+++ b/filbertdrift/peersample.py
@@ -47,6 +47,14 @@
         members = self._table.alive()
         return self._sample(members, count, self._is_far_candidate)
 
+    def sample_each_domain(self) -> list[str]:
+        """Return the address of a member of each reachable other domain."""
+        sampled = []
+        for domain in self._table.domains():
+            members = self._table.in_domain(domain)
+            sampled += self._sample(members, 1, self._is_far_candidate)
+        return sampled
+
     def _is_candidate(self, member: Member) -> bool:
         is_suspect = member.status == MemberStatus.SUSPECT
         return member.node != self._node and not is_suspect
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -157,10 +157,15 @@
     """Requests that crash the targets that run them are blocked."""
 
     def test_blocked_on_all_nodes_after_two_crashes(self) -> None:
-        run_virtual(self._query_of_death())
+        run_virtual(self._query_of_death(seed=19))
 
-    async def _query_of_death(self) -> None:
-        fleet = await settled_fleet(seed=19)
+    def test_notices_reach_each_domain(self) -> None:
+        # With these seeds, the notices missed a domain at first.
+        for seed in (298, 352, 398, 403, 441, 465, 490):
+            run_virtual(self._query_of_death(seed))
+
+    async def _query_of_death(self, seed: int) -> None:
+        fleet = await settled_fleet(seed)
         for script in target_scripts(fleet, 'desk'):
             script.crashes_on = 'poison'
         loop = asyncio.get_running_loop()
