Start and idle: two calls to the log for each node, and two keepers of a domain

Cause (trial, virtual time): a node without a configuration read the newest one from the log at once and then once a second, beside its entry and the directory: at 100 nodes 528 whole reads in 3 s of a start before the operator's first configuration. When idle each node read the directory once a minute: 107 reads in 120 s at 60 nodes, 39 at 20.

Change: a node registers, reads the directory, joins, and asks peers for the configuration; only readers of the log load it from there, the others get it by notices. Two ranked members of each domain read the directory again; the first one also writes entries of its domain that are missing. In a new era each node still registers again.

--- a/filbertdrift/directory.py
+++ b/filbertdrift/directory.py
@@ -1,9 +1,11 @@
 """Bootstrap of membership: a node directory on the log, and seeds.
 
 Each node registers its address in the directory when it starts, and joins nodes
-that it finds there. From then on membership spreads by gossip. A node registers
-again when the log has come back from an older copy, or when its entry is
-missing.
+that it finds there. From then on membership spreads by gossip. Two members of
+each domain, its keepers, read the directory again from time to time: they write
+entries of their domain that are missing, drop those of absent nodes, and join
+nodes that they do not know. So the calls to the log do not grow with the fleet.
+All nodes register again when the log has come back from an older copy.
 """
 
 import asyncio
@@ -22,9 +24,10 @@
 FAR_PEERS = 2
 MIN_BACKOFF_S = 0.2
 MAX_BACKOFF_S = 2.0
-# Joined nodes read the directory again at this interval, so that clusters that
-# formed separately merge.
+# Keepers read the directory again at this interval, so that clusters that
+# formed separately merge: each has keepers of its own.
 REJOIN_INTERVAL_S = 60.0
+KEEPERS_PER_DOMAIN = 2
 MIN_JITTER = 0.75
 # All nodes learn of a new era at once, and the log limits calls.
 NEW_ERA_JITTER_S = 1.0
@@ -55,6 +58,8 @@
         """Start unregistered."""
         # Whether the entry of this node stands, as far as is known.
         self.is_registered = False
+        # Set when the first attempt to join has ended.
+        self.has_tried = asyncio.Event()
         self._log = log
         self._stream = stream
         self._membership = membership
@@ -62,6 +67,8 @@
         self._rng = rng
         # Consecutive reads that found a node of this domain absent.
         self._missed_reads: Counter[str] = Counter()
+        # Consecutive reads that found no entry of a member of this domain.
+        self._missed_entries: Counter[str] = Counter()
         self._era = NO_ERA
         # A page was read that stated no era, or era zero.
         self._has_read_without_era = False
@@ -114,52 +121,67 @@
         if is_outdated or not self._is_listed(entries):
             self.is_registered = False
         answered = await self._membership.join(self._sample_peers(entries))
-        await self._drop_stale_entries(entries)
+        self.has_tried.set()
+        await self._repair_entries(entries)
         return answered
 
     def _is_listed(self, entries: Mapping[str, str]) -> bool:
         local_member = self._membership.local_member
         return entries.get(local_member.node) == local_member.domain
 
-    async def _drop_stale_entries(self, entries: Mapping[str, str]) -> None:
-        """Drop entries of this domain whose nodes have long been absent.
+    async def _repair_entries(self, entries: Mapping[str, str]) -> None:
+        """Write missing entries of this domain, drop those of absent nodes.
 
         Only the first-ranked member of a domain does so: no network partition
         between domains can make it miss members of its own domain.
         """
         domain = self._membership.local_member.domain
-        alive = {member.node for member in self._membership.table.alive()}
-        absent = [
-            node
-            for node, entry_domain in entries.items()
-            if entry_domain == domain and node not in alive
-        ]
+        alive = {
+            member.node for member in self._membership.table.in_domain(domain)
+        }
+        listed = {node for node, each in entries.items() if each == domain}
         self._missed_reads = Counter(
-            {node: self._missed_reads[node] + 1 for node in absent}
+            {node: self._missed_reads[node] + 1 for node in listed - alive}
+        )
+        self._missed_entries = Counter(
+            {node: self._missed_entries[node] + 1 for node in alive - listed}
         )
-        if not self._is_first_ranked():
+        if not self._is_ranked(1):
             return
-        for node in filter(self._is_stale, absent):
+        for node in filter(self._is_stale, sorted(listed - alive)):
             await self._log.append(self._stream, KeyedRecord(node, b''))
             logger.bind(event='directory_dropped', member=node).info(
                 'entry of {} dropped',
                 node,
             )
+        for node in filter(self._is_lost, sorted(alive - listed)):
+            record = KeyedRecord(node, domain.encode())
+            await self._log.append(self._stream, record)
+            logger.bind(event='directory_restored', member=node).info(
+                'entry of {} written again',
+                node,
+            )
 
     def _is_stale(self, node: str) -> bool:
         return self._missed_reads[node] >= MAX_MISSED_READS
 
-    def _is_first_ranked(self) -> bool:
+    def _is_lost(self, node: str) -> bool:
+        is_local = node == self._membership.local_member.node
+        return not is_local and self._missed_entries[node] > 1
+
+    def _is_ranked(self, count: int) -> bool:
+        """Return whether this node is among the first members of its domain."""
         local_member = self._membership.local_member
         members = self._membership.table.in_domain(local_member.domain)
         ranked = rank(self._stream, [member.node for member in members])
-        return list(ranked[:1]) == [local_member.node]
+        return local_member.node in ranked[:count]
 
     async def run(self) -> None:
         """Keep this node registered and join periodically until cancelled."""
         backoff_s = MIN_BACKOFF_S
         while True:
             is_reachable = await self._register_and_join()
+            self.has_tried.set()
             if is_reachable and self.is_registered:
                 backoff_s = MIN_BACKOFF_S
                 await self._wait_for_rejoin()
@@ -181,11 +203,16 @@
         return True
 
     async def _wait_for_rejoin(self) -> None:
-        """Wait for the next interval, or less in a new era."""
-        try:
-            async with asyncio.timeout(self._next_interval_s()):
-                await self._has_new_era.wait()
-        except TimeoutError:
+        """Wait until a keeper's next read is due, or less in a new era."""
+        is_due = False
+        while not is_due:
+            try:
+                async with asyncio.timeout(self._next_interval_s()):
+                    await self._has_new_era.wait()
+                break
+            except TimeoutError:
+                is_due = self._is_ranked(KEEPERS_PER_DOMAIN)
+        if is_due:
             return
         nodes = len(self._membership.table)
         spread_s = max(NEW_ERA_JITTER_S, nodes / NEW_ERA_NODES_PER_S)
--- a/filbertdrift/mesh.py
+++ b/filbertdrift/mesh.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import contextlib
 import random
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
@@ -23,7 +24,6 @@
 from filbertdrift.directory import Directory
 from filbertdrift.dispatch import Dispatcher
 from filbertdrift.entry import IngressServer
-from filbertdrift.errors import LogUnavailable
 from filbertdrift.freshness import Freshness
 from filbertdrift.handover import HandoverServer
 from filbertdrift.health import TargetHealth
@@ -50,8 +50,8 @@
 from filbertdrift.target_attempt import RoutedRequest, RoutedResponse
 
 BOOT_PEERS = 3
-BOOT_BACKOFF_S = 0.2
-MAX_BOOT_BACKOFF_S = 1.0
+# If the log does not respond for longer, the configuration may come first.
+BOOT_JOIN_TIMEOUT_S = 1.0
 EXPIRY_INTERVAL_S = 5.0
 DEFAULT_CONFIG_APPLY_S = 2.0
 DRAIN_POLL_S = 0.05
@@ -244,7 +244,6 @@
                 serve_pull=self.exchange.serve,
             ),
         )
-        self._is_booted = False
         self._tasks: list[asyncio.Task[None]] = []
 
     # Start and shutdown
@@ -338,27 +337,29 @@
         return bool(self.entry.in_progress or self.handover.in_progress)
 
     async def _boot(self) -> None:
-        """Load the configuration from a peer or the log, then watch the log."""
-        backoff_s = BOOT_BACKOFF_S
-        while not self.has_config and not await self._attempt_boot():
-            await asyncio.sleep(backoff_s * (0.5 + self._rng.random()))
-            backoff_s = min(backoff_s * 2, MAX_BOOT_BACKOFF_S)
+        """Load the configuration from a peer, then follow the log.
+
+        If no peer has one, as when all nodes start, the readers of each domain
+        load it from the log and the others get it from them.
+        """
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(BOOT_JOIN_TIMEOUT_S):
+                await self.directory.has_tried.wait()
+        if not self.has_config:
+            await self._fetch_from_peers()
         await self.watch.run()
 
-    async def _attempt_boot(self) -> bool:
+    async def _fetch_from_peers(self) -> None:
         peers = [
             member.node
             for member in self.membership.table.alive()
             if member.node != self.identity.address
         ]
         sampled_peers = self._rng.sample(peers, min(BOOT_PEERS, len(peers)))
-        if await self.exchange.fetch(sampled_peers):
-            return True
-        try:
-            return await self.watch.load_newest()
-        except LogUnavailable as exc:
-            logger.bind(event='boot_waits').info('{}', exc)
-            return False
+        if not await self.exchange.fetch(sampled_peers):
+            logger.bind(event='boot_waits', peers=len(sampled_peers)).info(
+                'no configuration from peers'
+            )
 
     # RoutingHandler, called by the ingress
 
