Configuration: only routes that a version changes are decoded

Change: the decoder keeps the routes of the version before and takes over those whose fields are the same; a document that is in force already is not decoded.

--- a/filbertdrift/config_holder.py
+++ b/filbertdrift/config_holder.py
@@ -124,6 +124,9 @@
         Returns:
             None if the document is malformed or inconsistent.
         """
+        if document == self.document:
+            self.counters.older_ignored += 1
+            return self.version
         try:
             config = self._parse(document)
             check_references(config)
--- a/filbertdrift/platform/daemon.py
+++ b/filbertdrift/platform/daemon.py
@@ -19,7 +19,7 @@
 from filbertdrift.platform.documents import (
     CONFIG_KEY,
     OPERATOR_STREAM,
-    parse_config,
+    ConfigDecoder,
 )
 from filbertdrift.platform.headers import HEADERS
 from filbertdrift.platform.registry import ReadyCheck, TargetCalls
@@ -78,7 +78,7 @@
         log=StoreLog(settings.store_address),
         profile=PROFILES['convergence'],
         header_names=HEADERS,
-        parse=parse_config,
+        parse=ConfigDecoder().parse,
         open_target=_open_target,
         rng=random.Random(),  # noqa: S311
     )
--- a/filbertdrift/platform/documents.py
+++ b/filbertdrift/platform/documents.py
@@ -1,6 +1,7 @@
 """Decodes the operator's configuration and the heartbeats of targets."""
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
+from typing import Any
 
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
@@ -66,7 +67,8 @@
 
 class _Config(_Message):
     version: str = Field(pattern=r'^r\d+$')
-    routes: Mapping[str, _Route]
+    # Each route is validated when it has changed.
+    routes: dict[str, Any]
     services: Mapping[str, _Service]
     limits: _Limits = _Limits()
 
@@ -91,38 +93,61 @@
     born: int | None = None
 
 
+class ConfigDecoder:
+    """Decodes successive versions of the operator's configuration.
+
+    A version differs from the one before in few of its routes, so routes that
+    have not changed are taken over.
+
+    Attributes:
+        decoded_routes: How many routes have been decoded.
+    """
+
+    def __init__(self) -> None:
+        """Start without a version before."""
+        self.decoded_routes = 0
+        # The routes of the last version, as stated and as decoded.
+        self._known: dict[str, tuple[Any, PrefixRoute]] = {}
+
+    def parse(self, document: bytes) -> RoutingConfig:
+        """Decode the operator's configuration document.
+
+        Args:
+            document: The document.
+
+        Raises:
+            MalformedMessage: The document is incomplete or a field has the
+                wrong type.
+        """
+        try:
+            model = _Config.model_validate_json(document)
+            known = {
+                name: (fields, self._decode_route(name, fields))
+                for name, fields in model.routes.items()
+            }
+        except ValidationError as exc:
+            raise MalformedMessage(
+                str(exc), step='parse configuration'
+            ) from exc
+        self._known = known
+        return _build_config(model, [route for _, route in known.values()])
+
+    def _decode_route(self, name: str, fields: Any) -> PrefixRoute:
+        known = self._known.get(name)
+        if known is not None and known[0] == fields:
+            return known[1]
+        self.decoded_routes += 1
+        return _build_route(name, _Route.model_validate(fields))
+
+
 def parse_config(document: bytes) -> RoutingConfig:
-    """Decode the operator's configuration document.
+    """Decode one configuration document, as ConfigDecoder does.
 
     Raises:
         MalformedMessage: The document is incomplete or a field has the wrong
             type.
     """
-    try:
-        model = _Config.model_validate_json(document)
-    except ValidationError as exc:
-        raise MalformedMessage(str(exc), step='parse configuration') from exc
-    limits = model.limits
-    return RoutingConfig(
-        version=int(model.version.removeprefix(VERSION_PREFIX)),
-        routes=tuple(
-            _build_route(name, route) for name, route in model.routes.items()
-        ),
-        services={
-            name: ServiceConfig(
-                name,
-                service.health_check_path,
-                service.max_connections,
-            )
-            for name, service in model.services.items()
-        },
-        limits=CallerLimits(
-            limits.max_header_bytes,
-            limits.max_body_bytes,
-            limits.header_timeout_s,
-            limits.idle_timeout_s,
-        ),
-    )
+    return ConfigDecoder().parse(document)
 
 
 def parse_heartbeat(instance: str, body: bytes) -> Heartbeat:
@@ -169,6 +194,30 @@
         raise MalformedMessage(str(exc), step='parse leaving') from exc
 
 
+def _build_config(
+    model: _Config, routes: Iterable[PrefixRoute]
+) -> RoutingConfig:
+    limits = model.limits
+    return RoutingConfig(
+        version=int(model.version.removeprefix(VERSION_PREFIX)),
+        routes=tuple(routes),
+        services={
+            name: ServiceConfig(
+                name,
+                service.health_check_path,
+                service.max_connections,
+            )
+            for name, service in model.services.items()
+        },
+        limits=CallerLimits(
+            limits.max_header_bytes,
+            limits.max_body_bytes,
+            limits.header_timeout_s,
+            limits.idle_timeout_s,
+        ),
+    )
+
+
 def _build_route(name: str, model: _Route) -> PrefixRoute:
     weighted_services = tuple(
         WeightedService(share.service, share.weight)
--- a/standins/mesh_fleet.py
+++ b/standins/mesh_fleet.py
@@ -24,7 +24,7 @@
 from filbertdrift.platform.documents import (
     CONFIG_KEY,
     OPERATOR_STREAM,
-    parse_config,
+    ConfigDecoder,
 )
 from filbertdrift.platform.headers import HEADERS
 from filbertdrift.profile import PROFILES
@@ -315,7 +315,7 @@
             log=log,
             profile=PROFILES['convergence'],
             header_names=HEADERS,
-            parse=parse_config,
+            parse=ConfigDecoder().parse,
             open_target=lambda _, address: ScriptedTarget(address, script, rng),
             rng=rng,
         )
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -8,14 +8,17 @@
 from testtools.matchers import Contains, Equals, Is
 from testtools.testcase import ExpectedException
 
+from filbertdrift.config_holder import ConfigHolder
 from filbertdrift.errors import MalformedMessage, SettingsError
 from filbertdrift.platform.documents import (
+    ConfigDecoder,
     parse_config,
     parse_heartbeat,
     parse_leave,
 )
 from filbertdrift.platform.settings import load_platform_settings
 from standins.mesh_fleet import config_document
+from tests.builders import run_virtual
 
 SETTINGS = """
 node_name = "sidecar-a-1"
@@ -117,6 +120,56 @@
             with ExpectedException(MalformedMessage):
                 parse_config(json.dumps(document).encode())
 
+    # Each version built all routes anew, of which it changed one.
+    def test_only_changed_routes_are_decoded(self) -> None:
+        decoder = ConfigDecoder()
+        routes = {
+            f'r{number}': {'path_prefix': f'/{number}/'}
+            for number in range(1200)
+        }
+        document = config_document(1, **routes)
+        first = decoder.parse(json.dumps(document).encode())
+        decoded = decoder.decoded_routes
+        document['version'] = 'r2'
+        document['routes']['r7']['timeout_s'] = 9.0
+        second = decoder.parse(json.dumps(document).encode())
+        self.expectThat(decoder.decoded_routes, Equals(decoded + 1))
+        self.expectThat(
+            second, Equals(parse_config(json.dumps(document).encode()))
+        )
+        changed = [
+            after.name
+            for before, after in zip(first.routes, second.routes, strict=True)
+            if before is not after
+        ]
+        self.assertThat(changed, Equals(['r7']))
+
+    def test_malformed_version_changes_nothing(self) -> None:
+        decoder = ConfigDecoder()
+        document = config_document(1)
+        before = decoder.parse(json.dumps(document).encode())
+        document['routes']['read']['priority'] = 'high'
+        with ExpectedException(MalformedMessage):
+            decoder.parse(json.dumps(document).encode())
+        document['routes']['read']['priority'] = 2
+        after = decoder.parse(json.dumps(document).encode())
+        self.assertThat(after, Equals(before))
+
+    # A document that came from a peer and from the log was decoded twice.
+    def test_same_document_is_decoded_once(self) -> None:
+        async def case() -> None:
+            decoder = ConfigDecoder()
+            holder = ConfigHolder(decoder.parse)
+            document = json.dumps(config_document(1)).encode()
+            self.expectThat(holder.offer(document, 'peer'), Is(True))
+            decoded = decoder.decoded_routes
+            decoder._known.clear()
+            self.expectThat(holder.offer(document, 'log'), Is(False))
+            self.expectThat(holder.read(document, 'log'), Equals(1))
+            self.assertThat(decoder.decoded_routes, Equals(decoded))
+
+        run_virtual(case())
+
 
 class SettingsTest(TestCase):
     """The settings file that the platform writes for a node."""
