Gate: in time means also with a service time above the mean

The queue keeps each request until it could just meet its objective with the mean service time, so under overload all of them start at that moment and about half end late, although fewer in the queue would keep the target as busy.

Change: the last moment leaves 1.5 mean deviations of the kind's service time.

--- a/filbertdrift/objective_gate.py
+++ b/filbertdrift/objective_gate.py
@@ -29,6 +29,10 @@
 # Estimated service time before the first request has ended.
 FIRST_SERVICE_TIME_S = 0.05
 SERVICE_TIME_WEIGHT = 0.1
+# A request counts as in time if it would meet its objective also with a service
+# time of this many mean deviations above the mean. With the mean alone, half of
+# those that start at the last moment are late.
+OBJECTIVE_DEVIATIONS = 1.5
 MIN_RETRY_AFTER_MS = 40
 MAX_RETRY_AFTER_MS = 3000
 # Weight of one request in the moving average of each class's share of slots.
@@ -140,6 +144,8 @@
         self._priority_time_s: dict[int, float] = {}
         # Moving average of the service time by kind.
         self._kind_mean_s: dict[str, float] = defaultdict(lambda: self._mean_s)
+        # Moving average of the deviation from it.
+        self._kind_deviation_s: dict[str, float] = defaultdict(float)
 
     @property
     def waiting(self) -> int:
@@ -235,8 +241,10 @@
         if service_time_s > 0:
             previous_s = self._kind_mean_s[kind]
             step = SERVICE_TIME_WEIGHT
-            self._kind_mean_s[kind] = previous_s + step * (
-                service_time_s - previous_s
+            difference_s = service_time_s - previous_s
+            self._kind_mean_s[kind] = previous_s + step * difference_s
+            self._kind_deviation_s[kind] += step * (
+                abs(difference_s) - self._kind_deviation_s[kind]
             )
             self._mean_s += step * (service_time_s - self._mean_s)
         self._wake()
@@ -306,7 +314,8 @@
         """
         service_time_s = self._kind_mean_s[req.kind]
         in_time = _PriorityClass(req.rank, misses_objective=False)
-        latest_start = req.objective_at - service_time_s
+        margin_s = OBJECTIVE_DEVIATIONS * self._kind_deviation_s[req.kind]
+        latest_start = req.objective_at - service_time_s - margin_s
         if now + self._expected_wait_s(in_time, latest_start) <= latest_start:
             return in_time, latest_start
         late = _PriorityClass(req.rank, misses_objective=True)
--- a/standins/load_patterns.py
+++ b/standins/load_patterns.py
@@ -57,6 +57,9 @@
     'write': RequestKind(0.32, 1, 0.16, 0.5, 3.0),
 }
 
+# An objective of less than three service times.
+SHORT_OBJECTIVES = {'read': RequestKind(1.0, 2, 0.075, 0.2, 0.8)}
+
 
 @dataclass
 class Tally:
