Choice of a target: requests leave closer targets that are slow for their kind

Targets that turn slow are not full, so callers of a domain stayed with them while others had room.

Change: latencies are kept by kind of request, and decay with a half-life of 2 s; if the closer target takes longer than the route's objective, targets farther away are drawn as well, and the cheapest is taken.

--- a/filbertdrift/chooser.py
+++ b/filbertdrift/chooser.py
@@ -10,7 +10,7 @@
 
 import random
 from collections.abc import Callable, Collection, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from filbertdrift.members import Member
 
@@ -23,6 +23,10 @@
 SLOW_START_PENALTY_PERMILLE = 300
 IN_FLIGHT_LOAD_PERMILLE = 1000
 LATENCY_EWMA_WEIGHT = 0.2
+# What is known of a target's latency decays, so that a slow one that receives
+# no requests is tried again, sooner if it was slow by little.
+LATENCY_HALF_LIFE_S = 2.0
+NO_OBJECTIVE_S = float('inf')
 SUCCESS_EWMA_WEIGHT = 0.1
 # A lower success rate does not raise a target's cost further.
 MIN_SUCCESS_RATE = 0.1
@@ -62,6 +66,8 @@
     ejected_until: float = 0.0
     success_rate: float = 1.0
     success_rate_at: float = 0.0
+    # Moving averages by kind of request.
+    kind_latency_s: dict[str, float] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
@@ -112,6 +118,7 @@
         spill_permille: int = SPILL_PERMILLE,
         kind: str = '',
         *,
+        objective_s: float = NO_OBJECTIVE_S,
         has_large_body: bool = False,
     ) -> Member | None:
         """Return the target for a request.
@@ -124,6 +131,8 @@
                 spills over to others.
             kind: The kind of request; gates that were recently full for it
                 are excluded.
+            objective_s: The latency objective of the kind; closer targets
+                that take longer are left for others, unless these are worse.
             has_large_body: Whether targets are compared by their latency for
                 large bodies.
 
@@ -138,18 +147,26 @@
                 and self._is_usable(member, now)
             )
 
-        groups = self._group(endpoints)
-        for group in (groups.in_domain, groups.in_region):
-            best = self._pick_of_two(
+        def pick(group: Sequence[Member]) -> Member | None:
+            return self._pick_of_two(
                 group, is_available, now, has_large_body=has_large_body
             )
-            if best and self._estimated_load(best, now) < spill_permille:
+
+        groups = self._group(endpoints)
+        slow: list[Member] = []
+        for group in (groups.in_domain, groups.in_region):
+            best = pick(group)
+            if not best or self._estimated_load(best, now) >= spill_permille:
+                continue
+            if self._expected_latency_s(best, kind, now) <= objective_s:
                 return best
-        best = self._pick_of_two(
-            groups.whole, is_available, now, has_large_body=has_large_body
-        )
+            slow.append(best)
+        best = pick(groups.whole)
         if best:
-            return best
+            return min(
+                (*slow[:1], best),
+                key=lambda member: self._cost(member, now),
+            )
         # Ejected and unreachable targets are better than none.
         return self._pick_of_two(
             groups.whole,
@@ -179,6 +196,7 @@
         load_permille: int,
         latency_s: float,
         now: float,
+        kind: str = '',
         *,
         has_large_body: bool = False,
     ) -> None:
@@ -189,9 +207,13 @@
             load_permille: The load of its gate.
             latency_s: Time from sending the request to the response.
             now: The time on the event loop's clock.
+            kind: The kind of request.
             has_large_body: Whether the latency is that of a large body.
         """
         stats = self._stats_for(member, now)
+        stats.kind_latency_s[kind] = _update_latency(
+            stats.kind_latency_s.get(kind, 0), latency_s
+        )
         stats.load_permille = load_permille
         stats.load_updated_at = now
         stats.last_contact_at = now
@@ -200,15 +222,11 @@
         stats.ejections = 0
         stats.ejected_until = 0
         if has_large_body:
-            previous = stats.large_body_latency_s or latency_s
-            stats.large_body_latency_s = previous + LATENCY_EWMA_WEIGHT * (
-                latency_s - previous
+            stats.large_body_latency_s = _update_latency(
+                stats.large_body_latency_s, latency_s
             )
-            return
-        previous = stats.latency_s or latency_s
-        stats.latency_s = previous + LATENCY_EWMA_WEIGHT * (
-            latency_s - previous
-        )
+        else:
+            stats.latency_s = _update_latency(stats.latency_s, latency_s)
 
     def answered_with_error(self, member: Member, now: float) -> None:
         """Record a response with a server error.
@@ -422,6 +440,22 @@
         penalty = warmup_left * SLOW_START_PENALTY_PERMILLE
         return max(load, in_flight_load) + penalty
 
+    def _expected_latency_s(
+        self, member: Member, kind: str, now: float
+    ) -> float:
+        """Return how long requests of a kind take, zero if that is unknown.
+
+        While requests are in flight, the time since the last contact counts if
+        it is longer.
+        """
+        stats = self._stats.get(member.node)
+        if stats is None or stats.generation != member.generation:
+            return 0
+        age_s = now - stats.last_contact_at
+        latency_s = stats.kind_latency_s.get(kind, 0)
+        latency_s *= 0.5 ** (age_s / LATENCY_HALF_LIFE_S)
+        return max(latency_s, age_s) if stats.in_flight else latency_s
+
     def _cost(
         self,
         member: Member,
@@ -470,6 +504,13 @@
         return stats
 
 
+def _update_latency(previous_s: float, latency_s: float) -> float:
+    """Return a moving average with a new value; zero is no average yet."""
+    if not previous_s:
+        return latency_s
+    return previous_s + LATENCY_EWMA_WEIGHT * (latency_s - previous_s)
+
+
 def _decayed_success_rate(stats: TargetStats, now: float) -> float:
     """Return the success rate, with the weight of failures decaying."""
     remaining = 0.5 ** ((now - stats.success_rate_at) / FAILURE_HALF_LIFE_S)
--- a/filbertdrift/dispatch.py
+++ b/filbertdrift/dispatch.py
@@ -263,6 +263,7 @@
             now,
             LARGE_BODY_SPILL_PERMILLE if has_large_body else SPILL_PERMILLE,
             routed.route.name,
+            objective_s=routed.route.objective_s,
             has_large_body=has_large_body,
         )
 
--- a/filbertdrift/target_attempt.py
+++ b/filbertdrift/target_attempt.py
@@ -183,6 +183,7 @@
             load,
             latency_s,
             now,
+            self._routed.route.name,
             has_large_body=self._routed.has_large_body,
         )
 
