--- a/standins/mesh_fleet.py
+++ b/standins/mesh_fleet.py
@@ -37,7 +37,6 @@
 DIRECTORY_STREAM = 'keyed.nodes'
 HOST = 'desk.example'
 HEARTBEAT_INTERVAL_S = 1.5
-# How long a client waits for the log beyond the wait that it asked for.
 READ_TIMEOUT_S = 1.0
 
 
@@ -49,11 +48,16 @@
 
     Attributes:
         is_partitioned: Whether every call of this node fails.
+        is_silent: Whether calls that start now are never answered.
+        timeout_s: How long a call waits for an answer, beyond the wait that it
+            asked for.
     """
 
     def __init__(self, shared: MemoryKeyedLog) -> None:
         super().__init__()
         self.is_partitioned = False
+        self.is_silent = False
+        self.timeout_s = READ_TIMEOUT_S
         self._shared = shared
         self._pending_reads: set[asyncio.Task[KeyedPage]] = set()
 
@@ -69,9 +73,9 @@
 
     async def read(self, stream: str, offset: int, wait_s: float) -> KeyedPage:
         """Return the records from an offset on."""
-        await self._check_partition()
+        await self._check_partition(wait_s)
         loop = asyncio.get_running_loop()
-        deadline = loop.time() + wait_s + READ_TIMEOUT_S
+        deadline = loop.time() + wait_s + self.timeout_s
         task = loop.create_task(self._shared.read(stream, offset, wait_s))
         self._pending_reads.add(task)
         try:
@@ -93,8 +97,12 @@
         await self._check_partition()
         await self._shared.append(stream, record)
 
-    async def _check_partition(self) -> None:
+    async def _check_partition(self, wait_s: float = 0) -> None:
         self.counters.calls += 1
+        if self.is_silent:
+            await asyncio.sleep(wait_s + self.timeout_s)
+            self.counters.failures += 1
+            raise LogUnavailable('no response', step='call log', peer='memory')
         if self.is_partitioned:
             await asyncio.sleep(0.01)
             self.counters.failures += 1
--- a/tests/test_store_calls.py
+++ b/tests/test_store_calls.py
@@ -7,6 +7,8 @@
 from testtools.matchers import Equals, LessThan
 
 from filbertdrift.keyedlog import KeyedPage, KeyedRecord, MemoryKeyedLog
+from filbertdrift.mesh import DEFAULT_CONFIG_APPLY_S
+from filbertdrift.platform.store import MAX_RESPONSE_TIMEOUT_S
 from standins.mesh_fleet import (
     DIRECTORY_STREAM,
     OPERATOR_STREAM,
@@ -105,3 +107,34 @@
         for nodes in (20, 60):
             reads = run_virtual(count_reads(nodes))
             self.expectThat(reads, LessThan(most + 1), str(nodes))
+
+
+class SilentOutageTest(TestCase):
+    """The log answers nothing for a while, and is back for new calls only.
+
+    Calls that began in the last moments of the outage are never answered, so
+    their readers miss changes after it until they time out.
+    """
+
+    def test_change_after_the_outage_is_in_force_in_time(self) -> None:
+        for outage_s in (3.3, 6.6):
+            for tenths in range(0, 40, 5):
+                run_virtual(self._change_after(outage_s, tenths / 10))
+
+    async def _change_after(self, outage_s: float, delay_s: float) -> None:
+        fleet = MeshFleet(seed=11)
+        await fleet.publish(config_document())
+        for domain in 'aaabbbccc':
+            await fleet.add(domain, 'desk')
+        await asyncio.sleep(6)
+        logs = [instance.log for instance in fleet.instances.values()]
+        for log in logs:
+            log.is_silent = True
+            log.timeout_s = MAX_RESPONSE_TIMEOUT_S
+            log.silence()
+        await asyncio.sleep(outage_s)
+        for log in logs:
+            log.is_silent = False
+        await asyncio.sleep(delay_s)
+        await fleet.publish(config_document(2))
+        await fleet.wait_until_in_force(2, DEFAULT_CONFIG_APPLY_S)
