--- a/tests/test_loadpatterns.py
+++ b/tests/test_loadpatterns.py
@@ -5,9 +5,11 @@
 """
 
 import asyncio
+import contextlib
+from collections.abc import Sequence
 
 from testtools import TestCase
-from testtools.matchers import GreaterThan
+from testtools.matchers import Equals, GreaterThan, LessThan
 
 from filbertdrift.callerwait import CallerWaitEstimator
 from filbertdrift.errors import RequestNotRun, RequestUnknown
@@ -23,6 +25,8 @@
 from tests.builders import run_virtual
 
 SEEDS = range(4)
+# Five standard deviations of a share of one half, over 600 requests.
+TOLERANCE = 0.1
 
 
 def play(load: float, kinds: dict[str, RequestKind], name: str) -> Tally:
@@ -95,9 +99,9 @@
         for script in scripts[:2]:
             script.work_s = 0.05
         await self._call(fleet, 800)
-        before = sum(sum(script.runs.values()) for script in scripts[:2])
+        before = count_runs(scripts[:2])
         await self._call(fleet, 200)
-        after = sum(sum(script.runs.values()) for script in scripts[:2])
+        after = count_runs(scripts[:2])
         self.assertThat(after - before, GreaterThan(0.9 * 200))
 
     async def _call(self, fleet: MeshFleet, count: int) -> int:
@@ -115,3 +119,86 @@
             return loop.time() - started_at <= self.objective_s
 
         return sum(await asyncio.gather(*map(call, range(count))))
+
+
+class SplitRouteTest(TestCase):
+    """Pattern: a route splits its requests between services by weight."""
+
+    calls = 600
+
+    def test_shares_follow_the_weights(self) -> None:
+        run_virtual(self._change_weights())
+
+    async def _change_weights(self) -> None:
+        fleet, scripts = await self._start({'desk': 90, 'ledger': 10})
+        ran = await self._call(fleet, scripts)
+        self._check_shares(ran, 0.1)
+        await fleet.publish(self._document(2, {'desk': 40, 'ledger': 60}))
+        await fleet.wait_until_in_force(2, 2)
+        ran = await self._call(fleet, scripts)
+        self._check_shares(ran, 0.6)
+
+    def test_part_without_targets_is_refused_not_moved(self) -> None:
+        run_virtual(self._short_part())
+
+    async def _short_part(self) -> None:
+        fleet, scripts = await self._start({'desk': 60, 'ledger': 40})
+        for instance in list(fleet.instances.values()):
+            if instance.service == 'ledger':
+                fleet.send_heartbeat(instance, is_draining=True)
+                instance.script.is_up = False
+        await asyncio.sleep(3)
+        ran = await self._call(fleet, scripts)
+        self.expectThat(ran['ledger'], Equals(0))
+        share = ran['desk'] / self.calls
+        self.assertThat(abs(share - 0.6), LessThan(TOLERANCE))
+
+    async def _start(
+        self, weights: dict[str, int]
+    ) -> tuple[MeshFleet, dict[str, list[TargetScript]]]:
+        fleet = MeshFleet(seed=14)
+        await fleet.publish(self._document(1, weights))
+        scripts: dict[str, list[TargetScript]] = {}
+        for service in weights:
+            scripts[service] = [TargetScript() for _ in range(3)]
+            for domain, script in zip('abc', scripts[service], strict=True):
+                await fleet.add(domain, service, script)
+        await fleet.wait_until_in_force(1, 5)
+        await asyncio.sleep(3)
+        return fleet, scripts
+
+    def _document(
+        self, version: int, weights: dict[str, int]
+    ) -> dict[str, object]:
+        split = [
+            {'service': name, 'weight': weight}
+            for name, weight in weights.items()
+        ]
+        document = config_document(version, read={'traffic_split': split})
+        document['services']['ledger'] = {}
+        return document
+
+    async def _call(
+        self, fleet: MeshFleet, scripts: dict[str, list[TargetScript]]
+    ) -> dict[str, int]:
+        """Call from all nodes; return how many requests each service ran."""
+        before = {name: count_runs(found) for name, found in scripts.items()}
+        nodes = list(fleet.instances)
+        for number in range(self.calls):
+            with contextlib.suppress(RequestNotRun):
+                response = await fleet.call(nodes[number % len(nodes)])
+                response.close()
+        return {
+            name: count_runs(found) - before[name]
+            for name, found in scripts.items()
+        }
+
+    def _check_shares(self, ran: dict[str, int], ledger_share: float) -> None:
+        self.expectThat(sum(ran.values()), Equals(self.calls))
+        share = ran['ledger'] / self.calls
+        self.expectThat(abs(share - ledger_share), LessThan(TOLERANCE))
+
+
+def count_runs(scripts: Sequence[TargetScript]) -> int:
+    """Return how many requests some targets have run."""
+    return sum(sum(script.runs.values()) for script in scripts)
