--- a/filbertdrift/chooser.py
+++ b/filbertdrift/chooser.py
@@ -149,7 +149,11 @@
 
         def pick(group: Sequence[Member]) -> Member | None:
             return self._pick_of_two(
-                group, is_available, now, has_large_body=has_large_body
+                group,
+                groups.local,
+                is_available,
+                now,
+                has_large_body=has_large_body,
             )
 
         groups = self._group(endpoints)
@@ -165,11 +169,14 @@
         if best:
             return min(
                 (*slow[:1], best),
-                key=lambda member: self._cost(member, now),
+                key=lambda member: self._cost(
+                    member, now, has_large_body=has_large_body
+                ),
             )
         # Ejected and unreachable targets are better than none.
         return self._pick_of_two(
             groups.whole,
+            groups.local,
             lambda member: (
                 member.node not in tried
                 and not self._is_full(member, kind, now)
@@ -383,12 +390,16 @@
     def _pick_of_two(
         self,
         group: Sequence[Member],
+        local: Member | None,
         is_available: Callable[[Member], bool],
         now: float,
         *,
         has_large_body: bool,
     ) -> Member | None:
-        """Return the cheaper of two random available members of a group."""
+        """Return the cheaper of two random available members of a group.
+
+        The local target is preferred while it has free slots.
+        """
         pair = self._draw_pair(group, is_available)
         if not pair:
             return None
@@ -397,7 +408,6 @@
             return self._cost(member, now, has_large_body=has_large_body)
 
         best = min(pair, key=cost)
-        local = self._groups[best.service].local
         if local is None or len(pair) == 1 or local is best:
             return best
         has_room = self._estimated_load(local, now) < FULL_PERMILLE
--- a/filbertdrift/platform/documents.py
+++ b/filbertdrift/platform/documents.py
@@ -92,8 +92,8 @@
     born: int | None = None
 
 
-_CONFIG_DECODER = msgspec.json.Decoder(_Config)
-_ROUTE_DECODER = msgspec.json.Decoder(_Route)
+_CONFIG_DECODER = msgspec.json.Decoder(_Config, strict=False)
+_ROUTE_DECODER = msgspec.json.Decoder(_Route, strict=False)
 _HEARTBEAT_DECODER = msgspec.json.Decoder(_Heartbeat)
 _LEAVING_DECODER = msgspec.json.Decoder(_Leaving)
 
