--- a/standins/scripted_target.py
+++ b/standins/scripted_target.py
@@ -18,6 +18,7 @@
 
 CONNECT_DELAY_S = 0.001
 CONNECT_TIMEOUT_S = 1.0
+FOREVER_S = 3600.0
 LIMIT_HEADER = b'server-limit'
 LEAVING_HEADER = b'server-leaving'
 
@@ -31,6 +32,7 @@
         slots: Number of slots in the target's heartbeats.
         is_up: Whether connections are accepted.
         failure_share: Share of requests that fail with status 500.
+        lost_share: Share of requests that run and whose response never comes.
         refuses: Whether requests are refused with 503 and marked as not run.
         is_other_instance: Whether requests are refused with 421, as by another
             instance at the address.
@@ -59,6 +61,7 @@
     slots: int = 8
     is_up: bool = True
     failure_share: float = 0.0
+    lost_share: float = 0.0
     refuses: bool = False
     is_other_instance: bool = False
     stray_responses: int = 0
@@ -208,6 +211,11 @@
     def _request_id(self) -> str:
         return http1.find_header(self._request.headers, HEADERS.request_id)
 
+    async def _lose_response(self) -> None:
+        share = self._script.lost_share
+        if share and self._rng.random() < share:
+            await asyncio.sleep(FOREVER_S)
+
     async def _work(self) -> None:
         script = self._script
         script.running += 1
@@ -217,6 +225,7 @@
                 script.is_up = False
                 raise PeerUnavailable('reset', step='await target')
             await asyncio.sleep(script.work_s)
+            await self._lose_response()
             if not script.is_up:
                 raise PeerUnavailable('reset', step='await target')
         except asyncio.CancelledError:
--- a/tests/test_loadpatterns.py
+++ b/tests/test_loadpatterns.py
@@ -13,6 +13,7 @@
 
 from filbertdrift.callerwait import CallerWaitEstimator
 from filbertdrift.errors import RequestNotRun, RequestUnknown
+from filbertdrift.retrybudget import RetryLimits
 from standins.load_patterns import (
     READS_AND_WRITES,
     SHORT_OBJECTIVES,
@@ -121,6 +122,53 @@
         return sum(await asyncio.gather(*map(call, range(count))))
 
 
+class LostResponseTest(TestCase):
+    """Pattern: a target runs requests, and part of its responses never come.
+
+    Idempotent requests waited for them until their deadline, which left no time
+    for another target.
+    """
+
+    calls = 300
+
+    def test_idempotent_requests_are_tried_elsewhere(self) -> None:
+        run_virtual(self._lost_responses())
+
+    async def _lost_responses(self) -> None:
+        fleet = MeshFleet(seed=15, limits=RetryLimits(ratio=0.5, extra=60))
+        times = {'timeout_s': 0.2, 'target_latency_s': 0.06}
+        await fleet.publish(config_document(read=times, write=times))
+        scripts = [TargetScript(work_s=0.015) for _ in range(3)]
+        for script in scripts:
+            await fleet.add('a', 'desk', script)
+        await fleet.wait_until_in_force(1, 5)
+        await asyncio.sleep(3)
+        await self._call(fleet, '/read/1')
+        await self._call(fleet, '/write/1')
+        scripts[0].lost_share = 0.3
+        served = await self._call(fleet, '/read/1')
+        self.expectThat(served, GreaterThan(0.97 * self.calls))
+        first = len(fleet.runs())
+        await self._call(fleet, '/write/2')
+        writes = list(fleet.runs().values())[first:]
+        self.assertThat(set(writes), Equals({1}))
+
+    async def _call(self, fleet: MeshFleet, path: str) -> int:
+        """Call 50 times a second; return how many responses came."""
+        nodes = list(fleet.instances)
+
+        async def call(number: int) -> bool:
+            await asyncio.sleep(number * 0.02)
+            try:
+                response = await fleet.call(nodes[number % len(nodes)], path)
+            except (RequestNotRun, RequestUnknown):
+                return False
+            response.close()
+            return True
+
+        return sum(await asyncio.gather(*map(call, range(self.calls))))
+
+
 class SplitRouteTest(TestCase):
     """Pattern: a route splits its requests between services by weight."""
 
