--- a/filbertdrift/dispatch.py
+++ b/filbertdrift/dispatch.py
@@ -8,7 +8,7 @@
 
 from loguru import logger
 
-from filbertdrift.chooser import TargetChooser
+from filbertdrift.chooser import NO_OBJECTIVE_S, TargetChooser
 from filbertdrift.crashes import CrashLedger, fingerprint
 from filbertdrift.errors import NoFreeSlot, RequestNotRun, RequestUnknown
 from filbertdrift.knowntargets import KnownTargets
@@ -281,13 +281,17 @@
         now: float,
     ) -> Member | None:
         has_large_body = routed.has_large_body
+        # A large body is not sent farther only because closer targets are slow.
+        objective_s = (
+            NO_OBJECTIVE_S if has_large_body else routed.route.objective_s
+        )
         return self._chooser.choose(
             self._endpoints(routed.service),
             search.excluded,
             now,
             LARGE_BODY_SPILL_PERMILLE if has_large_body else SPILL_PERMILLE,
             routed.route.name,
-            objective_s=routed.route.objective_s,
+            objective_s=objective_s,
             has_large_body=has_large_body,
         )
 
--- a/tests/test_loadpatterns.py
+++ b/tests/test_loadpatterns.py
@@ -14,6 +14,7 @@
 from filbertdrift.callerwait import CallerWaitEstimator
 from filbertdrift.errors import RequestNotRun, RequestUnknown
 from filbertdrift.retrybudget import RetryLimits
+from filbertdrift.target_attempt import LARGE_BODY_BYTES
 from standins.load_patterns import (
     READS_AND_WRITES,
     SHORT_OBJECTIVES,
@@ -105,6 +106,25 @@
         after = count_runs(scripts[:2])
         self.assertThat(after - before, GreaterThan(0.9 * 200))
 
+    # Uploads were sent to other domains, over links that have no room for them.
+    def test_large_bodies_stay(self) -> None:
+        run_virtual(self._upload())
+
+    async def _upload(self) -> None:
+        fleet = MeshFleet(seed=12)
+        await fleet.publish(config_document())
+        scripts = [TargetScript(work_s=0.6) for _ in range(6)]
+        for domain, script in zip('aabbcc', scripts, strict=True):
+            await fleet.add(domain, 'desk', script)
+        await fleet.wait_until_in_force(1, 5)
+        await asyncio.sleep(3)
+        for _ in range(20):
+            response = await fleet.call(
+                'a-0:7000', '/write/1', body=b'x' * LARGE_BODY_BYTES
+            )
+            response.close()
+        self.assertThat(count_runs(scripts[:2]), Equals(20))
+
     async def _call(self, fleet: MeshFleet, count: int) -> int:
         """Call from one domain, 50 times a second; return how many in time."""
         loop = asyncio.get_running_loop()
