--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,137 +1,171 @@
-"""Backends fail requests that they have run, with 503 or 429.
+"""A node restarts, its backend leaves at once, and a late heartbeat arrives.
 
-They do not add Not-Executed, as they have run the request. To the client of a
-node, 503 and 429 promise that the request has not run.
+The node acknowledges the DELETE of a backend that it does not know yet, and
+forgets it. The heartbeat that the backend sent before, which arrives later,
+registers the backend again.
 """
 
 import asyncio
-import random
+import itertools
+import socket
+import time
 from collections import Counter
 from pathlib import Path
 
 from review.standins.backend import USUAL_ANSWER, Run
-from review.standins.client import Ending, Request
-from review.standins.fleet import Fleet, Plan, build_document
+from review.standins.client import Request
+from review.standins.fleet import (
+    POLL_S,
+    STABILITY_S,
+    CannotRun,
+    Fleet,
+    Machine,
+    Plan,
+    build_document,
+)
 from review.standins.message import Message
 from review.standins.record import Record, has_trouble
 from review.standins.runner import run_case
 
 ZONES = ('petrzalka', 'ruzinov', 'devin')
-SERVICE = 'recipe-desk'
+SERVICE = 'lab-ledger'
+OTHER_SERVICE = 'recipe-desk'
 SLOTS = 16
-# label-approval: mean work, and deadline. It is not idempotent.
-WORK_S = 0.12
-DEADLINE_S = 2.5
-REQUESTS = 120
-PAUSE_S = 0.05
-# srv_grey of the site: one backend of three, and this share of its requests.
-FAILING_SHARE = 0.45
-STATUSES = ('503 Service Unavailable', '429 Too Many Requests')
-PROMISES = frozenset((408, 421, 429, 503))
-RETRIES = 2
-SEED = 1
+# allergen-flag: mean work, and deadline. It is not idempotent.
+WORK_S = 0.072
+DEADLINE_S = 1.5
+REQUESTS_PER_S = 60.0
+# The heartbeat arrives this long after it was sent.
+LATE_S = 3.0
+# The backend serves for this long after the acknowledgement.
+STAY_S = 12.0
+DRAIN_S = 2.0
+SETTLE_S = 2.0
+START_LIMIT_S = 5.0
 ROUTES = {
-    'approval': {
-        'path_prefix': '/approval/',
+    'flag': {
+        'path_prefix': '/flag/',
         'kind': 'non_idempotent',
         'service': SERVICE,
-        'timeout_s': 5.0,
-        'target_latency_s': 0.4,
-        'priority': 1,
+        'timeout_s': 3.0,
+        'target_latency_s': 0.25,
+        'priority': 2,
         'max_attempts': 2,
     },
 }
 
 
-class Case:
-    """The deployment, one of whose backends fails requests.
-
-    Args:
-        record: Receives all events.
-        folder: Folder for settings and logs.
-    """
-
-    def __init__(self, record: Record, folder: Path) -> None:
-        """Create the deployment; nothing runs yet."""
-        plans = [Plan(zone, SERVICE, SLOTS) for zone in ZONES]
-        self.fleet = Fleet(plans, record, self.do_work, folder)
-        self._rng = random.Random(SEED)  # noqa: S311 - load, no secret
-        # Runs that were carried out, by the label that they approve.
-        self.approved: Counter[str] = Counter()
-
-    async def do_work(self, run: Run) -> Message | None:
-        """Approve a label, then fail at times to say so."""
-        await asyncio.sleep(WORK_S)
-        self.approved[run.request.words[1]] += 1
-        failing = self.fleet.machines[0].backend.instance
-        is_failure = self._rng.random() < FAILING_SHARE
-        if not (has_trouble() and is_failure and run.instance == failing):
-            return USUAL_ANSWER
-        headers = {
-            'attempt-id': run.request_id,
-            'server-seal': f'{run.instance}.{run.request_id}',
-        }
-        status = self._rng.choice(STATUSES)
-        return Message(f'HTTP/1.1 {status}', headers, b'no answer in time')
-
-    async def play(self) -> str:
-        """Send approvals; clients repeat what has not run."""
-        await self.fleet.start(build_document(ROUTES, (SERVICE,)))
-        tasks = []
-        for number in range(REQUESTS):
-            node = self.fleet.machines[number % len(ZONES)].ip
-            tasks.append(asyncio.create_task(self._approve(node, number)))
-            await asyncio.sleep(PAUSE_S)
-        await asyncio.gather(*tasks)
-        return self._judge()
-
-    async def _approve(self, node: str, number: int) -> None:
-        """Send one approval, and again if it has not run."""
-        for attempt in range(1 + RETRIES):
-            request = Request(
-                f'approval-{number}-{attempt}',
-                'POST',
-                f'/approval/{number}',
-                DEADLINE_S,
-                b'label',
-            )
-            ending = await self.fleet.client.send(node, request)
-            if ending.status not in PROMISES:
-                return
-
-    def _judge(self) -> str:
-        """Return what broke REFUSED: requests that were refused and ran."""
-        ran = {
-            run.request_id
-            for machine in self.fleet.machines
-            for run in machine.backend.runs
-        }
-        broken = [
-            ending
-            for ending in self.fleet.client.endings
-            if _is_refused(ending) and ending.request.request_id in ran
-        ]
-        twice = sum(count > 1 for count in self.approved.values())
-        self.fleet.record.add('approved', f'{twice} labels more than once')
-        if not broken:
-            return ''
-        return (
-            f'REFUSED: {len(broken)} requests were answered with a promise '
-            f'and had run; {twice} labels were approved more than once'
-        )
-
-
-def _is_refused(ending: Ending) -> bool:
-    return ending.status in PROMISES
+async def do_work(run: Run) -> Message | None:
+    """Work for a while."""
+    await asyncio.sleep(WORK_S)
+    return USUAL_ANSWER
 
 
 async def play(record: Record, folder: Path) -> str:
     """Play the case."""
-    case = Case(record, folder)
+    plans = [
+        Plan(zone, service, SLOTS)
+        for zone in ZONES
+        for service in (SERVICE, OTHER_SERVICE)
+    ]
+    fleet = Fleet(plans, record, do_work, folder)
+    load: asyncio.Task[None] | None = None
     try:
-        return await case.play()
+        await fleet.start(build_document(ROUTES, (SERVICE, OTHER_SERVICE)))
+        load = asyncio.create_task(_send_load(fleet))
+        await asyncio.sleep(SETTLE_S)
+        return await _leave(fleet, fleet.machines[0])
     finally:
-        case.fleet.close()
+        if load:
+            load.cancel()
+        fleet.close()
+
+
+async def _leave(fleet: Fleet, machine: Machine) -> str:
+    """Let the backend of a machine leave; return what broke DRAIN."""
+    backend = machine.backend
+    instance = backend.instance
+    started_at = await _restart(machine)
+    heartbeat = backend.next_heartbeat()
+    fleet.record.add('heartbeat', f'{instance} sends {heartbeat.body!r}')
+    if not await backend.leave():
+        raise CannotRun('the departure was not acknowledged')
+    left_at = time.monotonic()
+    fleet.record.add('leave', f'{instance} was acknowledged')
+    await _deliver_late(machine, heartbeat)
+    await asyncio.sleep(left_at + STAY_S - time.monotonic())
+    backend.stop()
+    fleet.record.add('backend', f'{instance} exits')
+    # The machine is in touch stability_window_s after its start.
+    judged_from = max(left_at + DRAIN_S, started_at + STABILITY_S)
+    late = [run for run in backend.runs if run.at > judged_from]
+    return _describe(fleet, instance, late, left_at)
+
+
+async def _restart(machine: Machine) -> float:
+    """Restart the node; return when it started, in monotonic time."""
+    machine.backend.stop_heartbeats()
+    if not has_trouble():
+        return float('-inf')
+    await machine.restart_node()
+    started_at = time.monotonic()
+    await _wait_for_start(machine)
+    return started_at
+
+
+async def _deliver_late(machine: Machine, heartbeat: Message) -> None:
+    await asyncio.sleep(LATE_S)
+    await machine.backend.call_node(heartbeat)
+    machine.backend.record.add('heartbeat', 'it arrives late')
+
+
+def _describe(
+    fleet: Fleet, instance: str, late: list[Run], left_at: float
+) -> str:
+    outcomes = Counter(
+        ending.reason or str(ending.status) for ending in fleet.client.endings
+    )
+    fleet.record.add('outcomes', str(dict(outcomes)))
+    if not late:
+        return ''
+    last_s = late[-1].at - left_at
+    return (
+        f'DRAIN: {instance} got {len(late)} requests after drain_s, the last '
+        f'{last_s:.1f} s after its departure was acknowledged; '
+        f'{dict(outcomes)}'
+    )
+
+
+async def _wait_for_start(machine: Machine) -> None:
+    """Wait until the node listens for its backend."""
+    async with asyncio.timeout(START_LIMIT_S):
+        while not _is_listening(machine):
+            await asyncio.sleep(POLL_S)
+
+
+def _is_listening(machine: Machine) -> bool:
+    with socket.socket() as probe:
+        return probe.connect_ex(machine.backend.site.control) == 0
+
+
+async def _send_load(fleet: Fleet) -> None:
+    nodes = [
+        machine.ip
+        for machine in fleet.machines
+        if machine.plan.service == OTHER_SERVICE
+    ]
+    sending: set[asyncio.Task[object]] = set()
+    for number in itertools.count():
+        request = Request(
+            f'flag-{number}', 'POST', f'/flag/{number}', DEADLINE_S, b'nuts'
+        )
+        node = nodes[number % len(nodes)]
+        task: asyncio.Task[object] = asyncio.create_task(
+            fleet.client.send(node, request)
+        )
+        sending.add(task)
+        task.add_done_callback(sending.discard)
+        await asyncio.sleep(1 / REQUESTS_PER_S)
 
 
 if __name__ == '__main__':
