--- a/review/standins/runner.py
+++ b/review/standins/runner.py
@@ -1,6 +1,7 @@
 """Runs a case and turns its verdict into an exit code."""
 
 import asyncio
+import signal
 import sys
 from collections.abc import Awaitable, Callable
 from pathlib import Path
@@ -28,7 +29,12 @@
         record.add('case', f'trouble: {has_trouble()}')
         try:
             verdict = asyncio.run(_play_in_time(play, record))
-        except (CannotRun, OSError, TimeoutError) as exc:
+        except (
+            CannotRun,
+            OSError,
+            TimeoutError,
+            asyncio.CancelledError,
+        ) as exc:
             record.add('verdict', f'cannot run: {exc!r}')
             sys.stdout.write(f'cannot run: {exc!r}\n')
             sys.exit(CANNOT_RUN)
@@ -38,6 +44,11 @@
 
 
 async def _play_in_time(play: Play, record: Record) -> str:
+    task = asyncio.current_task()
+    if task is not None:
+        # What the case has started is ended first.
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, task.cancel)
     with temporary_folder() as work_folder:
         async with asyncio.timeout(LIMIT_S):
             return await play(record, work_folder)
