--- a/review/4/case.py
+++ b/review/4/case.py
@@ -31,8 +31,10 @@
 SERVICE = 'lab-ledger'
 OTHER_SERVICE = 'recipe-desk'
 SLOTS = 16
-# allergen-flag: mean work, and deadline. It is not idempotent.
+# allergen-flag: mean and longest work, and deadline. It is not idempotent.
 WORK_S = 0.072
+LONG_WORK_S = 0.54
+LONG_EVERY = 4
 DEADLINE_S = 1.5
 REQUESTS_PER_S = 60.0
 # The heartbeat arrives this long after it was sent.
@@ -40,6 +42,7 @@
 # The backend serves for this long after the acknowledgement.
 STAY_S = 12.0
 DRAIN_S = 2.0
+ANSWERED = 200
 SETTLE_S = 2.0
 START_LIMIT_S = 5.0
 ROUTES = {
@@ -56,8 +59,9 @@
 
 
 async def do_work(run: Run) -> Message | None:
-    """Work for a while."""
-    await asyncio.sleep(WORK_S)
+    """Work for as long as the path says."""
+    is_long = run.request.words[1].endswith('long')
+    await asyncio.sleep(LONG_WORK_S if is_long else WORK_S)
     return USUAL_ANSWER
 
 
@@ -96,6 +100,7 @@
     await asyncio.sleep(left_at + STAY_S - time.monotonic())
     backend.stop()
     fleet.record.add('backend', f'{instance} exits')
+    await asyncio.sleep(SETTLE_S)
     # The machine is in touch stability_window_s after its start.
     judged_from = max(left_at + DRAIN_S, started_at + STABILITY_S)
     late = [run for run in backend.runs if run.at > judged_from]
@@ -129,10 +134,15 @@
     if not late:
         return ''
     last_s = late[-1].at - left_at
+    late_ids = {run.request_id for run in late}
+    lost = sum(
+        ending.request.request_id in late_ids and ending.status != ANSWERED
+        for ending in fleet.client.endings
+    )
     return (
         f'DRAIN: {instance} got {len(late)} requests after drain_s, the last '
         f'{last_s:.1f} s after its departure was acknowledged; '
-        f'{dict(outcomes)}'
+        f'{lost} of them are lost; {dict(outcomes)}'
     )
 
 
@@ -156,9 +166,9 @@
     ]
     sending: set[asyncio.Task[object]] = set()
     for number in itertools.count():
-        request = Request(
-            f'flag-{number}', 'POST', f'/flag/{number}', DEADLINE_S, b'nuts'
-        )
+        kind = 'usual' if number % LONG_EVERY else 'long'
+        path = f'/flag/{number}/{kind}'
+        request = Request(f'flag-{number}', 'POST', path, DEADLINE_S, b'nuts')
         node = nodes[number % len(nodes)]
         task: asyncio.Task[object] = asyncio.create_task(
             fleet.client.send(node, request)
