Log departures and ignored heartbeats

Whether the DELETE was not recorded, or recorded and not matched by the late heartbeat, could not be told.

Change: a line for each departure says whether it is that of the current target, and a line for each ignored heartbeat says what is newer.

--- a/filbertdrift/lifecycle.py
+++ b/filbertdrift/lifecycle.py
@@ -161,8 +161,16 @@
     def record_heartbeat(self, heartbeat: Heartbeat) -> None:
         """Record a heartbeat; outdated ones have no effect."""
         self.counters.heartbeats += 1
-        if self._is_outdated(heartbeat):
+        outdated_by = self._find_outdated_by(heartbeat)
+        if outdated_by:
             self.counters.outdated += 1
+            logger.bind(
+                event='heartbeat_outdated',
+                instance=heartbeat.instance,
+                born_ms=heartbeat.born_ms,
+                sequence=heartbeat.sequence,
+                reason=outdated_by,
+            ).info('heartbeat of {} ignored', heartbeat.instance)
             return
         current = self.current
         if current and _is_same_incarnation(current.heartbeat, heartbeat):
@@ -190,6 +198,12 @@
             current.heartbeat.instance == instance
             and born_ms in {None, current.heartbeat.born_ms}
         )
+        logger.bind(
+            event='target_departed',
+            instance=instance,
+            born_ms=born_ms,
+            is_current=is_current,
+        ).info('target {} departs', instance)
         if current is not None and is_current:
             self._start_departure(current.heartbeat)
         elif born_ms is not None:
@@ -281,19 +295,22 @@
         if self.current is not None:
             self.current.gate.closes_at = 0
 
-    def _is_outdated(self, heartbeat: Heartbeat) -> bool:
+    def _find_outdated_by(self, heartbeat: Heartbeat) -> str:
+        """Return what is newer than a heartbeat, empty if nothing is."""
         departed_born_ms = self._departed.get(heartbeat.instance)
         if (
             departed_born_ms is not None
             and heartbeat.born_ms <= departed_born_ms
         ):
-            return True
+            return 'its departure'
         if self.current is None:
-            return False
+            return ''
         latest = self.current.heartbeat
         if _is_same_incarnation(latest, heartbeat):
-            return heartbeat.sequence <= latest.sequence
-        return heartbeat.born_ms < latest.born_ms
+            is_repeat = heartbeat.sequence <= latest.sequence
+            return 'a later heartbeat' if is_repeat else ''
+        is_earlier = heartbeat.born_ms < latest.born_ms
+        return 'a later start' if is_earlier else ''
 
     def _start_incarnation(self, heartbeat: Heartbeat) -> None:
         self.counters.incarnations += 1
