Record the departure of a target that this process does not know

Cause: a process that has just started knows no target. TargetLifecycle.leave recorded the departure of the current target, or one with a stated start, and nothing else; the DELETE of a target that states none was answered with 200 and forgotten. A heartbeat that had been sent before it then registered the target again.

Change: each departure is recorded. Without a stated start it ends the incarnation that is known, else those that have started by now, so that a later start under the same id is offered all the same. A departure of a later start than the known one ends the known one as well.

--- a/filbertdrift/lifecycle.py
+++ b/filbertdrift/lifecycle.py
@@ -6,7 +6,7 @@
 
 import asyncio
 import random
-from collections import OrderedDict
+import time
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, replace
 
@@ -16,6 +16,7 @@
 from filbertdrift.balance.estimate import CostSource
 from filbertdrift.balance.slottime import SlotTimeCounters, SlotTimeLog
 from filbertdrift.contract import TargetStatement
+from filbertdrift.departures.history import Departure, DepartureHistory
 from filbertdrift.gen import ttypes
 from filbertdrift.members import MemberStatus
 from filbertdrift.membership import Membership
@@ -26,7 +27,7 @@
 # The other nodes receive the LEAVING status within this time. Until then the
 # gate still admits the requests they send, which saves a retry.
 LEAVING_GRACE_S = 0.5
-MAX_DEPARTED_INSTANCES = 64
+MS_PER_S = 1000
 NO_END = float('inf')
 
 
@@ -107,6 +108,7 @@
         call_room: Limits the requests that make calls.
         costs: Estimates the cost of requests, None for means by kind. It is
             taken over by the next incarnation.
+        wall_clock_ms: Returns the Unix time in milliseconds.
     """
 
     def __init__(
@@ -124,13 +126,13 @@
         self.slot_time = SlotTimeCounters()
         self.call_room = CallRoom()
         self.costs: CostSource | None = None
+        self.wall_clock_ms = _read_wall_clock_ms
         self._by_cost = False
         self._slot_time_log = SlotTimeLog(self.slot_time)
         self._membership = membership
         self._open_target = open_target
         self._rng = rng
-        # Start time of the latest departed incarnation, by instance.
-        self._departed: OrderedDict[str, int] = OrderedDict()
+        self._departures = DepartureHistory()
 
     @property
     def by_cost(self) -> bool:
@@ -194,9 +196,11 @@
             born_ms: Start time of the incarnation, None if not stated.
         """
         current = self.current
-        is_current = current is not None and (
-            current.heartbeat.instance == instance
-            and born_ms in {None, current.heartbeat.born_ms}
+        departure = Departure(
+            instance, self._find_latest_start(instance, born_ms)
+        )
+        is_current = current is not None and departure.covers(
+            current.heartbeat.instance, current.heartbeat.born_ms
         )
         logger.bind(
             event='target_departed',
@@ -204,10 +208,9 @@
             born_ms=born_ms,
             is_current=is_current,
         ).info('target {} departs', instance)
+        self._departures.add(departure)
         if current is not None and is_current:
             self._start_departure(current.heartbeat)
-        elif born_ms is not None:
-            self._record_departure(instance, born_ms)
 
     def record_statement(
         self,
@@ -297,11 +300,7 @@
 
     def _find_outdated_by(self, heartbeat: Heartbeat) -> str:
         """Return what is newer than a heartbeat, empty if nothing is."""
-        departed_born_ms = self._departed.get(heartbeat.instance)
-        if (
-            departed_born_ms is not None
-            and heartbeat.born_ms <= departed_born_ms
-        ):
+        if self._departures.covers(heartbeat.instance, heartbeat.born_ms):
             return 'its departure'
         if self.current is None:
             return ''
@@ -353,15 +352,27 @@
             born_ms=heartbeat.born_ms,
         ).info('target {} leaves', heartbeat.instance)
         current.is_leaving = True
-        self._record_departure(heartbeat.instance, heartbeat.born_ms)
+        self._departures.add(Departure(heartbeat.instance, heartbeat.born_ms))
         self.close_gate()
         self.announce_status()
 
-    def _record_departure(self, instance: str, born_ms: int) -> None:
-        departed_born_ms = self._departed.pop(instance, born_ms)
-        self._departed[instance] = max(departed_born_ms, born_ms)
-        if len(self._departed) > MAX_DEPARTED_INSTANCES:
-            self._departed.popitem(last=False)
+    def _find_latest_start(self, instance: str, born_ms: int | None) -> int:
+        """Return the latest start of the incarnations that a departure ends.
+
+        Without a stated start, a departure ends the incarnation that is known.
+        If none is, as an earlier process of this node may have known it, it
+        ends those that have started by now.
+
+        Args:
+            instance: Id of the instance.
+            born_ms: The start that the target stated, None if it did not.
+        """
+        if born_ms is not None:
+            return born_ms
+        current = self.current
+        if current is not None and current.heartbeat.instance == instance:
+            return current.heartbeat.born_ms
+        return self.wall_clock_ms()
 
 
 def _is_same_incarnation(one: Heartbeat, other: Heartbeat) -> bool:
@@ -370,3 +381,7 @@
 
 def _ignore_load(incarnation: Incarnation, text: str) -> None:
     """Do nothing."""
+
+
+def _read_wall_clock_ms() -> int:
+    return int(time.time() * MS_PER_S)
