Acknowledge a departure once the log holds it

What callers saw: requests sent to a target that had left, after its node had restarted.

Change: a package of its own. A process that starts reads the records of those before it and closes its gate at once. They are written again when the log comes back from an older copy.

--- a/filbertdrift/directory.py
+++ b/filbertdrift/directory.py
@@ -11,7 +11,7 @@
 import asyncio
 import random
 from collections import Counter
-from collections.abc import Mapping, Sequence
+from collections.abc import Awaitable, Callable, Collection, Mapping, Sequence
 
 from loguru import logger
 
@@ -45,6 +45,10 @@
         membership: Membership of this node.
         seeds: Addresses from the settings, possibly stale.
         rng: Samples peers and adds jitter.
+
+    Attributes:
+        on_absent: Called with the nodes whose entries are dropped next; raises
+            LogUnavailable if they are not to be dropped yet.
     """
 
     def __init__(
@@ -58,6 +62,9 @@
         """Start unregistered."""
         # Whether the entry of this node stands, as far as is known.
         self.is_registered = False
+        self.on_absent: Callable[[Collection[str]], Awaitable[None]] = (
+            _ignore_absent
+        )
         # Set when the first node has replied, or none has.
         self.has_tried = asyncio.Event()
         self._log = log
@@ -157,7 +164,10 @@
         )
         if not self._is_ranked(1):
             return
-        for node in filter(self._is_stale, sorted(listed - alive)):
+        stale = list(filter(self._is_stale, sorted(listed - alive)))
+        if stale:
+            await self.on_absent(stale)
+        for node in stale:
             await self._log.append(self._stream, KeyedRecord(node, b''))
             logger.bind(event='directory_dropped', member=node).info(
                 'entry of {} dropped',
@@ -252,3 +262,7 @@
 
     def _sample(self, nodes: list[str], count: int) -> list[str]:
         return self._rng.sample(nodes, min(count, len(nodes)))
+
+
+async def _ignore_absent(nodes: Collection[str]) -> None:
+    """Do nothing."""
--- a/filbertdrift/lifecycle.py
+++ b/filbertdrift/lifecycle.py
@@ -109,6 +109,8 @@
         costs: Estimates the cost of requests, None for means by kind. It is
             taken over by the next incarnation.
         wall_clock_ms: Returns the Unix time in milliseconds.
+        departures: The incarnations that have left.
+        on_departure: Called with each departure that is recorded.
     """
 
     def __init__(
@@ -127,12 +129,13 @@
         self.call_room = CallRoom()
         self.costs: CostSource | None = None
         self.wall_clock_ms = _read_wall_clock_ms
+        self.departures = DepartureHistory()
+        self.on_departure: Callable[[Departure], None] = _ignore_departure
         self._by_cost = False
         self._slot_time_log = SlotTimeLog(self.slot_time)
         self._membership = membership
         self._open_target = open_target
         self._rng = rng
-        self._departures = DepartureHistory()
 
     @property
     def by_cost(self) -> bool:
@@ -165,14 +168,7 @@
         self.counters.heartbeats += 1
         outdated_by = self._find_outdated_by(heartbeat)
         if outdated_by:
-            self.counters.outdated += 1
-            logger.bind(
-                event='heartbeat_outdated',
-                instance=heartbeat.instance,
-                born_ms=heartbeat.born_ms,
-                sequence=heartbeat.sequence,
-                reason=outdated_by,
-            ).info('heartbeat of {} ignored', heartbeat.instance)
+            self._ignore(heartbeat, outdated_by)
             return
         current = self.current
         if current and _is_same_incarnation(current.heartbeat, heartbeat):
@@ -181,36 +177,55 @@
         else:
             self._start_incarnation(heartbeat)
         if heartbeat.is_draining:
-            self._start_departure(heartbeat)
-            if current is not self.current:
-                # The first heartbeat recorded of this incarnation reports that
-                # it drains: an earlier process of this node may have
-                # acknowledged the departure already.
-                self._close_gate_now()
-
-    def leave(self, instance: str, born_ms: int | None) -> None:
+            # If this is the first heartbeat recorded of the incarnation, an
+            # earlier process of this node may have acknowledged the departure
+            # already.
+            is_first = current is not self.current
+            record = self.adopt_departure if is_first else self.record_departure
+            record(_departure_of(heartbeat))
+
+    def leave(self, instance: str, born_ms: int | None) -> Departure:
         """Record a target's departure, announced or complete.
 
         Args:
             instance: Id of the instance.
             born_ms: Start time of the incarnation, None if not stated.
+
+        Returns:
+            The departure.
         """
-        current = self.current
         departure = Departure(
             instance, self._find_latest_start(instance, born_ms)
         )
-        is_current = current is not None and departure.covers(
-            current.heartbeat.instance, current.heartbeat.born_ms
-        )
         logger.bind(
             event='target_departed',
             instance=instance,
             born_ms=born_ms,
-            is_current=is_current,
+            is_current=self._is_current(departure),
         ).info('target {} departs', instance)
-        self._departures.add(departure)
-        if current is not None and is_current:
-            self._start_departure(current.heartbeat)
+        self.record_departure(departure)
+        return departure
+
+    def record_departure(self, departure: Departure) -> None:
+        """Record a departure; its target gets no new requests."""
+        now = asyncio.get_running_loop().time()
+        if self.departures.add(departure, now):
+            self.on_departure(departure)
+        else:
+            logger.bind(
+                event='departure_not_recorded', instance=departure.instance
+            ).warning('too many departures')
+        if self._is_current(departure):
+            self._start_departure()
+
+    def adopt_departure(self, departure: Departure) -> None:
+        """Record a departure that an earlier process may have acknowledged.
+
+        The other nodes know of it, so the gate closes at once.
+        """
+        self.record_departure(departure)
+        if self._is_current(departure):
+            self._close_gate_now()
 
     def record_statement(
         self,
@@ -228,8 +243,8 @@
         incarnation.gate.record_limit(statement.limit_per_s, sent_at)
         if statement.load:
             self.on_load(incarnation, statement.load)
-        if statement.is_leaving and incarnation is self.current:
-            self._start_departure(incarnation.heartbeat)
+        if statement.is_leaving and not incarnation.is_leaving:
+            self.record_departure(_departure_of(incarnation.heartbeat))
 
     def record_notice(self, notice: ttypes.TargetNotice) -> None:
         """Record what another node has heard of the target before.
@@ -249,8 +264,7 @@
         if notice.limit_per_s is not None:
             current.gate.limit.adopt(notice.limit_per_s)
         if notice.is_leaving and not current.is_leaving:
-            self._start_departure(current.heartbeat)
-            self._close_gate_now()
+            self.adopt_departure(_departure_of(current.heartbeat))
 
     def set_health(self, *, is_healthy: bool) -> None:
         """Set the target's health and announce its status."""
@@ -300,7 +314,7 @@
 
     def _find_outdated_by(self, heartbeat: Heartbeat) -> str:
         """Return what is newer than a heartbeat, empty if nothing is."""
-        if self._departures.covers(heartbeat.instance, heartbeat.born_ms):
+        if self.departures.find(heartbeat.instance, heartbeat.born_ms):
             return 'its departure'
         if self.current is None:
             return ''
@@ -311,6 +325,25 @@
         is_earlier = heartbeat.born_ms < latest.born_ms
         return 'a later start' if is_earlier else ''
 
+    def _ignore(self, heartbeat: Heartbeat, outdated_by: str) -> None:
+        """Ignore a heartbeat, but for a departure that it announces."""
+        self.counters.outdated += 1
+        logger.bind(
+            event='heartbeat_outdated',
+            instance=heartbeat.instance,
+            born_ms=heartbeat.born_ms,
+            sequence=heartbeat.sequence,
+            reason=outdated_by,
+        ).info('heartbeat of {} ignored', heartbeat.instance)
+        current = self.current
+        is_offered = (
+            current is not None
+            and not current.is_leaving
+            and _is_same_incarnation(current.heartbeat, heartbeat)
+        )
+        if heartbeat.is_draining and not is_offered:
+            self.record_departure(_departure_of(heartbeat))
+
     def _start_incarnation(self, heartbeat: Heartbeat) -> None:
         self.counters.incarnations += 1
         before = self.current
@@ -341,18 +374,24 @@
         self.is_healthy = True
         self.announce_status()
 
-    def _start_departure(self, heartbeat: Heartbeat) -> None:
+    def _is_current(self, departure: Departure) -> bool:
+        """Return whether a departure is that of the current incarnation."""
+        current = self.current
+        return current is not None and departure.covers(
+            current.heartbeat.instance, current.heartbeat.born_ms
+        )
+
+    def _start_departure(self) -> None:
         current = self.current
         if current is None or current.is_leaving:
             return
         self.counters.leavings += 1
         logger.bind(
             event='target_leaving',
-            instance=heartbeat.instance,
-            born_ms=heartbeat.born_ms,
-        ).info('target {} leaves', heartbeat.instance)
+            instance=current.heartbeat.instance,
+            born_ms=current.heartbeat.born_ms,
+        ).info('target {} leaves', current.heartbeat.instance)
         current.is_leaving = True
-        self._departures.add(Departure(heartbeat.instance, heartbeat.born_ms))
         self.close_gate()
         self.announce_status()
 
@@ -379,6 +418,14 @@
     return one.instance == other.instance and one.born_ms == other.born_ms
 
 
+def _departure_of(heartbeat: Heartbeat) -> Departure:
+    return Departure(heartbeat.instance, heartbeat.born_ms)
+
+
+def _ignore_departure(departure: Departure) -> None:
+    """Do nothing."""
+
+
 def _ignore_load(incarnation: Incarnation, text: str) -> None:
     """Do nothing."""
 
--- a/filbertdrift/mesh.py
+++ b/filbertdrift/mesh.py
@@ -13,8 +13,7 @@
 from loguru import logger
 
 from filbertdrift import config_holder, http1, lifecycle, peercalls
-from filbertdrift.accounts import admission
-from filbertdrift.accounts.authentication import Authenticator, Permission
+from filbertdrift.accounts import admission, authentication
 from filbertdrift.accounts.quota import build_limiter
 from filbertdrift.accounts.usage import AccountUsage
 from filbertdrift.balance.callwatch import CallWatch
@@ -28,6 +27,7 @@
 from filbertdrift.contract import HeaderNames
 from filbertdrift.crash_sync import CrashSync
 from filbertdrift.crashes import CrashLedger
+from filbertdrift.departures.keeper import DepartureKeeper
 from filbertdrift.directory import Directory
 from filbertdrift.dispatch import Dispatcher
 from filbertdrift.durations import DurationHistogram
@@ -127,7 +127,7 @@
             self.holder,
             self.membership.prober.recent_delay_s,
         )
-        self.authenticator = Authenticator(
+        self.authenticator = authentication.Authenticator(
             self.holder,
             self.freshness,
             header_names.api_key,
@@ -158,8 +158,8 @@
             settings.seeds,
             rng,
         )
-        self.freshness.on_era = self.directory.on_era
-        log.on_era = self.directory.on_era
+        self.freshness.on_era = self._on_era
+        log.on_era = self._on_era
         self.crashes = CrashLedger(identity.address, rng)
         self.crashes.send_notice = self.membership.broadcast
         self.crash_sync = CrashSync(self.crashes, self.links)
@@ -210,6 +210,15 @@
         self.health.probe = TargetProbe(
             self.lifecycle, self.holder, header_names
         ).probe
+        self.departure_keeper = DepartureKeeper(
+            log,
+            settings.departures_stream,
+            identity.address,
+            self.lifecycle.adopt_departure,
+            rng,
+        )
+        self.lifecycle.on_departure = self.departure_keeper.add
+        self.directory.on_absent = self.departure_keeper.remove_nodes
         self.call_watch = CallWatch(
             self.lifecycle.call_room, self.lifecycle.find_running_kinds
         )
@@ -282,6 +291,7 @@
             ('pause detector', self.pause.run),
             ('membership', self.membership.run),
             ('directory', self.directory.run),
+            ('departures', self.departure_keeper.run),
             ('boot', self._boot),
             ('health', self.health.run),
             ('quota', self.quota.run),
@@ -409,7 +419,7 @@
 
     def authenticate(
         self, headers: http1.Headers, route: PrefixRoute
-    ) -> Permission | None:
+    ) -> authentication.Permission | None:
         """Return whose request it is, None if there are no accounts.
 
         Raises:
@@ -495,6 +505,10 @@
         account = config.accounts.accounts.get(name)
         return account.rate_per_s or 1 if account else 1
 
+    def _on_era(self, era: int) -> None:
+        self.directory.on_era(era)
+        self.departure_keeper.on_era(era)
+
     def _on_pause(self) -> None:
         self.membership.suspicions.clear()
         self.freshness.forget()
@@ -517,7 +531,7 @@
         while True:
             await asyncio.sleep(EXPIRY_INTERVAL_S)
             self.lifecycle.log_slot_time()
-            self.crashes.remove_expired()
+            self._remove_expired_records()
             alive_nodes = {
                 member.node for member in self.membership.table.alive()
             }
@@ -531,3 +545,10 @@
             if config is not None:
                 route_names = {route.name for route in config.routes}
                 self.wait_estimator.retain_routes(route_names)
+
+    def _remove_expired_records(self) -> None:
+        self.crashes.remove_expired()
+        now = asyncio.get_running_loop().time()
+        self.departure_keeper.remove(
+            self.lifecycle.departures.remove_expired(now)
+        )
--- a/filbertdrift/mesh_metrics.py
+++ b/filbertdrift/mesh_metrics.py
@@ -24,6 +24,7 @@
         'requests': node.dispatcher.counters,
         'handover': node.handover.counters,
         'target': node.lifecycle.counters,
+        'departures': node.departure_keeper.counters,
         'slot_time': node.lifecycle.slot_time,
         'config': node.holder.counters,
         'config_watch': node.watch.counters,
--- a/filbertdrift/mesh_settings.py
+++ b/filbertdrift/mesh_settings.py
@@ -22,6 +22,7 @@
         config_stream: The log stream with the operator's records.
         config_key: The key of the configuration in that stream.
         directory_stream: The log stream with the addresses of nodes.
+        departures_stream: The log stream with the departures of targets.
         retry_limits: Limits of the retry budget that all nodes share.
         termination_grace_s: Time between SIGTERM and SIGKILL.
         config_apply_s: How long after its acknowledgement a change may take to
@@ -42,6 +43,7 @@
     config_stream: str
     config_key: str
     directory_stream: str
+    departures_stream: str
     retry_limits: RetryLimits
     termination_grace_s: float
     config_apply_s: float = DEFAULT_CONFIG_APPLY_S
--- a/filbertdrift/platform/daemon.py
+++ b/filbertdrift/platform/daemon.py
@@ -40,6 +40,7 @@
 from filbertdrift.target import HttpTarget
 
 DIRECTORY_STREAM = 'keyed.nodes'
+DEPARTURES_STREAM = 'keyed.departures'
 MAX_IDLE_TARGET_CONNECTIONS = 64
 MS_PER_S = 1000
 
@@ -90,6 +91,7 @@
             config_stream=OPERATOR_STREAM,
             config_key=CONFIG_KEY,
             directory_stream=DIRECTORY_STREAM,
+            departures_stream=DEPARTURES_STREAM,
             retry_limits=settings.retry_limits,
             termination_grace_s=settings.termination_grace_s,
             config_apply_s=settings.config_apply_s,
@@ -119,7 +121,7 @@
 
 async def _run(settings: PlatformSettings, *, balances_by_cost: bool) -> None:
     node = build_node(settings, balances_by_cost=balances_by_cost)
-    target_calls = TargetCalls(node.lifecycle)
+    target_calls = TargetCalls(node.lifecycle, node.departure_keeper)
     metrics_calls = MetricsHandler(node)
     ready_check = ReadyCheck(lambda: node.is_ready)
     listeners = [
--- a/standins/mesh_fleet.py
+++ b/standins/mesh_fleet.py
@@ -38,6 +38,7 @@
 from standins.scripted_target import ScriptedTarget, TargetScript
 
 DIRECTORY_STREAM = 'keyed.nodes'
+DEPARTURES_STREAM = 'keyed.departures'
 HOST = 'desk.example'
 HEARTBEAT_INTERVAL_S = 1.5
 READ_TIMEOUT_S = 1.0
@@ -350,6 +351,7 @@
                 config_stream=OPERATOR_STREAM,
                 config_key=CONFIG_KEY,
                 directory_stream=DIRECTORY_STREAM,
+                departures_stream=DEPARTURES_STREAM,
                 retry_limits=self.limits,
                 termination_grace_s=6,
                 link_mbps=self.link_mbps,
--- a/tests/socket_mesh.py
+++ b/tests/socket_mesh.py
@@ -130,6 +130,7 @@
         config_stream='keyed.op',
         config_key='config',
         directory_stream='keyed.nodes',
+        departures_stream='keyed.departures',
         retry_limits=RetryLimits(),
         termination_grace_s=grace_s,
         revoke_s=revoke_s,
--- a/tests/test_cut_responses.py
+++ b/tests/test_cut_responses.py
@@ -236,6 +236,7 @@
             config_stream='keyed.op',
             config_key='config',
             directory_stream='keyed.nodes',
+            departures_stream='keyed.departures',
             retry_limits=RetryLimits(),
             termination_grace_s=6,
         ),
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -1,12 +1,19 @@
 """Departures that a node acknowledges hold, also for its next process."""
 
+import asyncio
 import json
 
 from testtools import TestCase
-from testtools.matchers import Equals, Is
+from testtools.matchers import Equals, Is, LessThan
+from testtools.testcase import ExpectedException
 
+from filbertdrift.contract import TargetStatement
+from filbertdrift.departures.history import KEPT_FOR_S, MAX_DEPARTURES
+from filbertdrift.directory import MAX_MISSED_READS, REJOIN_INTERVAL_S
+from filbertdrift.errors import RequestNotRun
 from filbertdrift.platform.registry import TargetCalls
 from standins.mesh_fleet import (
+    DEPARTURES_STREAM,
     MeshFleet,
     MeshInstance,
     config_document,
@@ -14,25 +21,34 @@
 )
 from tests.builders import run_virtual
 
+NODE = 'a-0:7000'
+OTHER_NODE = 'a-1:7000'
 READY, DRAINING = 'ready', 'draining'
+ACKNOWLEDGED, UNAVAILABLE = 200, 503
 
 
-class TargetOfFleet:
+class TargetBeside:
     """Calls of a target to the node beside it, which may have restarted.
 
     Args:
         instance: The node and its target.
         born_ms: The start that it states, None to state none.
+        name: Its instance id, None for that of the instance.
     """
 
     def __init__(
-        self, instance: MeshInstance, born_ms: int | None = None
+        self,
+        instance: MeshInstance,
+        born_ms: int | None = None,
+        name: str | None = None,
     ) -> None:
         self.node = instance.node
+        self.name = name or instance.instance
         self._stated = heartbeat(instance)
         self._born = {} if born_ms is None else {'born': born_ms}
-        self._path = f'/instances/{self._stated.instance}'
-        self._calls = TargetCalls(instance.node.lifecycle)
+        self._calls = TargetCalls(
+            instance.node.lifecycle, instance.node.departure_keeper
+        )
 
     async def beat(self, state: str = READY, sequence: int = 1) -> int:
         """Send a heartbeat; return the status of the reply."""
@@ -45,20 +61,27 @@
             'seq': sequence,
             **self._born,
         }
-        body = json.dumps(fields).encode()
-        return (await self._calls.serve('PUT', self._path, body)).status
+        return await self._call('PUT', json.dumps(fields).encode())
 
     async def leave(self, *, states_start: bool = True) -> int:
         """Send DELETE; return the status of the reply."""
         stated = self._born if states_start else {}
         body = json.dumps(stated).encode() if stated else b''
-        return (await self._calls.serve('DELETE', self._path, body)).status
+        return await self._call('DELETE', body)
 
     @property
     def is_offered(self) -> bool:
-        """Return whether the node lets requests reach the target."""
+        """Return whether the node lets requests reach this target."""
         current = self.node.lifecycle.current
-        return current is not None and not current.is_leaving
+        return (
+            current is not None
+            and not current.is_leaving
+            and current.heartbeat.instance == self.name
+        )
+
+    async def _call(self, method: str, body: bytes) -> int:
+        path = f'/instances/{self.name}'
+        return (await self._calls.serve(method, path, body)).status
 
 
 async def silent_fleet(count: int = 2) -> MeshFleet:
@@ -78,11 +101,16 @@
     return instance
 
 
-async def unknown_target(born_ms: int | None = None) -> TargetOfFleet:
+async def restart(fleet: MeshFleet, born_ms: int | None = None) -> TargetBeside:
+    """Restart a node; return its target, of which it has not heard."""
+    killed = await fleet.kill(NODE)
+    restarted = silence(await fleet.restart(killed))
+    return TargetBeside(restarted, born_ms)
+
+
+async def unknown_target(born_ms: int | None = None) -> TargetBeside:
     """Return a target of which its node has not heard."""
-    fleet = await silent_fleet()
-    first = await fleet.kill('a-0:7000')
-    return TargetOfFleet(silence(await fleet.restart(first)), born_ms)
+    return await restart(await silent_fleet(), born_ms)
 
 
 class UnknownTargetTest(TestCase):
@@ -126,5 +154,193 @@
         target = await unknown_target(born_ms=1)
         await target.beat()
         self.assertThat(target.is_offered, Is(True))
-        target.node.lifecycle.leave(f'i-{target.node.identity.address}', 2)
+        target.node.lifecycle.leave(target.name, 2)
+        self.assertThat(target.is_offered, Is(False))
+
+
+class RestartTest(TestCase):
+    """A departure, then a restart of the node, then a late heartbeat.
+
+    Guards against a process that forgets what the one before acknowledged.
+    """
+
+    def test_left_without_a_stated_start(self) -> None:
+        run_virtual(self._leave(None))
+
+    def test_left_with_a_stated_start(self) -> None:
+        run_virtual(self._leave(17))
+
+    async def _leave(self, born_ms: int | None) -> None:
+        fleet = await silent_fleet()
+        target = TargetBeside(fleet.instances[NODE], born_ms)
+        await target.beat()
+        self.assertThat(await target.leave(), Equals(ACKNOWLEDGED))
+        await self._check_after_restart(fleet, born_ms)
+
+    def test_announced_by_heartbeat(self) -> None:
+        run_virtual(self._drain())
+
+    async def _drain(self) -> None:
+        fleet = await silent_fleet()
+        target = TargetBeside(fleet.instances[NODE])
+        await target.beat()
+        status = await target.beat(DRAINING, sequence=3)
+        self.assertThat(status, Equals(ACKNOWLEDGED))
+        await self._check_after_restart(fleet)
+
+    def test_stated_in_a_response(self) -> None:
+        run_virtual(self._state())
+
+    async def _state(self) -> None:
+        fleet = await silent_fleet()
+        target = TargetBeside(fleet.instances[NODE])
+        await target.beat()
+        lifecycle = target.node.lifecycle
+        assert lifecycle.current is not None
+        lifecycle.record_statement(
+            lifecycle.current, TargetStatement(is_leaving=True), 0
+        )
+        await asyncio.sleep(0.1)
+        await self._check_after_restart(fleet)
+
+    def test_heartbeat_before_the_departure_is_read(self) -> None:
+        run_virtual(self._late_read())
+
+    async def _late_read(self) -> None:
+        fleet = await silent_fleet()
+        target = TargetBeside(fleet.instances[NODE])
+        await target.beat()
+        await target.leave()
+        fleet.log.is_down = True
+        target = await restart(fleet)
+        await target.beat(sequence=2)
+        fleet.log.is_down = False
+        await asyncio.sleep(5)
+        self.assertThat(target.is_offered, Is(False))
+
+    def test_heartbeat_announces_the_departure_of_an_earlier_start(
+        self,
+    ) -> None:
+        run_virtual(self._earlier_start())
+
+    async def _earlier_start(self) -> None:
+        fleet = await silent_fleet()
+        await TargetBeside(fleet.instances[NODE], 2, 'i-next').beat()
+        target = TargetBeside(fleet.instances[NODE], 1)
+        status = await target.beat(DRAINING)
+        self.assertThat(status, Equals(ACKNOWLEDGED))
+        await self._check_after_restart(fleet, born_ms=1)
+
+    async def _check_after_restart(
+        self, fleet: MeshFleet, born_ms: int | None = None
+    ) -> None:
+        target = await restart(fleet, born_ms)
+        await asyncio.sleep(0.5)
+        await target.beat(sequence=2)
+        self.assertThat(target.is_offered, Is(False))
+        runs = len(fleet.instances[NODE].script.run_times)
+        with ExpectedException(RequestNotRun):
+            await fleet.call(OTHER_NODE, '/write/1')
+        self.assertThat(
+            len(fleet.instances[NODE].script.run_times), Equals(runs)
+        )
+
+
+class AcknowledgementTest(TestCase):
+    """A departure is acknowledged once it is kept."""
+
+    def test_log_unavailable(self) -> None:
+        run_virtual(self._unavailable())
+
+    async def _unavailable(self) -> None:
+        fleet = await silent_fleet()
+        target = TargetBeside(fleet.instances[NODE])
+        await target.beat()
+        fleet.log.is_down = True
+        loop = asyncio.get_running_loop()
+        sent_at = loop.time()
+        self.assertThat(await target.leave(), Equals(UNAVAILABLE))
+        # A target waits for an acknowledgement for a second.
+        self.assertThat(loop.time() - sent_at, LessThan(1))
+        self.assertThat(target.is_offered, Is(False))
+        fleet.log.is_down = False
+        await asyncio.sleep(3)
+        self.assertThat(await target.leave(), Equals(ACKNOWLEDGED))
+        target = await restart(fleet)
+        await asyncio.sleep(0.5)
+        await target.beat(sequence=2)
         self.assertThat(target.is_offered, Is(False))
+
+    def test_many_departures(self) -> None:
+        run_virtual(self._many())
+
+    async def _many(self) -> None:
+        fleet = await silent_fleet()
+        instance = fleet.instances[NODE]
+        first = TargetBeside(instance)
+        await first.beat()
+        for number in range(MAX_DEPARTURES):
+            statuses = {
+                await TargetBeside(instance, name=f'i-{number}').leave()
+                for _ in range(2)
+            }
+            self.assertThat(statuses, Equals({ACKNOWLEDGED}))
+        # There is no room for another one, so it is not acknowledged.
+        self.assertThat(await first.leave(), Equals(UNAVAILABLE))
+        self.assertThat(first.is_offered, Is(False))
+        late = TargetBeside(instance, name='i-0')
+        await late.beat()
+        self.assertThat(late.is_offered, Is(False))
+
+    def test_next_instance_at_the_same_address(self) -> None:
+        run_virtual(self._next_instance())
+
+    async def _next_instance(self) -> None:
+        fleet = await silent_fleet()
+        instance = fleet.instances[NODE]
+        departing = TargetBeside(instance)
+        await departing.beat()
+        following = TargetBeside(instance, name='i-next')
+        await asyncio.gather(departing.leave(), following.beat())
+        await departing.beat(sequence=2)
+        self.assertThat(following.is_offered, Is(True))
+
+
+class RecordTest(TestCase):
+    """The records of departures on the log."""
+
+    def test_deleted_in_time(self) -> None:
+        run_virtual(self._expire())
+
+    async def _expire(self) -> None:
+        fleet = await silent_fleet()
+        await TargetBeside(fleet.instances[NODE]).leave()
+        self.assertThat(await self._count(fleet), Equals(1))
+        await asyncio.sleep(KEPT_FOR_S / 2)
+        self.assertThat(await self._count(fleet), Equals(1))
+        await asyncio.sleep(KEPT_FOR_S)
+        self.assertThat(await self._count(fleet), Equals(0))
+
+    def test_deleted_with_the_node(self) -> None:
+        run_virtual(self._absent())
+
+    async def _absent(self) -> None:
+        fleet = await silent_fleet(count=3)
+        await TargetBeside(fleet.instances[NODE]).leave()
+        await fleet.kill(NODE)
+        await asyncio.sleep(REJOIN_INTERVAL_S * (MAX_MISSED_READS + 2) * 1.25)
+        self.assertThat(await self._count(fleet), Equals(0))
+
+    def test_written_again_after_a_loss(self) -> None:
+        run_virtual(self._older_copy())
+
+    async def _older_copy(self) -> None:
+        fleet = await silent_fleet()
+        copy = fleet.log.snapshot()
+        await TargetBeside(fleet.instances[NODE]).leave()
+        await fleet.drill(copy, away_s=1)
+        await asyncio.sleep(10)
+        self.assertThat(await self._count(fleet), Equals(1))
+
+    async def _count(self, fleet: MeshFleet) -> int:
+        return len((await fleet.log.newest(DEPARTURES_STREAM)).records)
