Tell a restarted node which target has left, also without the log

Cause: the ingress nodes sent back only what responses had stated, and a node that had not heard of its target yet dropped what they told it.

Change: the record of a member names the departed target while it has no other, so that all nodes hear of it by gossip; they send it with their requests, as what targets state. The gate takes it down also before the first heartbeat.

--- a/filbertdrift/departures/history.py
+++ b/filbertdrift/departures/history.py
@@ -1,5 +1,6 @@
 """Which incarnations of the local target have left."""
 
+import time
 from collections.abc import Sequence
 from dataclasses import dataclass
 
@@ -8,6 +9,7 @@
 KEPT_FOR_S = 600.0
 # More than a target that is restarted every second leaves behind.
 MAX_DEPARTURES = 1024
+MS_PER_S = 1000
 
 
 @dataclass(frozen=True, slots=True)
@@ -89,3 +91,8 @@
         for instance in due:
             self._forget_at.pop(instance)
         return [self._departures.pop(instance) for instance in due]
+
+
+def read_wall_clock_ms() -> int:
+    """Return the Unix time in milliseconds."""
+    return int(time.time() * MS_PER_S)
--- a/filbertdrift/gen/ttypes.py
+++ b/filbertdrift/gen/ttypes.py
@@ -88,6 +88,8 @@
      - slots
      - link_mbps: Capacity of the node's link; 0 if unknown.
      - target_version: What its target states as its version.
+     - departed_instance: Latest start of its target that has left, while none serves.
+     - departed_born_ms
 
     """
 
@@ -102,10 +104,12 @@
         'slots',
         'link_mbps',
         'target_version',
+        'departed_instance',
+        'departed_born_ms',
     )
 
 
-    def __init__(self, node=None, domain=None, region=None, service_name=None, generation=None, version=None, status=None, slots=None, link_mbps=None, target_version=None,):
+    def __init__(self, node=None, domain=None, region=None, service_name=None, generation=None, version=None, status=None, slots=None, link_mbps=None, target_version=None, departed_instance=None, departed_born_ms=None,):
         self.node = node
         self.domain = domain
         self.region = region
@@ -116,6 +120,8 @@
         self.slots = slots
         self.link_mbps = link_mbps
         self.target_version = target_version
+        self.departed_instance = departed_instance
+        self.departed_born_ms = departed_born_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -176,6 +182,16 @@
                     self.target_version = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.STRING:
+                    self.departed_instance = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.I64:
+                    self.departed_born_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -226,6 +242,14 @@
             oprot.writeFieldBegin('target_version', TType.STRING, 10)
             oprot.writeString(self.target_version.encode('utf-8') if sys.version_info[0] == 2 else self.target_version)
             oprot.writeFieldEnd()
+        if self.departed_instance is not None:
+            oprot.writeFieldBegin('departed_instance', TType.STRING, 11)
+            oprot.writeString(self.departed_instance.encode('utf-8') if sys.version_info[0] == 2 else self.departed_instance)
+            oprot.writeFieldEnd()
+        if self.departed_born_ms is not None:
+            oprot.writeFieldBegin('departed_born_ms', TType.I64, 12)
+            oprot.writeI64(self.departed_born_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -6109,6 +6133,8 @@
     (8, TType.I32, 'slots', None, None, ),  # 8
     (9, TType.I32, 'link_mbps', None, None, ),  # 9
     (10, TType.STRING, 'target_version', 'UTF8', None, ),  # 10
+    (11, TType.STRING, 'departed_instance', 'UTF8', None, ),  # 11
+    (12, TType.I64, 'departed_born_ms', None, None, ),  # 12
 )
 all_structs.append(StateDigest)
 StateDigest.thrift_spec = (
--- a/filbertdrift/knowntargets.py
+++ b/filbertdrift/knowntargets.py
@@ -28,6 +28,19 @@
         else:
             self._notices[node] = notice
 
+    def record_departure(self, node: str, instance: str, born_ms: int) -> None:
+        """Record that a target has left, as the node beside it announced.
+
+        Args:
+            node: The node.
+            instance: Instance id of the target.
+            born_ms: Latest start of the incarnations that have left, in Unix
+                milliseconds.
+        """
+        self._notices[node] = ttypes.TargetNotice(
+            instance, born_ms, self.find_limit(node), is_leaving=True
+        )
+
     def find(self, node: str) -> ttypes.TargetNotice | None:
         """Return the latest notice of a node's target, None for none."""
         return self._notices.get(node)
--- a/filbertdrift/lifecycle.py
+++ b/filbertdrift/lifecycle.py
@@ -6,7 +6,6 @@
 
 import asyncio
 import random
-import time
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, replace
 
@@ -16,7 +15,11 @@
 from filbertdrift.balance.estimate import CostSource
 from filbertdrift.balance.slottime import SlotTimeCounters, SlotTimeLog
 from filbertdrift.contract import TargetStatement
-from filbertdrift.departures.history import Departure, DepartureHistory
+from filbertdrift.departures.history import (
+    Departure,
+    DepartureHistory,
+    read_wall_clock_ms,
+)
 from filbertdrift.gen import ttypes
 from filbertdrift.members import MemberStatus
 from filbertdrift.membership import Membership
@@ -27,7 +30,6 @@
 # The other nodes receive the LEAVING status within this time. Until then the
 # gate still admits the requests they send, which saves a retry.
 LEAVING_GRACE_S = 0.5
-MS_PER_S = 1000
 NO_END = float('inf')
 
 
@@ -128,11 +130,13 @@
         self.slot_time = SlotTimeCounters()
         self.call_room = CallRoom()
         self.costs: CostSource | None = None
-        self.wall_clock_ms = _read_wall_clock_ms
+        self.wall_clock_ms = read_wall_clock_ms
         self.departures = DepartureHistory()
         self.on_departure: Callable[[Departure], None] = _ignore_departure
         self._by_cost = False
         self._slot_time_log = SlotTimeLog(self.slot_time)
+        # Announced while there is no other target.
+        self._latest_departure: Departure | None = None
         self._membership = membership
         self._open_target = open_target
         self._rng = rng
@@ -215,8 +219,11 @@
             logger.bind(
                 event='departure_not_recorded', instance=departure.instance
             ).warning('too many departures')
+        self._latest_departure = departure
         if self._is_current(departure):
             self._start_departure()
+        elif self.current is None:
+            self.announce_status()
 
     def adopt_departure(self, departure: Departure) -> None:
         """Record a departure that an earlier process may have acknowledged.
@@ -255,16 +262,19 @@
         Args:
             notice: The notice of the other node.
         """
+        is_known = self.departures.find(notice.instance, notice.born_ms)
+        if notice.is_leaving and not is_known:
+            # A heartbeat from before may still be on its way.
+            self.adopt_departure(Departure(notice.instance, notice.born_ms))
         current = self.current
-        if current is None or (notice.instance, notice.born_ms) != (
-            current.heartbeat.instance,
-            current.heartbeat.born_ms,
-        ):
+        if current is None or notice.limit_per_s is None:
             return
-        if notice.limit_per_s is not None:
+        heartbeat = current.heartbeat
+        if (notice.instance, notice.born_ms) == (
+            heartbeat.instance,
+            heartbeat.born_ms,
+        ):
             current.gate.limit.adopt(notice.limit_per_s)
-        if notice.is_leaving and not current.is_leaving:
-            self.adopt_departure(_departure_of(current.heartbeat))
 
     def set_health(self, *, is_healthy: bool) -> None:
         """Set the target's health and announce its status."""
@@ -285,6 +295,7 @@
                 status = MemberStatus.SERVING
         elif self.is_node_leaving:
             status = MemberStatus.LEAVING
+        departure = self._find_announced_departure()
         local_member = self._membership.local_member
         changed = replace(
             local_member,
@@ -292,6 +303,8 @@
             slots=slots,
             status=status,
             target_version=version,
+            departed_instance=departure.instance if departure else '',
+            departed_born_ms=departure.until_ms if departure else 0,
         )
         if changed != local_member:
             self._membership.update_local_member(changed)
@@ -308,6 +321,16 @@
             gate.runs_end_at = min(gate.runs_end_at, runs_end_at)
             gate.closes_at = min(gate.closes_at, now + LEAVING_GRACE_S)
 
+    def _find_announced_departure(self) -> Departure | None:
+        """Return the departure that other nodes should know, None for none.
+
+        They tell the next process of this node.
+        """
+        current = self.current
+        if current is None:
+            return self._latest_departure
+        return _departure_of(current.heartbeat) if current.is_leaving else None
+
     def _close_gate_now(self) -> None:
         if self.current is not None:
             self.current.gate.closes_at = 0
@@ -428,7 +451,3 @@
 
 def _ignore_load(incarnation: Incarnation, text: str) -> None:
     """Do nothing."""
-
-
-def _read_wall_clock_ms() -> int:
-    return int(time.time() * MS_PER_S)
--- a/filbertdrift/members.py
+++ b/filbertdrift/members.py
@@ -40,6 +40,9 @@
         slots: Concurrent requests that its target accepts.
         link_mbps: Capacity of its link in Mbit/s, 0 if unknown.
         target_version: The version that its target states, empty if none.
+        departed_instance: Instance id of its target that has left, while it
+            has no other; empty if none has.
+        departed_born_ms: Latest start of the incarnations that have left.
     """
 
     node: str
@@ -53,6 +56,8 @@
     # Not in the repr, which nodes of earlier releases hash without it.
     link_mbps: int = field(default=0, repr=False)
     target_version: str = field(default='', repr=False)
+    departed_instance: str = field(default='', repr=False)
+    departed_born_ms: int = field(default=0, repr=False)
 
     def supersedes(self, other: 'Member') -> bool:
         """Return whether this record overrides the other."""
@@ -241,6 +246,8 @@
         slots=member.slots,
         link_mbps=member.link_mbps or None,
         target_version=member.target_version or None,
+        departed_instance=member.departed_instance or None,
+        departed_born_ms=member.departed_born_ms or None,
     )
 
 
@@ -262,6 +269,8 @@
             slots=entry.slots or 0,
             link_mbps=entry.link_mbps or 0,
             target_version=entry.target_version or '',
+            departed_instance=entry.departed_instance or '',
+            departed_born_ms=entry.departed_born_ms or 0,
         )
     except (TypeError, ValueError) as exc:
         raise MalformedMessage(str(exc), step='read member') from exc
--- a/filbertdrift/mesh.py
+++ b/filbertdrift/mesh.py
@@ -526,6 +526,12 @@
                 service=member.service,
                 status=member.status.name,
             ).info('member {} is {}', member.node, member.status.name)
+            if member.departed_instance:
+                self.dispatcher.known_targets.record_departure(
+                    member.node,
+                    member.departed_instance,
+                    member.departed_born_ms,
+                )
 
     async def _remove_expired(self) -> None:
         while True:
--- a/idl/filbertdrift.thrift
+++ b/idl/filbertdrift.thrift
@@ -23,6 +23,9 @@
   9: optional i32 link_mbps
   /** What its target states as its version. */
   10: optional string target_version
+  /** Latest start of its target that has left, while none serves. */
+  11: optional string departed_instance
+  12: optional i64 departed_born_ms
 }
 
 /** What a node holds, in a few bytes. */
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -11,6 +11,7 @@
 from filbertdrift.departures.history import KEPT_FOR_S, MAX_DEPARTURES
 from filbertdrift.directory import MAX_MISSED_READS, REJOIN_INTERVAL_S
 from filbertdrift.errors import RequestNotRun
+from filbertdrift.gen import ttypes
 from filbertdrift.platform.registry import TargetCalls
 from standins.mesh_fleet import (
     DEPARTURES_STREAM,
@@ -246,6 +247,50 @@
         )
 
 
+class ToldByOthersTest(TestCase):
+    """Other nodes tell a restarted one of departures.
+
+    Guards against a process that offers a target again while the log, which
+    has the departure, cannot be read.
+    """
+
+    def test_log_unavailable_after_the_restart(self) -> None:
+        run_virtual(self._without_log(born_ms=None))
+
+    def test_log_unavailable_with_a_stated_start(self) -> None:
+        run_virtual(self._without_log(born_ms=17))
+
+    async def _without_log(self, born_ms: int | None) -> None:
+        fleet = await silent_fleet(count=3)
+        target = TargetBeside(fleet.instances[NODE], born_ms)
+        await TargetBeside(fleet.instances[OTHER_NODE]).beat()
+        await target.beat()
+        await target.leave()
+        await asyncio.sleep(0.5)
+        fleet.log.is_down = True
+        target = await restart(fleet, born_ms)
+        await target.node.membership.join([OTHER_NODE, 'a-2:7000'])
+        await target.beat(sequence=2)
+        await asyncio.sleep(0.5)
+        for number in range(20):
+            response = await fleet.call(OTHER_NODE, f'/read/{number}')
+            response.close()
+        script = fleet.instances[NODE].script
+        self.assertThat(len(script.run_times), Equals(0))
+
+    def test_told_before_any_heartbeat(self) -> None:
+        run_virtual(self._told_first())
+
+    async def _told_first(self) -> None:
+        fleet = await silent_fleet()
+        target = TargetBeside(fleet.instances[NODE])
+        target.node.lifecycle.record_notice(
+            ttypes.TargetNotice(target.name, 0, None, is_leaving=True)
+        )
+        await target.beat()
+        self.assertThat(target.is_offered, Is(False))
+
+
 class AcknowledgementTest(TestCase):
     """A departure is acknowledged once it is kept."""
 
