Refuse heartbeats whose numbers, address or id cannot be used

Cause: the model of a heartbeat checked types and not ranges. The address was parsed when a request connected, where a ValueError ended the request without a response, and slots of 2^31 and more were found too large when the message to the other nodes was encoded, after the target had been replaced.

Change: the model has the range of each number, the length of each text, an IPv4 address with a port from 1 to 65535, and an id that fits a header and a message. What does not fit is refused with 400 before anything changes; so for DELETE.

Result: test_odd_entries.HeartbeatTest, 2 tests, failed before and pass: 56 odd bodies under the id of the sound target and under another one leave it in place. Deep nesting was refused before as well.

--- a/filbertdrift/platform/documents.py
+++ b/filbertdrift/platform/documents.py
@@ -7,6 +7,7 @@
 from msgspec import Meta, Struct
 
 from filbertdrift.accounts.directory import AccountDirectory
+from filbertdrift.address import is_ip_address
 from filbertdrift.errors import MalformedMessage
 from filbertdrift.keyedlog import KeyedRecord
 from filbertdrift.lifecycle import Heartbeat
@@ -42,7 +43,12 @@
 # this if it has none.
 DEFAULT_OBJECTIVE_S = 1.0
 LOWEST_PRIORITY = 9
-
+# Ids and names of targets go into messages between nodes.
+MAX_NAME_CHARS = 255
+# A request that runs has a connection of its own, and a port.
+MAX_SLOTS = 65_535
+# The largest whole number that all writers of JSON can state.
+MAX_WHOLE = 9_007_199_254_740_991
 
 # What decoding bytes of any kind raises.
 _DECODE_ERRORS = (msgspec.DecodeError, ValueError, RecursionError)
@@ -54,6 +60,11 @@
 
 _Positive = Annotated[float, Meta(gt=0)]
 _Count = Annotated[int, Meta(ge=1)]
+_Whole = Annotated[int, Meta(ge=0, le=MAX_WHOLE)]
+_Text = Annotated[str, Meta(max_length=MAX_NAME_CHARS)]
+_Name = Annotated[str, Meta(min_length=1, max_length=MAX_NAME_CHARS)]
+# Without blanks and control characters, as it becomes part of a header.
+_Instance = Annotated[str, Meta(pattern=rf'^[!-~]{{1,{MAX_NAME_CHARS}}}\Z')]
 
 
 class _Share(Struct, frozen=True):
@@ -100,16 +111,26 @@
 
 
 class _Heartbeat(Struct, frozen=True):
-    service: str
+    service: _Name
     address: str
     state: Literal['ready', 'draining']
-    slots: _Count
+    slots: Annotated[int, Meta(ge=1, le=MAX_SLOTS)]
     cold_remaining_s: float = 0
     # The sequence number of the heartbeat, counted from the target's start.
-    seq: int = 0
+    seq: _Whole = 0
     # Unix time of the target's start in ms; not all targets send it.
-    born: int = 0
-    version: str = ''
+    born: _Whole = 0
+    version: _Text = ''
+    zone: str = ''
+
+    def __post_init__(self) -> None:
+        """Check the address.
+
+        Raises:
+            ValueError: It is no IP address with a port.
+        """
+        if not is_ip_address(self.address):
+            raise ValueError('address: no IP address with a port')
 
 
 class _RolloutOrder(Struct, frozen=True):
@@ -120,7 +141,7 @@
 
 
 class _Leaving(Struct, frozen=True):
-    born: int | None = None
+    born: _Whole | None = None
 
 
 _CONFIG_DECODER = msgspec.json.Decoder(_Config, strict=False)
@@ -199,9 +220,11 @@
         body: The body of the call.
 
     Raises:
-        MalformedMessage: A field is missing or has the wrong type.
+        MalformedMessage: The id cannot be used, or a field is missing, has the
+            wrong type or is out of range.
     """
     try:
+        msgspec.convert(instance, _Instance)
         model = _HEARTBEAT_DECODER.decode(body)
     except _DECODE_ERRORS as exc:
         raise MalformedMessage(str(exc), step='parse heartbeat') from exc
@@ -259,19 +282,25 @@
     )
 
 
-def parse_leave(body: bytes) -> int | None:
+def parse_leave(instance: str, body: bytes) -> int | None:
     """Decode a leave message of a target.
 
+    Args:
+        instance: The target's instance id, from the path of the call.
+        body: The body of the call.
+
     Returns:
         Unix time of the start of the leaving target in milliseconds, None if
         the message does not state it.
 
     Raises:
-        MalformedMessage: The body is not a leave message.
+        MalformedMessage: The id cannot be used, or the body is not a leave
+            message.
     """
-    if not body:
-        return None
     try:
+        msgspec.convert(instance, _Instance)
+        if not body:
+            return None
         return _LEAVING_DECODER.decode(body).born
     except _DECODE_ERRORS as exc:
         raise MalformedMessage(str(exc), step='parse leaving') from exc
--- a/filbertdrift/platform/registry.py
+++ b/filbertdrift/platform/registry.py
@@ -16,6 +16,7 @@
 READY_PATH = '/ready'
 # A target takes no reply for an acknowledgement after a second.
 ACKNOWLEDGE_WITHIN_S = 0.8
+MAX_LOGGED_CHARS = 255
 
 OK = HttpResponse(200, b'{}')
 UNAVAILABLE = HttpResponse(503, b'{}')
@@ -52,7 +53,7 @@
         except MalformedMessage as exc:
             logger.bind(
                 event='target_call_refused',
-                instance=instance,
+                instance=instance[:MAX_LOGGED_CHARS],
             ).warning('{}', exc)
             return BAD_REQUEST
         if departure is None or await self._keeper.wait_until_kept(
@@ -70,7 +71,7 @@
     ) -> Departure | None:
         """Apply one call; return the departure that it announces."""
         if method == 'DELETE':
-            return self._lifecycle.leave(instance, parse_leave(body))
+            return self._lifecycle.leave(instance, parse_leave(instance, body))
         if method != 'PUT':
             raise MalformedMessage(f'{method} {instance}', step='serve target')
         heartbeat = parse_heartbeat(instance, body)
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -56,7 +56,7 @@
         stated = self._stated
         fields = {
             'service': stated.service,
-            'address': stated.address,
+            'address': '127.0.0.1:8080',
             'slots': stated.slots,
             'state': state,
             'seq': sequence,
--- /dev/null
+++ b/tests/test_odd_entries.py
@@ -0,0 +1,129 @@
+"""Odd entries of another writer: deeply nested, too large, out of range.
+
+Guards against an entry that names no usable target and takes the place of a
+sound one, or ends the task that reads it.
+"""
+
+import asyncio
+import json
+from collections.abc import Mapping
+
+from testtools import TestCase
+from testtools.matchers import Equals, Is
+
+from filbertdrift.platform.registry import TargetCalls
+from standins.mesh_fleet import MeshFleet, config_document
+from tests.builders import run_virtual
+
+NODE = 'a-0:7000'
+SOUND = {
+    'service': 'desk',
+    'address': '127.0.0.1:8080',
+    'zone': 'a',
+    'version': 'v1',
+    'slots': 4,
+    'state': 'ready',
+    'cold_remaining_s': 0,
+    'seq': 1,
+}
+DEPTH = 200_000
+NESTED = b'[' * DEPTH + b']' * DEPTH
+ODD_ADDRESSES = (
+    '127.0.0.1:x',
+    '127.0.0.1:',
+    '',
+    'target',
+    '127.0.0.1:-1',
+    '127.0.0.1:0',
+    '127.0.0.1:65536',
+    '127.0.0.1:99999',
+    f'127.0.0.1:{"9" * 30}',
+    '127.0.0.1:+80',
+    '127.0.0.1:8_0',
+    '127.0.0.1: 80',
+    '127.0.0.1:٨٠',
+    ':8080',
+    '999.0.0.1:8080',
+    'target.example:8080',
+)
+I32 = 0x80000000
+I64 = 0x8000000000000000
+ODD_FIELDS: Mapping[str, tuple[object, ...]] = {
+    'address': ODD_ADDRESSES,
+    'slots': (0, -1, I32, I64, 10**40, 1.5, '4', None),
+    'seq': (-1, I64, 10**40, 'x'),
+    'born': (-1, I64, 10**40, 0.5, 'x', None),
+    'cold_remaining_s': ('x', None),
+    'service': ('', 'x' * 70_000, 'x' * 300, 5, None),
+    'version': ('x' * 300, '\ud800', 5, None),
+    'zone': (5, None),
+    'state': ('resting', 1, None),
+}
+
+
+def odd_bodies() -> list[bytes]:
+    """Return heartbeats with one odd field, and what is no heartbeat."""
+    bodies = [
+        json.dumps({**SOUND, name: odd}).encode()
+        for name, odds in ODD_FIELDS.items()
+        for odd in odds
+    ]
+    sound = json.dumps(SOUND).encode()
+    return [
+        *bodies,
+        NESTED,
+        NESTED[:DEPTH],
+        sound[:-1] + b',"more":' + NESTED + b'}',
+        sound[:-1] + b',"slots":1e999}',
+        b'',
+        b'\xff\x00',
+    ]
+
+
+class HeartbeatTest(TestCase):
+    """Odd heartbeats at the node of a sound target."""
+
+    def test_sound_target_stays(self) -> None:
+        run_virtual(self._stays())
+
+    async def _stays(self) -> None:
+        fleet = MeshFleet()
+        await fleet.publish(config_document())
+        instance = await fleet.add('a', 'desk')
+        await fleet.wait_until_in_force(1, 5)
+        await asyncio.sleep(0.1)
+        lifecycle = instance.node.lifecycle
+        sound = lifecycle.current
+        calls = TargetCalls(lifecycle, instance.node.departure_keeper)
+        for body in odd_bodies():
+            for name in ('i-odd', instance.instance):
+                reply = await calls.serve('PUT', f'/instances/{name}', body)
+                self.assertThat(reply.status, Equals(400), repr(body[:200]))
+                self.assertThat(lifecycle.current, Is(sound))
+        response = await fleet.call(NODE)
+        response.close()
+
+    def test_odd_departures(self) -> None:
+        run_virtual(self._departures())
+
+    async def _departures(self) -> None:
+        fleet = MeshFleet()
+        instance = await fleet.add('a', 'desk')
+        await asyncio.sleep(0.1)
+        calls = TargetCalls(
+            instance.node.lifecycle, instance.node.departure_keeper
+        )
+        path = f'/instances/{instance.instance}'
+        for odd in (-1, I64, 10**40, 'x', 0.5):
+            body = json.dumps({'born': odd}).encode()
+            reply = await calls.serve('DELETE', path, body)
+            self.assertThat(reply.status, Equals(400), repr(odd))
+        for body in (NESTED, NESTED[:DEPTH]):
+            reply = await calls.serve('DELETE', path, body)
+            self.assertThat(reply.status, Equals(400))
+        for name in ('x' * 300, 'i-\u00e9', 'i 1'):
+            reply = await calls.serve('DELETE', f'/instances/{name}', b'')
+            self.assertThat(reply.status, Equals(400), name)
+        current = instance.node.lifecycle.current
+        assert current is not None
+        self.assertThat(current.is_leaving, Is(False))
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -86,10 +86,10 @@
                 parse_heartbeat('i-1', body)
 
     def test_leave(self) -> None:
-        self.assertThat(parse_leave(b''), Is(None))
-        self.assertThat(parse_leave(b'{"born":9}'), Equals(9))
+        self.assertThat(parse_leave('i-1', b''), Is(None))
+        self.assertThat(parse_leave('i-1', b'{"born":9}'), Equals(9))
         with ExpectedException(MalformedMessage):
-            parse_leave(b'{"born":"x"}')
+            parse_leave('i-1', b'{"born":"x"}')
 
 
 class ConfigTest(TestCase):
