Pass over addresses of nodes without a usable port

What callers saw: nothing yet. One entry with a port out of range in the node directory ended the directory task of each node that read it, again after each restart of the task: no node joined or was registered from then on.

Cause: a ValueError of split_address or an OverflowError of the socket is none of the network errors that tasks expect.

Change: entries of the directory are checked before they are joined, and members before they are taken into the table. A connection to an address without a usable port fails as to a node that is down, a datagram to it is not sent, with a log line each.

--- a/filbertdrift/directory.py
+++ b/filbertdrift/directory.py
@@ -15,6 +15,7 @@
 
 from loguru import logger
 
+from filbertdrift.address import has_valid_port
 from filbertdrift.errors import LogUnavailable
 from filbertdrift.keyedlog import NO_ERA, KeyedLog, KeyedRecord
 from filbertdrift.membership import Membership
@@ -246,7 +247,9 @@
     def _sample_peers(self, entries: dict[str, str]) -> list[str]:
         local_member = self._membership.local_member
         known = {member.node for member in self._membership.table.alive()}
-        unjoined = [node for node in entries if node not in known]
+        unjoined = [
+            node for node in entries if node not in known and _is_usable(node)
+        ]
         unjoined.extend(seed for seed in self._seeds if seed not in known)
         near = [
             node
@@ -266,3 +269,13 @@
 
 async def _ignore_absent(nodes: Collection[str]) -> None:
     """Do nothing."""
+
+
+def _is_usable(node: str) -> bool:
+    """Return whether an entry names a node; log one that does not."""
+    if has_valid_port(node):
+        return True
+    logger.bind(event='directory_entry_invalid', member=node).warning(
+        'entry {!r} of the directory names no node', node
+    )
+    return False
--- a/filbertdrift/members.py
+++ b/filbertdrift/members.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field, replace
 from enum import IntEnum
 
+from filbertdrift.address import has_valid_port
 from filbertdrift.errors import MalformedMessage
 from filbertdrift.gen import ttypes
 
@@ -259,7 +260,7 @@
     """
     try:
         return Member(
-            node=_required_text(entry.node),
+            node=_required_address(entry.node),
             domain=_required_text(entry.domain),
             region=entry.region or '',
             service=entry.service_name or '',
@@ -296,3 +297,9 @@
     if not text:
         raise ValueError('empty name')
     return text
+
+
+def _required_address(text: str | None) -> str:
+    if not text or not has_valid_port(text):
+        raise ValueError('no address with a port')
+    return text
--- a/filbertdrift/network.py
+++ b/filbertdrift/network.py
@@ -10,6 +10,9 @@
 from abc import ABC, abstractmethod
 from collections.abc import Awaitable, Callable, Iterable
 
+from loguru import logger
+
+from filbertdrift.address import MAX_PORT
 from filbertdrift.connection import Connection, NetworkCounters
 from filbertdrift.errors import MalformedMessage, PeerUnavailable
 from filbertdrift.network_inner import create_loopback_pair
@@ -267,15 +270,15 @@
         """
         if address == self.address and self._on_connection:
             return self._connect_loopback(self._on_connection)
-        host, port = split_address(address)
         try:
+            host, port = split_address(address)
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 reader, writer = await asyncio.open_connection(
                     host,
                     port,
                     limit=READ_BUFFER_BYTES,
                 )
-        except (OSError, TimeoutError) as exc:
+        except (OSError, TimeoutError, ValueError) as exc:
             raise PeerUnavailable(
                 repr(exc),
                 step='connect',
@@ -294,8 +297,16 @@
         await asyncio.sleep(0)
 
     def _send_datagram(self, address: str, payload: bytes) -> None:
-        if self._datagrams and not self._datagrams.is_closing():
-            self._datagrams.sendto(payload, split_address(address))
+        if not self._datagrams or self._datagrams.is_closing():
+            return
+        try:
+            receiver = split_address(address)
+        except ValueError as exc:
+            logger.bind(event='address_invalid', peer=address).warning(
+                'not sent: {}', exc
+            )
+            return
+        self._datagrams.sendto(payload, receiver)
 
     def _connect_loopback(self, on_connection: OnConnection) -> Connection:
         client_end, server_end = create_loopback_pair(
@@ -325,9 +336,16 @@
 
 
 def split_address(address: str) -> tuple[str, int]:
-    """Split an address such as 127.0.0.1:7000 into host and port."""
-    host, _, port = address.rpartition(':')
-    return host, int(port)
+    """Split an address such as 127.0.0.1:7000 into host and port.
+
+    Raises:
+        ValueError: The port is no number or out of range.
+    """
+    host, _, port_text = address.rpartition(':')
+    port = int(port_text)
+    if not 0 <= port <= MAX_PORT:
+        raise ValueError(f'port {port_text} is out of range')
+    return host, port
 
 
 def format_peer(writer: asyncio.StreamWriter) -> str:
--- a/filbertdrift/target.py
+++ b/filbertdrift/target.py
@@ -351,11 +351,11 @@
             self._idle.pop().close()
 
     async def _connect(self) -> TargetConnection:
-        host, port = split_address(self.address)
         try:
+            host, port = split_address(self.address)
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 return await self._open_connection(host, port)
-        except (OSError, TimeoutError) as exc:
+        except (OSError, TimeoutError, ValueError) as exc:
             raise PeerUnavailable(
                 repr(exc),
                 step='connect to target',
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -10,10 +10,16 @@
 
 from testtools import TestCase
 from testtools.matchers import Equals, Is
+from testtools.testcase import ExpectedException
 
+from filbertdrift.errors import PeerUnavailable
+from filbertdrift.gen import ttypes
+from filbertdrift.keyedlog import KeyedRecord
+from filbertdrift.network import TcpNetwork
 from filbertdrift.platform.registry import TargetCalls
 from standins.mesh_fleet import MeshFleet, config_document
 from tests.builders import run_virtual
+from tests.socket_mesh import request, socket_mesh
 
 NODE = 'a-0:7000'
 SOUND = {
@@ -127,3 +133,44 @@
         current = instance.node.lifecycle.current
         assert current is not None
         self.assertThat(current.is_leaving, Is(False))
+
+
+class AddressTest(TestCase):
+    """Odd addresses in records of the log and in messages of other nodes."""
+
+    def test_entries_of_the_directory(self) -> None:
+        asyncio.run(self._directory())
+
+    async def _directory(self) -> None:
+        async with socket_mesh(target_elsewhere=True) as mesh:
+            for address in ODD_ADDRESSES[:12]:
+                if address:
+                    record = KeyedRecord(address, b'a')
+                    await mesh.log.append('keyed.nodes', record)
+            await mesh.node.directory.join()
+            self.assertThat(len(mesh.node.membership.table), Equals(2))
+            found = await mesh.send(request())
+            self.assertThat(found[:12], Equals(b'HTTP/1.1 200'))
+
+    def test_members(self) -> None:
+        asyncio.run(self._members())
+
+    async def _members(self) -> None:
+        async with socket_mesh(target_elsewhere=True) as mesh:
+            membership = mesh.node.membership
+            entries = [
+                ttypes.MemberEntry(address, 'a', 'one', '', 1, 1, 1, 0)
+                for address in ODD_ADDRESSES[:12]
+            ]
+            membership.serve_sync(ttypes.SyncMembers([], entries[0]))
+            membership.on_datagram('x', 1, ttypes.MemberNotice(entries))
+            self.assertThat(len(membership.table), Equals(2))
+
+    def test_connections(self) -> None:
+        asyncio.run(self._connections())
+
+    async def _connections(self) -> None:
+        network = TcpNetwork('127.0.0.1:1')
+        for address in ODD_ADDRESSES[:12]:
+            with ExpectedException(PeerUnavailable):
+                await network.connect(address)
