--- a/filbertdrift/balance/gatereport.py
+++ b/filbertdrift/balance/gatereport.py
@@ -10,7 +10,8 @@
 from filbertdrift.balance.speed import Slowdown, SpeedMeter
 from filbertdrift.callstream import CallStream
 from filbertdrift.gen import ttypes
-from filbertdrift.lifecycle import Incarnation, TargetLifecycle
+from filbertdrift.incarnation import Incarnation
+from filbertdrift.lifecycle import TargetLifecycle
 
 MS_PER_S = 1000
 US_PER_S = 1_000_000
--- a/filbertdrift/handover.py
+++ b/filbertdrift/handover.py
@@ -30,7 +30,8 @@
 from filbertdrift.final_messages import tell_dropped, tell_outlasted
 from filbertdrift.gen import ttypes
 from filbertdrift.health import TargetHealth
-from filbertdrift.lifecycle import Incarnation, TargetLifecycle
+from filbertdrift.incarnation import Incarnation
+from filbertdrift.lifecycle import TargetLifecycle
 from filbertdrift.linkpacer import LinkPacer
 from filbertdrift.offeredbody import fetch_offered_body
 from filbertdrift.target import Exchange, TargetRequest
--- a/filbertdrift/platform/documents.py
+++ b/filbertdrift/platform/documents.py
@@ -9,8 +9,8 @@
 from filbertdrift.accounts.directory import AccountDirectory
 from filbertdrift.address import is_ip_address
 from filbertdrift.errors import MalformedMessage
+from filbertdrift.incarnation import Heartbeat
 from filbertdrift.keyedlog import KeyedRecord
-from filbertdrift.lifecycle import Heartbeat
 from filbertdrift.platform.tenants import TenantsDecoder
 from filbertdrift.rollouts.steplog import RolloutFormats
 from filbertdrift.rollouts.steps import Order, Phase, Step, hash_record
--- a/filbertdrift/target_probe.py
+++ b/filbertdrift/target_probe.py
@@ -12,7 +12,8 @@
     parse_statement,
 )
 from filbertdrift.errors import MalformedMessage
-from filbertdrift.lifecycle import Incarnation, TargetLifecycle
+from filbertdrift.incarnation import Incarnation
+from filbertdrift.lifecycle import TargetLifecycle
 
 
 class TargetProbe:
--- a/standins/mesh_fleet.py
+++ b/standins/mesh_fleet.py
@@ -12,6 +12,7 @@
 from filbertdrift.accounts.authentication import add_account
 from filbertdrift.errors import LogAnswerLost, LogUnavailable
 from filbertdrift.identity import Identity
+from filbertdrift.incarnation import Heartbeat
 from filbertdrift.keyedlog import (
     KeyedLog,
     KeyedPage,
@@ -19,7 +20,6 @@
     LogCopy,
     MemoryKeyedLog,
 )
-from filbertdrift.lifecycle import Heartbeat
 from filbertdrift.mesh import MeshNode
 from filbertdrift.mesh_settings import MeshSettings
 from filbertdrift.network_memory import MemoryNetwork, NetworkSimulator
--- a/tests/socket_mesh.py
+++ b/tests/socket_mesh.py
@@ -9,8 +9,8 @@
 from typing import Any
 
 from filbertdrift.identity import Identity
+from filbertdrift.incarnation import Heartbeat
 from filbertdrift.keyedlog import KeyedLog, KeyedRecord, MemoryKeyedLog
-from filbertdrift.lifecycle import Heartbeat
 from filbertdrift.mesh import MeshNode
 from filbertdrift.mesh_settings import MeshSettings
 from filbertdrift.network import TcpNetwork
--- a/tests/test_cut_responses.py
+++ b/tests/test_cut_responses.py
@@ -15,7 +15,7 @@
 from filbertdrift import http1
 from filbertdrift.errors import FilbertdriftError
 from filbertdrift.identity import Identity
-from filbertdrift.lifecycle import Heartbeat
+from filbertdrift.incarnation import Heartbeat
 from filbertdrift.mesh import MeshNode
 from filbertdrift.mesh_settings import MeshSettings
 from filbertdrift.network import TcpNetwork
--- a/tests/test_endless_responses.py
+++ b/tests/test_endless_responses.py
@@ -15,7 +15,7 @@
 from filbertdrift.errors import MalformedMessage
 from filbertdrift.gen import ttypes
 from filbertdrift.http1 import HeadTooLarge, MessageTruncated
-from filbertdrift.lifecycle import Heartbeat
+from filbertdrift.incarnation import Heartbeat
 from filbertdrift.target import HttpTarget, TargetRequest
 from tests.socket_mesh import request as caller_request
 from tests.socket_mesh import socket_mesh
--- a/tests/test_repeated_responses.py
+++ b/tests/test_repeated_responses.py
@@ -9,7 +9,7 @@
 from testtools import TestCase
 from testtools.matchers import Contains, Equals, Not, StartsWith
 
-from filbertdrift.lifecycle import Heartbeat
+from filbertdrift.incarnation import Heartbeat
 from filbertdrift.target import HttpTarget
 from standins.mesh_fleet import config_document
 from tests.socket_mesh import SocketMesh, socket_mesh
