Close the gate of a target that is heard of after the order

Cause: close_gate set the times of the current gate. A node that got SIGTERM before the first heartbeat of its target had none, and the gate that came with the heartbeat stayed open and admitted what outlasts the node.

Change: the times of a leaving node are kept and apply to each gate.

Result: test_departures.LeavingNodeTest failed before and passes.

--- a/filbertdrift/lifecycle.py
+++ b/filbertdrift/lifecycle.py
@@ -85,6 +85,9 @@
         self.departures = DepartureHistory()
         self.on_departure: Callable[[Departure], None] = _ignore_departure
         self._by_cost = False
+        # For the gates of all incarnations.
+        self._closes_at = NO_END
+        self._runs_end_at = NO_END
         self._slot_time_log = SlotTimeLog(self.slot_time)
         # Announced while there is no other target.
         self._latest_departure: Departure | None = None
@@ -261,16 +264,23 @@
             self._membership.update_local_member(changed)
 
     def close_gate(self, runs_end_at: float = NO_END) -> None:
-        """Close the gate after LEAVING_GRACE_S.
+        """Close the gate after LEAVING_GRACE_S, as the node leaves.
+
+        The gate of a target that is not known yet closes as well.
 
         Args:
             runs_end_at: When this node ends all runs, on the loop's clock.
         """
+        now = asyncio.get_running_loop().time()
+        self._closes_at = min(self._closes_at, now + LEAVING_GRACE_S)
+        self._runs_end_at = min(self._runs_end_at, runs_end_at)
         if self.current is not None:
-            now = asyncio.get_running_loop().time()
-            gate = self.current.gate
-            gate.runs_end_at = min(gate.runs_end_at, runs_end_at)
-            gate.closes_at = min(gate.closes_at, now + LEAVING_GRACE_S)
+            self._limit_gate(self.current.gate)
+
+    def _limit_gate(self, gate: ObjectiveGate) -> None:
+        """Let a gate close, and end its runs, when the node needs it."""
+        gate.closes_at = min(gate.closes_at, self._closes_at)
+        gate.runs_end_at = min(gate.runs_end_at, self._runs_end_at)
 
     def _find_announced_departure(self) -> Departure | None:
         """Return the departure that other nodes should know, None for none.
@@ -345,6 +355,7 @@
                 by_cost=self._by_cost,
             ),
         )
+        self._limit_gate(self.current.gate)
         self.is_healthy = True
         self.announce_status()
 
@@ -366,7 +377,9 @@
             born_ms=current.heartbeat.born_ms,
         ).info('target {} leaves', current.heartbeat.instance)
         current.is_leaving = True
-        self.close_gate()
+        now = asyncio.get_running_loop().time()
+        gate = current.gate
+        gate.closes_at = min(gate.closes_at, now + LEAVING_GRACE_S)
         self.announce_status()
 
     def _find_latest_start(self, instance: str, born_ms: int | None) -> int:
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -351,6 +351,30 @@
         self.assertThat(following.is_offered, Is(True))
 
 
+class LeavingNodeTest(TestCase):
+    """A node that leaves before it has heard of its target.
+
+    Guards against a gate that opens when the first heartbeat comes after the
+    order to close it.
+    """
+
+    def test_first_heartbeat_while_the_node_leaves(self) -> None:
+        run_virtual(self._leave())
+
+    async def _leave(self) -> None:
+        fleet = await silent_fleet()
+        target = TargetBeside(fleet.instances[NODE])
+        loop = asyncio.get_running_loop()
+        runs_end_at = loop.time() + 3
+        target.node.lifecycle.close_gate(runs_end_at)
+        await asyncio.sleep(1)
+        await target.beat()
+        current = target.node.lifecycle.current
+        assert current is not None
+        self.assertThat(current.gate.closes_at, LessThan(loop.time()))
+        self.assertThat(current.gate.runs_end_at, Equals(runs_end_at))
+
+
 class RecordTest(TestCase):
     """The records of departures on the log."""
 
