Tests: the heartbeat with a version has an address

Cause: test_rollouts_mesh.FormatTest.test_version_in_heartbeat used the text b as address, which is refused since. The sheet of the protocol states an IP address with a port. What the test checks, the version, is unchanged.

Result: failed since, passes.

--- a/tests/test_rollouts_mesh.py
+++ b/tests/test_rollouts_mesh.py
@@ -261,7 +261,10 @@
                 parse_order(record, 1)
 
     def test_version_in_heartbeat(self) -> None:
-        raw = b'{"service":"a","address":"b","state":"ready","slots":1%s}'
+        raw = (
+            b'{"service":"a","address":"127.0.0.1:1","state":"ready",'
+            b'"slots":1%s}'
+        )
         stated = parse_heartbeat('i', raw % b',"version":"v3"')
         self.assertThat(stated.version, Equals('v3'))
         self.assertThat(parse_heartbeat('i', raw % b'').version, Equals(''))
