Tell a restarted node at once which target has left

Cause: without the log, a restarted node heard of the departure of its target only with requests of other nodes. Those of its own callers reached the target; it had the configuration from its peers.

Change: a node that sees the new generation of one whose target had left sends it the notice in a datagram, one in so many nodes that about eight do.

Result: that test passes, with the 21 others of the module.

--- a/filbertdrift/gen/ttypes.py
+++ b/filbertdrift/gen/ttypes.py
@@ -2636,6 +2636,112 @@
         return not (self == other)
 
 
+class TargetNotice(object):
+    """
+    What one start of a target has said of itself with its responses.
+
+    Attributes:
+     - instance
+     - born_ms
+     - limit_per_s: Requests a second that it takes from all nodes; none if unlimited.
+     - is_leaving: It accepts no new requests.
+
+    """
+
+    __slots__ = (
+        'instance',
+        'born_ms',
+        'limit_per_s',
+        'is_leaving',
+    )
+
+
+    def __init__(self, instance=None, born_ms=None, limit_per_s=None, is_leaving=None,):
+        self.instance = instance
+        self.born_ms = born_ms
+        self.limit_per_s = limit_per_s
+        self.is_leaving = is_leaving
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.instance = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.born_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.DOUBLE:
+                    self.limit_per_s = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.BOOL:
+                    self.is_leaving = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('TargetNotice')
+        if self.instance is not None:
+            oprot.writeFieldBegin('instance', TType.STRING, 1)
+            oprot.writeString(self.instance.encode('utf-8') if sys.version_info[0] == 2 else self.instance)
+            oprot.writeFieldEnd()
+        if self.born_ms is not None:
+            oprot.writeFieldBegin('born_ms', TType.I64, 2)
+            oprot.writeI64(self.born_ms)
+            oprot.writeFieldEnd()
+        if self.limit_per_s is not None:
+            oprot.writeFieldBegin('limit_per_s', TType.DOUBLE, 3)
+            oprot.writeDouble(self.limit_per_s)
+            oprot.writeFieldEnd()
+        if self.is_leaving is not None:
+            oprot.writeFieldBegin('is_leaving', TType.BOOL, 4)
+            oprot.writeBool(self.is_leaving)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Datagram(object):
     """
     One UDP datagram; exactly one message field is set.
@@ -2655,6 +2761,7 @@
      - quota_grant
      - loan_ask
      - loan_grant
+     - target_notice
 
     """
 
@@ -2673,10 +2780,11 @@
         'quota_grant',
         'loan_ask',
         'loan_grant',
+        'target_notice',
     )
 
 
-    def __init__(self, sender=None, ping=None, ack=None, ping_request=None, config_notice=None, member_notice=None, generation=None, crash_notice=None, rollout_report=None, rollout_notice=None, quota_ask=None, quota_grant=None, loan_ask=None, loan_grant=None,):
+    def __init__(self, sender=None, ping=None, ack=None, ping_request=None, config_notice=None, member_notice=None, generation=None, crash_notice=None, rollout_report=None, rollout_notice=None, quota_ask=None, quota_grant=None, loan_ask=None, loan_grant=None, target_notice=None,):
         self.sender = sender
         self.ping = ping
         self.ack = ack
@@ -2691,6 +2799,7 @@
         self.quota_grant = quota_grant
         self.loan_ask = loan_ask
         self.loan_grant = loan_grant
+        self.target_notice = target_notice
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2783,6 +2892,12 @@
                     self.loan_grant.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 16:
+                if ftype == TType.STRUCT:
+                    self.target_notice = TargetNotice()
+                    self.target_notice.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2849,6 +2964,10 @@
             oprot.writeFieldBegin('loan_grant', TType.STRUCT, 15)
             self.loan_grant.write(oprot)
             oprot.writeFieldEnd()
+        if self.target_notice is not None:
+            oprot.writeFieldBegin('target_notice', TType.STRUCT, 16)
+            self.target_notice.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4148,112 +4267,6 @@
         return not (self == other)
 
 
-class TargetNotice(object):
-    """
-    What one start of a target has said of itself with its responses.
-
-    Attributes:
-     - instance
-     - born_ms
-     - limit_per_s: Requests a second that it takes from all nodes; none if unlimited.
-     - is_leaving: It accepts no new requests.
-
-    """
-
-    __slots__ = (
-        'instance',
-        'born_ms',
-        'limit_per_s',
-        'is_leaving',
-    )
-
-
-    def __init__(self, instance=None, born_ms=None, limit_per_s=None, is_leaving=None,):
-        self.instance = instance
-        self.born_ms = born_ms
-        self.limit_per_s = limit_per_s
-        self.is_leaving = is_leaving
-
-    def read(self, iprot):
-        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
-            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
-            return
-        iprot.readStructBegin()
-        while True:
-            (fname, ftype, fid) = iprot.readFieldBegin()
-            if ftype == TType.STOP:
-                break
-            if fid == 1:
-                if ftype == TType.STRING:
-                    self.instance = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 2:
-                if ftype == TType.I64:
-                    self.born_ms = iprot.readI64()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 3:
-                if ftype == TType.DOUBLE:
-                    self.limit_per_s = iprot.readDouble()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 4:
-                if ftype == TType.BOOL:
-                    self.is_leaving = iprot.readBool()
-                else:
-                    iprot.skip(ftype)
-            else:
-                iprot.skip(ftype)
-            iprot.readFieldEnd()
-        iprot.readStructEnd()
-
-    def write(self, oprot):
-        if oprot._fast_encode is not None and self.thrift_spec is not None:
-            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
-            return
-        oprot.writeStructBegin('TargetNotice')
-        if self.instance is not None:
-            oprot.writeFieldBegin('instance', TType.STRING, 1)
-            oprot.writeString(self.instance.encode('utf-8') if sys.version_info[0] == 2 else self.instance)
-            oprot.writeFieldEnd()
-        if self.born_ms is not None:
-            oprot.writeFieldBegin('born_ms', TType.I64, 2)
-            oprot.writeI64(self.born_ms)
-            oprot.writeFieldEnd()
-        if self.limit_per_s is not None:
-            oprot.writeFieldBegin('limit_per_s', TType.DOUBLE, 3)
-            oprot.writeDouble(self.limit_per_s)
-            oprot.writeFieldEnd()
-        if self.is_leaving is not None:
-            oprot.writeFieldBegin('is_leaving', TType.BOOL, 4)
-            oprot.writeBool(self.is_leaving)
-            oprot.writeFieldEnd()
-        oprot.writeFieldStop()
-        oprot.writeStructEnd()
-
-    def validate(self):
-        return
-
-    def __repr__(self):
-        L = ['%s=%r' % (key, getattr(self, key))
-             for key in self.__slots__]
-        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
-
-    def __eq__(self, other):
-        if not isinstance(other, self.__class__):
-            return False
-        for attr in self.__slots__:
-            my_val = getattr(self, attr)
-            other_val = getattr(other, attr)
-            if my_val != other_val:
-                return False
-        return True
-
-    def __ne__(self, other):
-        return not (self == other)
-
-
 class RequestOpen(object):
     """
     Opens one forwarded request; remaining_ms is the caller's deadline.
@@ -6307,6 +6320,14 @@
     (1, TType.I64, 'stamp_ms', None, None, ),  # 1
     (2, TType.LIST, 'loans', (TType.STRUCT, [QuotaShare, None], False), None, ),  # 2
 )
+all_structs.append(TargetNotice)
+TargetNotice.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'instance', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'born_ms', None, None, ),  # 2
+    (3, TType.DOUBLE, 'limit_per_s', None, None, ),  # 3
+    (4, TType.BOOL, 'is_leaving', None, None, ),  # 4
+)
 all_structs.append(Datagram)
 Datagram.thrift_spec = (
     None,  # 0
@@ -6325,6 +6346,7 @@
     (13, TType.STRUCT, 'quota_grant', [QuotaGrant, None], None, ),  # 13
     (14, TType.STRUCT, 'loan_ask', [LoanAsk, None], None, ),  # 14
     (15, TType.STRUCT, 'loan_grant', [LoanGrant, None], None, ),  # 15
+    (16, TType.STRUCT, 'target_notice', [TargetNotice, None], None, ),  # 16
 )
 all_structs.append(ConfigFile)
 ConfigFile.thrift_spec = (
@@ -6415,14 +6437,6 @@
     (1, TType.STRING, 'name', 'BINARY', None, ),  # 1
     (2, TType.STRING, 'content', 'BINARY', None, ),  # 2
 )
-all_structs.append(TargetNotice)
-TargetNotice.thrift_spec = (
-    None,  # 0
-    (1, TType.STRING, 'instance', 'UTF8', None, ),  # 1
-    (2, TType.I64, 'born_ms', None, None, ),  # 2
-    (3, TType.DOUBLE, 'limit_per_s', None, None, ),  # 3
-    (4, TType.BOOL, 'is_leaving', None, None, ),  # 4
-)
 all_structs.append(RequestOpen)
 RequestOpen.thrift_spec = (
     None,  # 0
--- a/filbertdrift/knowntargets.py
+++ b/filbertdrift/knowntargets.py
@@ -1,12 +1,14 @@
 """What this node has heard of the targets that it sends requests to.
 
 The node beside a target keeps its limit and notices that it leaves. If that
-node restarts it knows neither, so the others tell it with their requests.
+node restarts it knows neither, so the others tell it with their requests, and
+of a departure at once.
 """
 
 from collections.abc import Collection
 
 from filbertdrift.gen import ttypes
+from filbertdrift.members import Member
 
 
 class KnownTargets:
@@ -15,6 +17,8 @@
     def __init__(self) -> None:
         """Start without notices."""
         self._notices: dict[str, ttypes.TargetNotice] = {}
+        # Departures that nodes announce, with the generation of the node.
+        self._departures: dict[str, tuple[int, ttypes.TargetNotice]] = {}
 
     def record(self, node: str, notice: ttypes.TargetNotice | None) -> None:
         """Record what a response of a target stated.
@@ -28,18 +32,31 @@
         else:
             self._notices[node] = notice
 
-    def record_departure(self, node: str, instance: str, born_ms: int) -> None:
-        """Record that a target has left, as the node beside it announced.
+    def record_member(self, member: Member) -> ttypes.TargetNotice | None:
+        """Record what a node announces of its target.
 
         Args:
-            node: The node.
-            instance: Instance id of the target.
-            born_ms: Latest start of the incarnations that have left, in Unix
-                milliseconds.
+            member: The new record of the node.
+
+        Returns:
+            What the node should be told, as it has restarted since its target
+            left; None for nothing.
         """
-        self._notices[node] = ttypes.TargetNotice(
-            instance, born_ms, self.find_limit(node), is_leaving=True
-        )
+        node = member.node
+        if member.departed_instance:
+            left = ttypes.TargetNotice(
+                member.departed_instance,
+                member.departed_born_ms,
+                self.find_limit(node),
+                is_leaving=True,
+            )
+            self._notices[node] = left
+            self._departures[node] = (member.generation, left)
+            return None
+        departure = self._departures.pop(node, None)
+        if departure is None or member.generation <= departure[0]:
+            return None
+        return departure[1]
 
     def find(self, node: str) -> ttypes.TargetNotice | None:
         """Return the latest notice of a node's target, None for none."""
@@ -54,3 +71,5 @@
         """Remove the notices of members that are gone."""
         for node in set(self._notices).difference(nodes):
             self._notices.pop(node)
+        for node in set(self._departures).difference(nodes):
+            self._departures.pop(node)
--- a/filbertdrift/lifecycle.py
+++ b/filbertdrift/lifecycle.py
@@ -218,7 +218,7 @@
         """
         is_known = self.departures.find(notice.instance, notice.born_ms)
         if notice.is_leaving and not is_known:
-            # A heartbeat from before may still be on its way.
+            # Also before the first heartbeat, which may be on its way.
             self.adopt_departure(Departure(notice.instance, notice.born_ms))
         current = self.current
         if current is None or notice.limit_per_s is None:
--- a/filbertdrift/mesh.py
+++ b/filbertdrift/mesh.py
@@ -63,6 +63,8 @@
 # Time for stop if the caller sets no deadline.
 STOP_TIMEOUT_S = 5.0
 MS_PER_S = 1000
+# Nodes that tell a restarted one of a departure, on average.
+DEPARTURE_TELLERS = 8
 
 
 @dataclass(slots=True)
@@ -266,6 +268,7 @@
                     self.rollouts.on_datagram if self.rollouts else None
                 ),
                 on_quota=self.quota.on_datagram,
+                on_target_notice=self.lifecycle.record_notice,
             ),
         )
         self._tasks: list[asyncio.Task[None]] = []
@@ -526,12 +529,19 @@
                 service=member.service,
                 status=member.status.name,
             ).info('member {} is {}', member.node, member.status.name)
-            if member.departed_instance:
-                self.dispatcher.known_targets.record_departure(
-                    member.node,
-                    member.departed_instance,
-                    member.departed_born_ms,
-                )
+            self._tell_departure(member)
+
+    def _tell_departure(self, member: Member) -> None:
+        """Tell a node that has restarted of the departure of its target.
+
+        Some nodes do, however large the fleet is.
+        """
+        notice = self.dispatcher.known_targets.record_member(member)
+        is_chosen = (
+            self._rng.random() * len(self.membership.table) < DEPARTURE_TELLERS
+        )
+        if notice is not None and is_chosen:
+            self.membership.gossip(notice, [member.node])
 
     async def _remove_expired(self) -> None:
         while True:
--- a/filbertdrift/peercalls.py
+++ b/filbertdrift/peercalls.py
@@ -42,6 +42,8 @@
             claims.
         on_quota: Handles a datagram about quotas, given its sender and the
             generation of that; returns False for all others.
+        on_target_notice: Handles what another node knows of the local target;
+            None if this node has no such target.
     """
 
     membership: Membership
@@ -57,6 +59,7 @@
         Callable[[ttypes.ClaimAsk], Awaitable[ttypes.ClaimVerdict]] | None
     ) = None
     on_quota: Callable[[str, int, object], bool] | None = None
+    on_target_notice: Callable[[ttypes.TargetNotice], None] | None = None
 
 
 class PeerServer:
@@ -82,18 +85,37 @@
             generation: Its generation.
             body: The message.
         """
+        membership = self._handlers.membership
+        if not membership.on_datagram(sender, generation, body):
+            self._handle(body, sender, generation)
+
+    @singledispatchmethod
+    def _handle(self, body: object, sender: str, generation: int) -> None:
         handlers = self._handlers
-        if handlers.membership.on_datagram(sender, generation, body):
-            return
-        if isinstance(body, ttypes.ConfigNotice):
-            handlers.on_config_notice(sender, body)
-        elif isinstance(body, ttypes.CrashNotice):
-            handlers.crashes.on_peer_notice(body)
-        elif handlers.on_quota and handlers.on_quota(sender, generation, body):
+        if handlers.on_quota and handlers.on_quota(sender, generation, body):
             return
-        elif handlers.on_rollout is not None:
+        if handlers.on_rollout is not None:
             handlers.on_rollout(sender, generation, body)
 
+    @_handle.register
+    def _handle_config(
+        self, body: ttypes.ConfigNotice, sender: str, generation: int
+    ) -> None:
+        self._handlers.on_config_notice(sender, body)
+
+    @_handle.register
+    def _handle_crash(
+        self, body: ttypes.CrashNotice, sender: str, generation: int
+    ) -> None:
+        self._handlers.crashes.on_peer_notice(body)
+
+    @_handle.register
+    def _handle_target(
+        self, body: ttypes.TargetNotice, sender: str, generation: int
+    ) -> None:
+        if self._handlers.on_target_notice is not None:
+            self._handlers.on_target_notice(body)
+
     async def _on_call(self, call: CallStream, body: object) -> None:
         await self._serve_call(body, call)
 
--- a/filbertdrift/wire.py
+++ b/filbertdrift/wire.py
@@ -65,6 +65,7 @@
     ttypes.QuotaGrant: 'quota_grant',
     ttypes.LoanAsk: 'loan_ask',
     ttypes.LoanGrant: 'loan_grant',
+    ttypes.TargetNotice: 'target_notice',
 }
 
 
--- a/idl/filbertdrift.thrift
+++ b/idl/filbertdrift.thrift
@@ -223,6 +223,16 @@
   2: list<QuotaShare> loans
 }
 
+/** What one start of a target has said of itself with its responses. */
+struct TargetNotice {
+  1: string instance
+  2: i64 born_ms
+  /** Requests a second that it takes from all nodes; none if unlimited. */
+  3: optional double limit_per_s
+  /** It accepts no new requests. */
+  4: bool is_leaving
+}
+
 /** One UDP datagram; exactly one message field is set. */
 struct Datagram {
   1: string sender
@@ -239,6 +249,7 @@
   13: optional QuotaGrant quota_grant
   14: optional LoanAsk loan_ask
   15: optional LoanGrant loan_grant
+  16: optional TargetNotice target_notice
 }
 
 /** One file of operators' configuration; no content means removal. */
@@ -328,16 +339,6 @@
   2: binary content
 }
 
-/** What one start of a target has said of itself with its responses. */
-struct TargetNotice {
-  1: string instance
-  2: i64 born_ms
-  /** Requests a second that it takes from all nodes; none if unlimited. */
-  3: optional double limit_per_s
-  /** It accepts no new requests. */
-  4: bool is_leaving
-}
-
 /** Opens one forwarded request; remaining_ms is the caller's deadline. */
 struct RequestOpen {
   1: string method
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -278,6 +278,23 @@
         script = fleet.instances[NODE].script
         self.assertThat(len(script.run_times), Equals(0))
 
+    def test_requests_of_its_own_callers(self) -> None:
+        run_virtual(self._own_callers())
+
+    async def _own_callers(self) -> None:
+        fleet = await silent_fleet(count=3)
+        target = TargetBeside(fleet.instances[NODE])
+        await target.beat()
+        await target.leave()
+        await asyncio.sleep(0.5)
+        fleet.log.is_down = True
+        target = await restart(fleet)
+        # The others still ping it.
+        await asyncio.sleep(5)
+        self.assertThat(target.node.has_config, Is(True))
+        await target.beat(sequence=2)
+        self.assertThat(target.is_offered, Is(False))
+
     def test_told_before_any_heartbeat(self) -> None:
         run_virtual(self._told_first())
 
