Soak: targets that leave by DELETE, and heartbeats that arrive late

Cause: no soak run sent DELETE, or a heartbeat from before a departure, so that none could see the departure that was acknowledged and forgotten.

The check stands: no work later than the drain time after an acknowledgement.

--- a/standins/platform_target.py
+++ b/standins/platform_target.py
@@ -148,6 +148,8 @@
         self._name = name
         self._born_ms = 0
         self._sequence = 0
+        # Instance id and body of a heartbeat on its way.
+        self._delayed = ('', b'')
         self._state = 'ready'
         self._running = 0
         self._works: set[Work] = set()
@@ -197,14 +199,39 @@
         if self.instance == leaving:
             self._log.acknowledged[leaving] = time.monotonic()
 
+    def hold_back_heartbeat(self) -> None:
+        """Send no more heartbeats; the next one is delayed on its way."""
+        if self._heartbeat_task:
+            self._heartbeat_task.cancel()
+        self._delayed = (self.instance, self._build_heartbeat())
+
+    async def deliver_heartbeat(self) -> None:
+        """Deliver the heartbeat that was delayed."""
+        await self._call('PUT', *self._delayed)
+
+    async def leave_unannounced(self) -> None:
+        """Send DELETE until it is acknowledged, and record when.
+
+        Nothing is recorded if a new incarnation starts first.
+        """
+        leaving = self.instance
+        while self.instance == leaving:
+            if await self._call('DELETE', leaving, b''):
+                self._log.acknowledged[leaving] = time.monotonic()
+                return
+            await asyncio.sleep(0.2)
+
     async def _send_heartbeats(self) -> None:
         while True:
             await self._send_heartbeat()
             await asyncio.sleep(HEARTBEAT_INTERVAL_S)
 
     async def _send_heartbeat(self) -> bool:
+        return await self._call('PUT', self.instance, self._build_heartbeat())
+
+    def _build_heartbeat(self) -> bytes:
         self._sequence += 1
-        body = json.dumps(
+        return json.dumps(
             {
                 'service': self._service,
                 'address': self._advertised_address,
@@ -217,17 +244,22 @@
                 'born': self._born_ms,
             },
         ).encode()
+
+    async def _call(self, method: str, instance: str, body: bytes) -> bool:
+        """Call the node; return whether it acknowledged the call."""
         try:
             async with asyncio.timeout(CALL_TIMEOUT_S):
-                return await self._call(f'/instances/{self.instance}', body)
+                return await self._exchange(
+                    method, f'/instances/{instance}', body
+                )
         except (OSError, TimeoutError, FilbertdriftError):
             return False
 
-    async def _call(self, path: str, body: bytes) -> bool:
+    async def _exchange(self, method: str, path: str, body: bytes) -> bool:
         reader, writer = await asyncio.open_connection(*self._control_address)
         try:
             length = (b'content-length', b'%d' % len(body))
-            head = http1.encode_request_head('PUT', path, [length])
+            head = http1.encode_request_head(method, path, [length])
             writer.write(head + body)
             resp_head = await http1.ResponseReader(reader, 'node').head()
         finally:
--- a/standins/soak.py
+++ b/standins/soak.py
@@ -26,6 +26,7 @@
 from standins.platform_store import Absence, PlatformStore
 from standins.platform_target import RunLog, response_body
 from standins.soak_client import ClientRequest, ClientResult, Ending, SoakClient
+from standins.soak_departures import EXTRA_SERVING_S, DepartureLoad
 from standins.soak_history import (
     DRAIN_S,
     STABILITY_S,
@@ -42,8 +43,6 @@
 
 SETTLE_S = 4.0
 RECOVERY_S = 9.0
-# Departing targets keep serving for longer than they must.
-EXTRA_SERVING_S = 2.0
 # Departures that targets announce with heartbeats, and with responses; the
 # others are not announced.
 HEARTBEAT_DEPARTURE_SHARE = 0.4
@@ -149,7 +148,15 @@
                 self._send_and_count,
                 self._terminate,
             ).run(stops_s)
-            await self._inject_faults(seconds)
+            departures = DepartureLoad(
+                random.Random(f'departures-{self.verdict.seed}'),
+                self.instances,
+                self._kill,
+                self._run_in_background,
+            )
+            await asyncio.gather(
+                self._inject_faults(seconds), departures.run(seconds)
+            )
             for instance in self.instances:
                 instance.clear_faults()
             self._store.is_down = False
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -16,6 +16,9 @@
     # acknowledgement of its departure, and the new incarnation was recorded as
     # departed.
     411,
+    # A target that had left by DELETE got work again, after its node had been
+    # killed and a late heartbeat had arrived.
+    9602,
 )
 # The same with 6 instances, planned stops and no other faults: requests sent
 # over 3 s after SIGTERM were passed on, and their runs were broken off when the
