--- a/filbertdrift/mesh.py
+++ b/filbertdrift/mesh.py
@@ -537,10 +537,10 @@
         Some nodes do, however large the fleet is.
         """
         notice = self.dispatcher.known_targets.record_member(member)
-        is_chosen = (
-            self._rng.random() * len(self.membership.table) < DEPARTURE_TELLERS
-        )
-        if notice is not None and is_chosen:
+        if notice is None:
+            return
+        members = len(self.membership.table)
+        if self._rng.random() * members < DEPARTURE_TELLERS:
             self.membership.gossip(notice, [member.node])
 
     async def _remove_expired(self) -> None:
