--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -19,7 +19,7 @@
 from filbertdrift.platform.documents import parse_config, parse_order
 from filbertdrift.platform.registry import TargetCalls
 from filbertdrift.rollouts.steps import NO_STEP, Phase, Step, step_to_message
-from filbertdrift.wire import encode
+from filbertdrift.wire import decode, encode
 from standins.mesh_fleet import MeshFleet, config_document
 from tests.builders import run_virtual
 from tests.socket_mesh import request, socket_mesh
@@ -179,6 +179,18 @@
                 await network.connect(address)
 
 
+class NestedMessageTest(TestCase):
+    """Messages and records of nodes with a deeply nested unknown field."""
+
+    def test_refused(self) -> None:
+        # A struct in field 15, and one in field 1 of each.
+        nested = b'\xfc' + b'\x1c' * DEPTH
+        for raw in (nested, nested + bytes(DEPTH + 2)):
+            for kind in (ttypes.Datagram, ttypes.Frame, ttypes.TargetNotice):
+                with ExpectedException(MalformedMessage):
+                    decode(kind, raw)
+
+
 class ConfigTest(TestCase):
     """Numbers of the configuration that messages between nodes cannot hold."""
 
