Log connections of callers that end without a whole response

No line told a request that was cut by an exception from one whose final response was lost with bytes unread: the log had a bare traceback for the first and nothing for the second. The events unanswered and closed_unread, with their counters, name the request, what was read of it and whether a target may run it. No decision changes.

--- a/filbertdrift/entry.py
+++ b/filbertdrift/entry.py
@@ -4,7 +4,7 @@
 import contextlib
 from collections.abc import Iterator, Mapping
 from dataclasses import dataclass
-from typing import Protocol
+from typing import TYPE_CHECKING, Protocol
 
 from loguru import logger
 
@@ -35,6 +35,9 @@
 from filbertdrift.routed import RoutedRequest, RoutedResponse
 from filbertdrift.routing import CallerLimits, PrefixRoute, normalize_host
 
+if TYPE_CHECKING:
+    from loguru import Logger
+
 MS_PER_S = 1000
 FIRST_CHUNK_BYTES = 65_536
 # Timeout if the caller states no deadline; a route's timeout only shortens it.
@@ -121,6 +124,8 @@
     rejected: int = 0
     aborted_answers: int = 0
     left: int = 0
+    unanswered: int = 0
+    closed_unread: int = 0
 
 
 class IngressServer(CallerListener):
@@ -184,6 +189,8 @@
         # The request was handed over, so a target may run it.
         self._is_dispatched = False
         self._is_interrupted = False
+        # The request whose response is not complete, None between requests.
+        self._unanswered: RequestHead | None = None
 
     def interrupt(self) -> None:
         """Respond at once to a request that waits for its rest or a target."""
@@ -201,24 +208,38 @@
             await self._reject_malformed(STATUS_HEAD_TOO_LARGE, exc)
         except MalformedMessage as exc:
             await self._reject_malformed(STATUS_BAD_REQUEST, exc)
-        except (FilbertdriftError, OSError, TimeoutError):
+        except (FilbertdriftError, OSError, TimeoutError) as exc:
+            self._record_unanswered(exc)
             self._writer.transport.abort()
         except asyncio.CancelledError:
             self._server.counters.left += not self._is_idle
             raise
+        except Exception as exc:
+            self._record_unanswered(exc)
+            raise
         finally:
             self._writer.close()
 
+    def _record_unanswered(self, exc: Exception) -> None:
+        """Record that this connection ends without a whole response."""
+        head = self._unanswered
+        if head is None:
+            return
+        self._server.counters.unanswered += 1
+        self._log(head, 'unanswered').warning('{!r}', exc)
+
     async def _serve_requests(self) -> None:
         while not self._must_close:
             head = await self._read_head()
             if head is None:
                 return
             self._server.in_progress += 1
+            self._unanswered = head
             try:
                 await self._serve(head)
             finally:
                 self._server.in_progress -= 1
+            self._unanswered = None
 
     async def _read_head(self) -> RequestHead | None:
         limits = self._handler.limits
@@ -509,6 +530,8 @@
             and not self._request_reader.buffered_part().end
         ):
             self._must_close = True
+            self._server.counters.closed_unread += 1
+            self._log(head, 'closed_unread').info('status {}', status)
         self._add_connection_header(head, headers)
         body = b'' if head.method == 'HEAD' else text
         self._writer.write(http1.encode_response_head(status, headers) + body)
@@ -562,6 +585,19 @@
             **self._handler.config_evidence(),
         ).info('{}', reason[:MAX_LOGGED_PATH_CHARS])
 
+    def _log(self, head: RequestHead, event: str) -> 'Logger':
+        """Return a logger with what was done of a request."""
+        request_id = self._server.header_names.request_id
+        return logger.bind(
+            event=event,
+            request=http1.find_header(head.headers, request_id),
+            path=head.path[:MAX_LOGGED_PATH_CHARS],
+            body_bytes=self._body_bytes,
+            has_read_body=self._has_read_body,
+            is_dispatched=self._is_dispatched,
+            version=self._handler.config_evidence()['version'],
+        )
+
     async def _reject_malformed(
         self, status: int, exc: FilbertdriftError
     ) -> None:
