--- a/tests/test_chooser.py
+++ b/tests/test_chooser.py
@@ -198,3 +198,17 @@
         self.expectThat(chosen, Equals(members[0]))
         tried.append(members[0].node)
         self.expectThat(self.chooser.choose(members, tried, 1.0), Is(None))
+
+
+class EndlessFailureTest(TestCase):
+    """Pattern: a target refuses every request for a long time."""
+
+    # LOST: the 1,025th ejection raised OverflowError, which closed the
+    # connection of the request that was refused.
+    def test_refusals_without_a_success(self) -> None:
+        chooser = TargetChooser('a', '', random.Random(3))
+        member = target(0)
+        now = 10.0
+        for _ in range(1100):
+            chooser.refused(member, 0, now)
+        self.assertThat(chooser.choose([member], (), now), Is(member))
