Eject a target once for an episode, with a bounded delay

What callers saw: connections closed without a response, each with OverflowError in TargetChooser.failed. Cause: the delay was computed as 2**ejections before its limit was applied, and each refusal counted, also those of requests that were under way when the target was ejected, so 1,024 came together within seconds. Change: the exponent is bounded, and a refusal while a target is ejected does not eject it further.

--- a/filbertdrift/balance/chooser.py
+++ b/filbertdrift/balance/chooser.py
@@ -18,6 +18,8 @@
 LOAD_HALF_LIFE_S = 0.5
 BASE_EJECTION_S = 0.5
 MAX_EJECTION_S = 30.0
+# Ejections in a row after which the next ones are no longer.
+MAX_EJECTION_DOUBLINGS = 6
 FAILURES_TO_EJECT = 3
 SLOW_START_S = 5.0
 SLOW_START_PENALTY_PERMILLE = 300
@@ -340,6 +342,9 @@
     def failed(self, member: Member, now: float, *, unreachable: bool) -> None:
         """Record a failure and eject the target after repeated ones.
 
+        While a target is ejected, refusals tell nothing new: they are those
+        of requests that were under way or had no other target.
+
         Args:
             member: The target's member.
             now: The time on the event loop's clock.
@@ -348,11 +353,13 @@
         """
         stats = self._stats_for(member, now)
         self._update_success_rate(stats, now, is_success=False)
+        if unreachable and now < stats.ejected_until:
+            return
         stats.failures += 1
         if unreachable or stats.failures >= FAILURES_TO_EJECT:
             ejection_s = BASE_EJECTION_S * 2**stats.ejections
             jitter = 0.5 + self._rng.random()
-            stats.ejections += 1
+            stats.ejections = min(stats.ejections + 1, MAX_EJECTION_DOUBLINGS)
             stats.ejected_until = now + min(ejection_s, MAX_EJECTION_S) * jitter
             stats.failures = 0
 
--- a/tests/test_chooser.py
+++ b/tests/test_chooser.py
@@ -4,7 +4,7 @@
 from collections import Counter
 
 from testtools import TestCase
-from testtools.matchers import Equals, GreaterThan, Is, LessThan
+from testtools.matchers import Contains, Equals, GreaterThan, Is, LessThan
 
 from filbertdrift.balance.chooser import TargetChooser
 from filbertdrift.members import Member, MemberStatus
@@ -212,3 +212,12 @@
         for _ in range(1100):
             chooser.refused(member, 0, now)
         self.assertThat(chooser.choose([member], (), now), Is(member))
+
+    # A burst of refusals of requests under way kept a target out for 30 s.
+    def test_refusals_under_way_are_one_episode(self) -> None:
+        chooser = TargetChooser('a', '', random.Random(3))
+        sound, busy = target(0), target(1)
+        for _ in range(20):
+            chooser.refused(busy, 0, 10)
+        chosen = [chooser.choose([sound, busy], (), 10.8) for _ in range(50)]
+        self.assertThat(chosen, Contains(busy))
