Read on after a last response that was sent before the body was read

What callers saw: uploads whose connection was reset in place of a 404 or 503. Cause: the response was written and the connection closed while the body was still arriving. Bytes that arrive at a closed connection reset it, and the reset takes the response along. Change: after such a response the node sends the end of its stream and drops what arrives, until the caller closes, is silent for 2 s, or 10 s or 16 MiB have passed; at most 256 connections do so at once. The same for malformed requests, heads that are late, and the library's own port.

--- a/filbertdrift/caller.py
+++ b/filbertdrift/caller.py
@@ -121,7 +121,7 @@
         writer: asyncio.StreamWriter,
     ) -> None:
         """Create the connection without a request in progress."""
-        super().__init__(writer)
+        super().__init__(server, reader, writer)
         self._server = server
         self._handler = server.handler
         self._request_reader = http1.RequestReader(reader, 'caller')
@@ -131,21 +131,28 @@
     async def run(self) -> None:
         """Serve requests until the caller or the node closes."""
         try:
-            while True:
-                head = await self._read_head()
-                if head is None:
-                    break
-                await self._serve(head)
-                if self._must_close:
-                    break
+            await self._serve_until_end()
+            if self._must_close and not self._has_read_body:
+                await self._linger()
+        finally:
+            self._writer.close()
+
+    async def _serve_until_end(self) -> None:
+        try:
+            await self._serve_requests()
         except http1.HeadTooLarge as exc:
             await self._reject_malformed(431, exc)
         except MalformedMessage as exc:
             await self._reject_malformed(400, exc)
         except (FilbertdriftError, OSError, TimeoutError):
             self._writer.transport.abort()
-        finally:
-            self._writer.close()
+
+    async def _serve_requests(self) -> None:
+        while not self._must_close:
+            head = await self._read_head()
+            if head is None:
+                return
+            await self._serve(head)
 
     async def _read_head(self) -> RequestHead | None:
         self._is_idle = True
@@ -318,10 +325,9 @@
             (REASON_HEADER, _encode_header_text(reason)),
             *(extra or ()),
         ]
-        if (
-            not self._has_read_body
-            and not self._request_reader.buffered_part().end
-        ):
+        if not self._has_read_body:
+            self._has_read_body = self._request_reader.buffered_part().end
+        if not self._has_read_body:
             self._must_close = True
         self._add_connection_header(head, headers)
         body = b'' if head.method == 'HEAD' else text
@@ -336,6 +342,7 @@
         head = RequestHead('GET', '', [], keep_alive=False)
         with contextlib.suppress(OSError):
             await self._send_text(head, status, str(exc), Outcome.NOT_RUN)
+        self._has_read_body = False
 
 
 def _find_account(
--- a/filbertdrift/callerport.py
+++ b/filbertdrift/callerport.py
@@ -8,10 +8,18 @@
 from abc import ABC, abstractmethod
 from collections.abc import Awaitable, Callable
 
+from loguru import logger
+
 from filbertdrift.stopping.plan import StopPlan
 
 READ_BUFFER_BYTES = 65_536
 BACKLOG = 1024
+# Bounds of what is read and dropped after a last response: a caller that never
+# stops sending holds nothing for longer.
+LINGER_S = 10.0
+LINGER_SILENCE_S = 2.0
+LINGER_BYTES = 16_777_216
+MAX_LINGERING = 256
 
 
 class CallerProtocol(asyncio.StreamReaderProtocol):
@@ -64,11 +72,20 @@
     """One caller's connection.
 
     Args:
+        listener: The listener that accepted it.
+        reader: Receiving side of the connection.
         writer: Sending side of the connection.
     """
 
-    def __init__(self, writer: asyncio.StreamWriter) -> None:
+    def __init__(
+        self,
+        listener: 'CallerListener',
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
         """Create the connection without a request in progress."""
+        self._listener = listener
+        self._reader = reader
         self._writer = writer
         self._is_idle = False
         self._task = asyncio.current_task()
@@ -86,6 +103,36 @@
         """Close the connection at once, dropping unsent bytes."""
         self._writer.transport.abort()
 
+    async def _linger(self) -> None:
+        """Send the end of the stream and read on until the caller closes.
+
+        A connection that is closed while bytes arrive is reset, and the reset
+        may overtake the last response. What the caller still sends is dropped.
+        """
+        listener = self._listener
+        if self._writer.is_closing() or listener.lingering >= MAX_LINGERING:
+            return
+        listener.lingering += 1
+        try:
+            async with asyncio.timeout(LINGER_S):
+                self._writer.write_eof()
+                # A task that read the body may have been cancelled just now.
+                await asyncio.sleep(0)
+                await self._drop_received()
+        except (TimeoutError, OSError) as exc:
+            logger.bind(event='linger_ended').debug('{!r}', exc)
+        finally:
+            listener.lingering -= 1
+
+    async def _drop_received(self) -> None:
+        left_bytes = LINGER_BYTES
+        while left_bytes > 0:
+            async with asyncio.timeout(LINGER_SILENCE_S):
+                raw = await self._reader.read(READ_BUFFER_BYTES)
+            if not raw:
+                return
+            left_bytes -= len(raw)
+
 
 class CallerListener(ABC):
     """Accepts callers' connections and keeps track of them.
@@ -94,6 +141,8 @@
         in_progress: Number of requests in progress.
         is_closing: Connections close after their next response.
         stop_plan: The times of the node's stop, None before it.
+        lingering: Number of connections that got their last response while
+            their callers still sent.
     """
 
     def __init__(self) -> None:
@@ -101,6 +150,7 @@
         self.in_progress = 0
         self.is_closing = False
         self.stop_plan: StopPlan | None = None
+        self.lingering = 0
         self._server: asyncio.Server | None = None
         self._connections: set[CallerConnection] = set()
 
--- a/filbertdrift/entry.py
+++ b/filbertdrift/entry.py
@@ -34,6 +34,7 @@
 from filbertdrift.request import IngressRequest
 from filbertdrift.routed import RoutedRequest, RoutedResponse
 from filbertdrift.routing import CallerLimits, PrefixRoute, normalize_host
+from filbertdrift.stopping.plan import StopPlan
 
 if TYPE_CHECKING:
     from loguru import Logger
@@ -176,12 +177,13 @@
         writer: asyncio.StreamWriter,
     ) -> None:
         """Create the connection without a request in progress."""
-        super().__init__(writer)
+        super().__init__(server, reader, writer)
         self._server = server
         self._handler = server.handler
         self._request_reader = http1.RequestReader(reader, 'caller')
         self._must_close = False
         self._has_read_body = True
+        self._has_timed_out = False
         self._body_bytes = 0
         self._timer: asyncio.TimerHandle | None = None
         # The rest of the request, or a response to it, is awaited.
@@ -202,6 +204,14 @@
 
     async def run(self) -> None:
         """Serve requests until the caller or the node closes."""
+        try:
+            await self._serve_until_end()
+            if not self._has_read_body:
+                await self._linger()
+        finally:
+            self._writer.close()
+
+    async def _serve_until_end(self) -> None:
         try:
             await self._serve_requests()
         except http1.HeadTooLarge as exc:
@@ -212,13 +222,20 @@
             self._record_unanswered(exc)
             self._writer.transport.abort()
         except asyncio.CancelledError:
-            self._server.counters.left += not self._is_idle
-            raise
+            self._end_cancelled()
         except Exception as exc:
             self._record_unanswered(exc)
             raise
-        finally:
-            self._writer.close()
+
+    def _end_cancelled(self) -> None:
+        """End a request whose caller left or did not finish its head."""
+        if not self._has_timed_out or self._task is None:
+            self._server.counters.left += not self._is_idle
+            raise asyncio.CancelledError
+        self._task.uncancel()
+        self._has_read_body = False
+        self._server.counters.rejected += 1
+        self._writer.write(_HEAD_TIMEOUT_RESPONSE)
 
     def _record_unanswered(self, exc: Exception) -> None:
         """Record that this connection ends without a whole response."""
@@ -272,8 +289,7 @@
     def _on_timeout(self) -> None:
         if not self._is_idle:
             # The caller began a head and did not finish it in time.
-            self._server.counters.rejected += 1
-            self._writer.write(_HEAD_TIMEOUT_RESPONSE)
+            self._has_timed_out = True
         if self._task:
             self._task.cancel()
 
@@ -349,17 +365,6 @@
             response.close()
         self._must_close = self._must_close or not self._has_read_body
 
-    def _check_stop(self, deadline: float) -> None:
-        """Check that a request can end before the node does.
-
-        Raises:
-            StopsBefore: It might not.
-        """
-        plan = self._server.stop_plan
-        now = asyncio.get_running_loop().time()
-        if plan is not None and not plan.can_serve(now, deadline):
-            raise StopsBefore()
-
     @contextlib.contextmanager
     def _interruptible(self, req: IngressRequest | None) -> Iterator[None]:
         """Wait for the rest of a request or a response, until the node stops.
@@ -433,7 +438,7 @@
     async def _read_first_part(
         self, head: RequestHead, deadline: float
     ) -> BodyPart:
-        self._check_stop(deadline)
+        _check_stop(self._server.stop_plan, deadline)
         if http1.find_header(head.headers, b'expect'):
             self._writer.write(_CONTINUE)
         part = self._request_reader.buffered_part()
@@ -448,7 +453,7 @@
                     part = await self._read_body()
                     chunks.append(part.chunk)
         # The stop may have begun while the body arrived.
-        self._check_stop(deadline)
+        _check_stop(self._server.stop_plan, deadline)
         return BodyPart(b''.join(chunks), part.end)
 
     async def _send_response(
@@ -525,10 +530,9 @@
             (b'content-length', b'%d' % len(text)),
             *(extra or ()),
         ]
-        if (
-            not self._has_read_body
-            and not self._request_reader.buffered_part().end
-        ):
+        if not self._has_read_body:
+            self._has_read_body = self._request_reader.buffered_part().end
+        if not self._has_read_body:
             self._must_close = True
             self._server.counters.closed_unread += 1
             self._log(head, 'closed_unread').info('status {}', status)
@@ -607,6 +611,18 @@
         head = RequestHead('GET', '', [], keep_alive=False)
         with contextlib.suppress(OSError, TimeoutError):
             await self._send_text(head, status, str(exc))
+        self._has_read_body = False
+
+
+def _check_stop(plan: StopPlan | None, deadline: float) -> None:
+    """Check that a request can end before the node does.
+
+    Raises:
+        StopsBefore: It might not.
+    """
+    now = asyncio.get_running_loop().time()
+    if plan is not None and not plan.can_serve(now, deadline):
+        raise StopsBefore()
 
 
 def _effective_timeout_s(
