Respond to a request that an unexpected exception has ended

What callers saw: a connection closed without a response, and no log line with the id of the request. Cause: a connection of the ingress handled the errors of the project only; any other exception, such as the OverflowError of the record, closed it. Change: such a request gets 503 if no target can have run it and 502 otherwise, one request_failed line with its id and the innermost frames, and the connection goes on. Once a response has begun the connection is aborted, with an unanswered line. The writing of responses is a module of its own.

--- a/filbertdrift/entry.py
+++ b/filbertdrift/entry.py
@@ -28,10 +28,12 @@
 from filbertdrift.ingress_errors import (
     StopsBefore,
     build_cut_error,
+    build_failure_error,
     build_no_config_error,
     build_outdated_error,
 )
 from filbertdrift.request import IngressRequest
+from filbertdrift.responsewriter import ResponseWriter
 from filbertdrift.routed import RoutedRequest, RoutedResponse
 from filbertdrift.routing import CallerLimits, PrefixRoute, normalize_host
 from filbertdrift.stopping.plan import StopPlan
@@ -43,8 +45,6 @@
 FIRST_CHUNK_BYTES = 65_536
 # Timeout if the caller states no deadline; a route's timeout only shortens it.
 DEFAULT_TIMEOUT_S = 30.0
-# A response that makes no progress for this long is aborted.
-RESPONSE_STALL_TIMEOUT_S = 10.0
 MAX_LOGGED_PATH_CHARS = 200
 
 STATUS_BAD_REQUEST = 400
@@ -62,7 +62,6 @@
     STATUS_REQUEST_TIMEOUT,
     [(b'content-length', b'0'), (b'connection', b'close')],
 )
-_BODILESS_STATUSES = frozenset((204, 304))
 
 
 class RoutingHandler(Protocol):
@@ -125,6 +124,7 @@
     rejected: int = 0
     aborted_answers: int = 0
     left: int = 0
+    failed: int = 0
     unanswered: int = 0
     closed_unread: int = 0
 
@@ -181,7 +181,7 @@
         self._server = server
         self._handler = server.handler
         self._request_reader = http1.RequestReader(reader, 'caller')
-        self._must_close = False
+        self._responses = ResponseWriter(server, writer)
         self._has_read_body = True
         self._has_timed_out = False
         self._body_bytes = 0
@@ -190,6 +190,7 @@
         self._is_waiting = False
         # The request was handed over, so a target may run it.
         self._is_dispatched = False
+        self._req: IngressRequest | None = None
         self._is_interrupted = False
         # The request whose response is not complete, None between requests.
         self._unanswered: RequestHead | None = None
@@ -218,14 +219,11 @@
             await self._reject_malformed(STATUS_HEAD_TOO_LARGE, exc)
         except MalformedMessage as exc:
             await self._reject_malformed(STATUS_BAD_REQUEST, exc)
-        except (FilbertdriftError, OSError, TimeoutError) as exc:
-            self._record_unanswered(exc)
-            self._writer.transport.abort()
         except asyncio.CancelledError:
             self._end_cancelled()
         except Exception as exc:
             self._record_unanswered(exc)
-            raise
+            self._writer.transport.abort()
 
     def _end_cancelled(self) -> None:
         """End a request whose caller left or did not finish its head."""
@@ -243,10 +241,10 @@
         if head is None:
             return
         self._server.counters.unanswered += 1
-        self._log(head, 'unanswered').warning('{!r}', exc)
+        self._log(head, 'unanswered').opt(exception=exc).warning('{!r}', exc)
 
     async def _serve_requests(self) -> None:
-        while not self._must_close:
+        while not self._responses.must_close:
             head = await self._read_head()
             if head is None:
                 return
@@ -298,6 +296,31 @@
         self._has_read_body = False
         self._body_bytes = 0
         self._is_dispatched = False
+        self._responses.has_begun = False
+        self._req = None
+        try:
+            await self._route(head)
+        except Exception as exc:
+            if self._responses.has_begun or not self._is_failure(exc):
+                raise
+            await self._respond_to_failure(head, exc)
+
+    def _is_failure(self, exc: Exception) -> bool:
+        """Return whether an exception is no end that a caller can cause."""
+        usual = (FilbertdriftError, OSError, TimeoutError)
+        return self._is_dispatched or not isinstance(exc, usual)
+
+    async def _respond_to_failure(
+        self, head: RequestHead, exc: Exception
+    ) -> None:
+        """Respond to a request that an unexpected exception has ended."""
+        self._server.counters.failed += 1
+        self._log(head, 'request_failed').opt(exception=exc).error(
+            'a request has failed'
+        )
+        await self._send_error(head, build_failure_error(self._req))
+
+    async def _route(self, head: RequestHead) -> None:
         handler = self._handler
         if not handler.has_config:
             await self._send_error(head, build_no_config_error())
@@ -339,7 +362,7 @@
         try:
             first = await self._read_first_part(head, deadline)
         except TimeoutError:
-            self._must_close = True
+            self._responses.must_close = True
             reason = 'the body did not come in time'
             self._log_rejection(head, STATUS_REQUEST_TIMEOUT, reason)
             await self._send_text(head, STATUS_REQUEST_TIMEOUT, reason)
@@ -349,6 +372,7 @@
             permission = self._handler.authenticate(head.headers, route)
         req = self._build_request(head, first, deadline, permission)
         req.caller_timeout_s = stated_timeout_s
+        self._req = req
         routed = self._handler.route_request(req, route)
         self._is_dispatched = True
         try:
@@ -359,11 +383,14 @@
             await self._send_error(head, exc)
             return
         try:
-            await self._send_response(head, response)
+            await self._responses.send_response(head, response)
             await response.finish_upload()
+        except RequestUnknown:
+            self._server.counters.aborted_answers += 1
+            raise
         finally:
             response.close()
-        self._must_close = self._must_close or not self._has_read_body
+        self._responses.must_close |= not self._has_read_body
 
     @contextlib.contextmanager
     def _interruptible(self, req: IngressRequest | None) -> Iterator[None]:
@@ -456,51 +483,6 @@
         _check_stop(self._server.stop_plan, deadline)
         return BodyPart(b''.join(chunks), part.end)
 
-    async def _send_response(
-        self, head: RequestHead, response: RoutedResponse
-    ) -> None:
-        part = response.first_part
-        headers = list(response.headers)
-        is_bodiless = head.method == 'HEAD'
-        is_bodiless = is_bodiless or response.status in _BODILESS_STATUSES
-        is_chunked = False
-        if not is_bodiless and not http1.find_header(
-            headers,
-            b'content-length',
-        ):
-            is_chunked = not part.end
-            headers.append(
-                (b'transfer-encoding', b'chunked')
-                if is_chunked
-                else (b'content-length', b'%d' % len(part.chunk)),
-            )
-        self._add_connection_header(head, headers)
-        raw = http1.encode_response_head(response.status, headers)
-        self._writer.write(raw + http1.encode_part(part, is_chunked=is_chunked))
-        while not part.end:
-            try:
-                part = await response.part(RESPONSE_STALL_TIMEOUT_S)
-            except RequestUnknown:
-                self._server.counters.aborted_answers += 1
-                self._writer.transport.abort()
-                raise
-            self._writer.write(http1.encode_part(part, is_chunked=is_chunked))
-            await self._drain()
-        await self._drain()
-
-    async def _drain(self) -> None:
-        if not self._writer.transport.get_write_buffer_size():
-            return
-        async with asyncio.timeout(RESPONSE_STALL_TIMEOUT_S):
-            await self._writer.drain()
-
-    def _add_connection_header(
-        self, head: RequestHead, headers: Headers
-    ) -> None:
-        if self._server.is_closing or not head.keep_alive or self._must_close:
-            self._must_close = True
-            headers.append((b'connection', b'close'))
-
     async def _send_error(
         self,
         head: RequestHead,
@@ -524,22 +506,13 @@
         reason: str,
         extra: Headers | None = None,
     ) -> None:
-        text = f'{reason}\n'.encode()
-        headers: Headers = [
-            (b'content-type', b'text/plain; charset=utf-8'),
-            (b'content-length', b'%d' % len(text)),
-            *(extra or ()),
-        ]
         if not self._has_read_body:
             self._has_read_body = self._request_reader.buffered_part().end
         if not self._has_read_body:
-            self._must_close = True
+            self._responses.must_close = True
             self._server.counters.closed_unread += 1
             self._log(head, 'closed_unread').info('status {}', status)
-        self._add_connection_header(head, headers)
-        body = b'' if head.method == 'HEAD' else text
-        self._writer.write(http1.encode_response_head(status, headers) + body)
-        await self._drain()
+        await self._responses.send_text(head, status, reason, extra or [])
 
     async def _reject(
         self, head: RequestHead, status: int, reason: str
@@ -607,7 +580,7 @@
     ) -> None:
         self._server.counters.rejected += 1
         logger.bind(event='rejected', status=status).info('{}', exc)
-        self._must_close = True
+        self._responses.must_close = True
         head = RequestHead('GET', '', [], keep_alive=False)
         with contextlib.suppress(OSError, TimeoutError):
             await self._send_text(head, status, str(exc))
--- a/filbertdrift/eventlog.py
+++ b/filbertdrift/eventlog.py
@@ -10,8 +10,11 @@
 import queue
 import threading
 import time
+import traceback
 from collections import Counter
+from collections.abc import Sequence
 from dataclasses import dataclass
+from types import TracebackType
 from typing import Any
 
 from loguru import logger
@@ -23,6 +26,7 @@
 DROP_REPORT_INTERVAL_S = 5.0
 STDOUT = 1
 MAX_WRITE_BYTES = 65_536
+MAX_LOGGED_FRAMES = 8
 
 
 @dataclass(slots=True)
@@ -181,9 +185,19 @@
     }
     if record['exception'] is not None:
         fields['exception'] = repr(record['exception'].value)
+        fields['trace'] = _list_frames(record['exception'].traceback)
     return _encode_line(fields)
 
 
+def _list_frames(trace: TracebackType | None) -> Sequence[str]:
+    """Return the innermost frames of a traceback, the last one first."""
+    frames = traceback.extract_tb(trace)[-MAX_LOGGED_FRAMES:]
+    return [
+        f'{os.path.basename(frame.filename)}:{frame.lineno} {frame.name}'
+        for frame in reversed(frames)
+    ]
+
+
 def _encode_line(fields: dict[str, Any]) -> bytes:
     text = json.dumps(fields, default=str, separators=(',', ':'))
     return f'{text}\n'.encode()
