Read on after a last response whose caller may have sent more

What callers saw: a response with connection: close, as of a node that stops, was lost to a reset when the caller had sent its next request already. Cause: a node read on after a last response only while the body of that request was unread. Evidence: test_next_request_is_sent_already and test_next_request_on_the_library_port got ConnectionResetError before. Change: it also does so where it closes a connection that its caller asked to keep. The bounds are those of uploads. Result: both pass, as do the tests of entry, caller, the planned stop and the endless responses (94 with the table).

--- a/filbertdrift/caller.py
+++ b/filbertdrift/caller.py
@@ -126,13 +126,17 @@
         self._handler = server.handler
         self._request_reader = http1.RequestReader(reader, 'caller')
         self._must_close = False
+        # It closes although the caller asked to keep it.
+        self._may_be_sent_more = False
         self._has_read_body = False
 
     async def run(self) -> None:
         """Serve requests until the caller or the node closes."""
         try:
             await self._serve_until_end()
-            if self._must_close and not self._has_read_body:
+            if self._must_close and (
+                self._may_be_sent_more or not self._has_read_body
+            ):
                 await self._linger()
         finally:
             self._writer.close()
@@ -281,6 +285,7 @@
     ) -> None:
         if self._must_close or self._server.is_closing or not head.keep_alive:
             self._must_close = True
+            self._may_be_sent_more = head.keep_alive
             headers.append((b'connection', b'close'))
 
     async def _send_error(
--- a/filbertdrift/entry.py
+++ b/filbertdrift/entry.py
@@ -207,7 +207,7 @@
         """Serve requests until the caller or the node closes."""
         try:
             await self._serve_until_end()
-            if not self._has_read_body:
+            if self._responses.may_be_sent_more or not self._has_read_body:
                 await self._linger()
         finally:
             self._writer.close()
--- a/filbertdrift/responsewriter.py
+++ b/filbertdrift/responsewriter.py
@@ -21,6 +21,8 @@
 
     Attributes:
         must_close: The connection closes after the response, which says so.
+        may_be_sent_more: It closes although the caller asked to keep it, and
+            may have sent more.
         has_begun: Bytes of the response have been written, so that no other
             response can be sent.
     """
@@ -30,6 +32,7 @@
     ) -> None:
         """Create the writer; nothing is written."""
         self.must_close = False
+        self.may_be_sent_more = False
         self.has_begun = False
         self._listener = listener
         self._writer = writer
@@ -111,4 +114,5 @@
     ) -> None:
         if self._listener.is_closing or not head.keep_alive or self.must_close:
             self.must_close = True
+            self.may_be_sent_more = head.keep_alive
             headers.append((b'connection', b'close'))
--- a/tests/test_unanswered.py
+++ b/tests/test_unanswered.py
@@ -11,6 +11,7 @@
 from testtools import TestCase
 from testtools.matchers import (
     Contains,
+    EndsWith,
     Equals,
     HasLength,
     LessThan,
@@ -284,7 +285,34 @@
 
 
 class LastResponseTest(TestCase):
-    """A last response of another kind arrives whole."""
+    """A response that says so is the last, also if more requests were sent."""
+
+    # LOST: a node that closed a connection after a response reset it when the
+    # caller had sent its next request, and the response was lost.
+    def test_next_request_is_sent_already(self) -> None:
+        response = asyncio.run(self._pipelined())
+        self.assertThat(response, StartsWith(b'HTTP/1.1 200 '))
+        self.assertThat(response, Contains(b'connection: close'))
+        self.assertThat(response, EndsWith(b'ok'))
+
+    async def _pipelined(self) -> bytes:
+        async with socket_mesh(work_s=0) as mesh:
+            mesh.node.entry.is_closing = True
+            following = (encode_head('/write/x', (CHUNKED,)), *IN_CHUNKS)
+            return await exchange(mesh, (request(keep=True), *following))
+
+    # LOST: as above, on the library's own port.
+    def test_next_request_on_the_library_port(self) -> None:
+        response = asyncio.run(self._library())
+        self.assertThat(response, StartsWith(b'HTTP/1.1 404 '))
+        self.assertThat(response, Contains(b'connection: close'))
+
+    async def _library(self) -> bytes:
+        async with running_node(leave) as node:
+            node.node.callers.is_closing = True
+            following = (encode_head('/none/x', (CHUNKED,)), *IN_CHUNKS)
+            first = request('/none/x', keep=True)
+            return await exchange(node, (first, *following))
 
     # LOST: as in EndingTest, on the library's own port.
     def test_upload_to_the_library_port(self) -> None:
