Name crash notices by the start of their node

Cause: notices were named by the node's address and a number that began with 1 in each process. Peers keep the ids, so they took the first notices of a restarted node for those of its earlier process. Evidence: RestartTest.test_notices_after_a_restart_are_new failed before. Change: the id carries the node's generation.

--- a/filbertdrift/crashes.py
+++ b/filbertdrift/crashes.py
@@ -17,6 +17,7 @@
 
 from filbertdrift.errors import RequestNotRun
 from filbertdrift.gen import ttypes
+from filbertdrift.identity import Identity
 
 CRASHES_TO_BLOCK = 2
 BLOCK_DURATION_S = 600.0
@@ -79,15 +80,16 @@
     """Tracks which requests crash targets, in bounded memory.
 
     Args:
-        node: This node, the prefix of the ids of the crashes that it detects.
+        identity: This node and its start, the prefix of the ids of its notices:
+            other nodes keep those of its earlier processes.
         rng: Adds jitter to the retry-after delays.
     """
 
-    def __init__(self, node: str, rng: random.Random) -> None:
+    def __init__(self, identity: Identity, rng: random.Random) -> None:
         """Start empty."""
         self.counters = CrashCounters()
         self.send_notice: SendNotice = _drop_notice
-        self._node = node
+        self._prefix = f'{identity.address}/{identity.generation}'
         self._rng = rng
         self._digest = 0
         self._sequence = itertools.count(1)
@@ -197,7 +199,7 @@
         non_empty = [name for name in names if name]
         for start in range(0, len(non_empty), MAX_NOTICE_FINGERPRINTS):
             notice = ttypes.CrashNotice(
-                f'{self._node}/{next(self._sequence)}',
+                f'{self._prefix}/{next(self._sequence)}',
                 non_empty[start : start + MAX_NOTICE_FINGERPRINTS],
                 cleared,
             )
--- a/filbertdrift/mesh.py
+++ b/filbertdrift/mesh.py
@@ -162,7 +162,7 @@
         )
         self.freshness.on_era = self._on_era
         log.on_era = self._on_era
-        self.crashes = CrashLedger(identity.address, rng)
+        self.crashes = CrashLedger(identity, rng)
         self.crashes.send_notice = self.membership.broadcast
         self.crash_sync = CrashSync(self.crashes, self.links)
         self.membership.crashes_digest = self.crashes.digest
--- a/filbertdrift/node.py
+++ b/filbertdrift/node.py
@@ -143,7 +143,7 @@
         self.publisher = Publisher(log, self.reader, self.replica)
         self.introducer = SeedDiscovery(log, self.membership, seeds, rng)
         self.chooser = TargetChooser(identity.domain, identity.region, rng)
-        self.crashes = CrashLedger(identity.address, rng)
+        self.crashes = CrashLedger(identity, rng)
         self.crashes.send_notice = self.membership.broadcast
         self.crash_sync = CrashSync(self.crashes, self.links)
         self.membership.crashes_digest = self.crashes.digest
