--- a/filbertdrift/handover.py
+++ b/filbertdrift/handover.py
@@ -19,6 +19,7 @@
 from filbertdrift.callstream import CallStream
 from filbertdrift.contract import HeaderNames, TargetStatement
 from filbertdrift.crashes import CrashLedger
+from filbertdrift.crashwatch import CrashWatch
 from filbertdrift.durations import DurationHistogram
 from filbertdrift.errors import (
     FilbertdriftError,
@@ -107,10 +108,9 @@
         self._health = health
         self._pacer = pacer
         self._reporter = reporter
-        self._running: dict[CallStream, str] = {}
+        self._crash_watch = CrashWatch(crashes)
         self._serving: dict[CallStream, asyncio.Task[None] | None] = {}
         self._is_interrupted = False
-        self._has_crashed = False
         self._tasks: set[asyncio.Task[None]] = set()
 
     async def serve(self, call: CallStream, req: ttypes.RequestOpen) -> None:
@@ -129,7 +129,7 @@
         except RequestUnknown as exc:
             self.counters.unknown += 1
             self._log_outcome(call, req, 'unknown', str(exc))
-            self._suspect_crash(exc)
+            self._suspect_crash(call, exc)
             await call.send(
                 self._build_refusal(ttypes.RefusalKind.UNKNOWN, exc)
             )
@@ -156,13 +156,13 @@
         self._reporter.arrived(call, req)
 
     def _forget(self, call: CallStream) -> None:
-        self._running.pop(call, None)
+        self._crash_watch.ended(call)
         self._serving.pop(call, None)
         self._reporter.ended(call)
 
     def _on_cancelled(self, call: CallStream, req: ttypes.RequestOpen) -> None:
         self.counters.cancelled += 1
-        is_dropped = call not in self._running
+        is_dropped = not self._crash_watch.is_running(call)
         reason = 'before it ran' if is_dropped else 'the ingress gave up'
         if self._is_interrupted:
             reason = 'the node stops'
@@ -225,11 +225,12 @@
         with SlotHold(current.gate, slot_request) as hold:
             started_at = loop.time()
             self._reporter.started(call)
-            exchange = await self._connect(current, req, slot_request.deadline)
+            exchange = await self._connect(
+                current, call, req, slot_request.deadline
+            )
             hold.start()
             with contextlib.closing(exchange):
                 startlimit.check_start(start_by)
-                self._running[call] = req.fingerprint or ''
                 run = TargetRun(
                     call,
                     req,
@@ -290,7 +291,7 @@
 
     def _record_response(self, status: int, req: ttypes.RequestOpen) -> None:
         self.counters.answered += 1
-        self._has_crashed = False
+        self._crash_watch.answered()
         if status < STATUS_SERVER_ERROR:
             self._health.record_success()
             self._crashes.record_success(req.fingerprint or '')
@@ -314,6 +315,7 @@
     async def _connect(
         self,
         current: Incarnation,
+        call: CallStream,
         req: ttypes.RequestOpen,
         deadline: float,
     ) -> Exchange:
@@ -338,6 +340,7 @@
                 retry_after_ms=RETRY_AFTER_MS,
                 step='send to target',
             )
+        self._crash_watch.began(call, req.fingerprint or '', exchange)
         return exchange
 
     def _build_target_request(
@@ -362,7 +365,7 @@
             max_idle_s=find_max_idle_s(req),
         )
 
-    def _suspect_crash(self, exc: RequestUnknown) -> None:
+    def _suspect_crash(self, call: CallStream, exc: RequestUnknown) -> None:
         """Start to check whether the connection broke because of a crash.
 
         The check runs in a task: the caller of the request does not wait.
@@ -371,25 +374,20 @@
         if current is None or not isinstance(exc.__cause__, PeerUnavailable):
             return
         self._health.record_failure()
-        if self._has_crashed:
+        names = self._crash_watch.suspect(call)
+        if not names:
             return
-        self._has_crashed = True
-        running = list(self._running.values())
         task = asyncio.get_running_loop().create_task(
-            self._mark_if_crashed(current, running),
+            self._check_crash(names, current)
         )
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    async def _mark_if_crashed(
-        self,
-        current: Incarnation,
-        running: Sequence[str],
+    async def _check_crash(
+        self, names: Sequence[str], current: Incarnation
     ) -> None:
-        self._has_crashed = not await current.target.is_up()
-        if self._has_crashed:
+        if await self._crash_watch.confirm(names, current.target):
             self.counters.crashes += 1
-            self._crashes.record_crash(running)
 
     def _build_refusal(
         self, kind: int, exc: FilbertdriftError
--- a/filbertdrift/serving.py
+++ b/filbertdrift/serving.py
@@ -13,6 +13,7 @@
 from filbertdrift import http1
 from filbertdrift.callstream import WINDOW_BYTES, CallStream
 from filbertdrift.crashes import CrashLedger
+from filbertdrift.crashwatch import CrashWatch
 from filbertdrift.errors import (
     FilbertdriftError,
     MalformedMessage,
@@ -42,13 +43,11 @@
         service: Service that the target belongs to.
         target: Connections to the target.
         gate: Admission control of the target.
-        is_crashed: It broke a connection and has not responded since.
     """
 
     service: str
     target: Target
     gate: Gate
-    is_crashed: bool = False
 
 
 @dataclass(slots=True)
@@ -83,7 +82,7 @@
         """Create the server without a target."""
         self._health = health
         self._crashes = crashes
-        self._running: dict[CallStream, str] = {}
+        self._crash_watch = CrashWatch(crashes)
         self._tracer = tracer
         self._generation = generation
         self.announced: AnnouncedTarget | None = None
@@ -99,7 +98,6 @@
             req: The opening message.
         """
         self.in_progress += 1
-        self._running[call] = req.fingerprint or ''
         try:
             await self._serve(call, req)
         except RequestNotRun as exc:
@@ -107,29 +105,24 @@
             await self._send_refusal(call, exc, exc.retry_after_ms)
         except RequestUnknown as exc:
             self.counters.unknown += 1
-            await self._check_crash(exc)
+            await self._check_crash(call, exc)
             await self._send_refusal(call, exc, 0)
         except asyncio.CancelledError:
             self.counters.cancelled += 1
             raise
         finally:
             self.in_progress -= 1
-            self._running.pop(call, None)
+            self._crash_watch.ended(call)
 
-    async def _check_crash(self, exc: RequestUnknown) -> None:
+    async def _check_crash(self, call: CallStream, exc: RequestUnknown) -> None:
         """Mark the running requests if the target is unreachable."""
         announced = self.announced
         if announced is None or not isinstance(exc.__cause__, PeerUnavailable):
             return
         self._health.record_failure()
-        if announced.is_crashed:
-            return
-        announced.is_crashed = True
-        running = list(self._running.values())
-        announced.is_crashed = not await announced.target.is_up()
-        if announced.is_crashed:
+        names = self._crash_watch.suspect(call)
+        if names and await self._crash_watch.confirm(names, announced.target):
             self.counters.crashes += 1
-            self._crashes.record_crash(running)
 
     async def _serve(self, call: CallStream, req: ttypes.RequestOpen) -> None:
         loop = asyncio.get_running_loop()
@@ -156,8 +149,11 @@
                 )
                 exchange = await self._connect(announced, request, deadline)
                 with contextlib.closing(exchange):
+                    self._crash_watch.began(
+                        call, req.fingerprint or '', exchange
+                    )
                     await _TargetRun(call, req, exchange, gate).run(deadline)
-                announced.is_crashed = False
+                self._crash_watch.answered()
                 self._health.record_success()
                 self._crashes.record_success(req.fingerprint or '')
             self.counters.answered += 1
--- a/filbertdrift/target.py
+++ b/filbertdrift/target.py
@@ -53,9 +53,11 @@
 
     Attributes:
         is_first: No other exchange preceded it on its connection.
+        connected_at: When its connection was established, on the loop's clock.
     """
 
     is_first = True
+    connected_at: float
 
     @abstractmethod
     async def send_head(self) -> None:
@@ -165,6 +167,7 @@
         """Create the exchange; nothing is sent yet."""
         conn.begin_exchange()
         self.is_first = conn.exchanges == 1
+        self.connected_at = conn.connected_at
         self._pool = pool
         self._conn = conn
         self._request = request
--- a/filbertdrift/target_connection.py
+++ b/filbertdrift/target_connection.py
@@ -49,6 +49,7 @@
         idle_since: When the last exchange ended, on the loop's clock.
         reuse_until: Until when another exchange may start.
         exchanges: How many exchanges have begun.
+        connected_at: When it was established, on the loop's clock.
     """
 
     def __init__(
@@ -62,6 +63,7 @@
         self.idle_since = 0.0
         self.reuse_until = 0.0
         self.exchanges = 0
+        self.connected_at = asyncio.get_running_loop().time()
         self._reader = reader
         self._writer = writer
 
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -151,6 +151,7 @@
     """One request to an in-memory target and its response."""
 
     def __init__(self, target: MemoryTarget, request: TargetRequest) -> None:
+        self.connected_at = asyncio.get_running_loop().time()
         self._target = target
         self._request = request
         self._body = request.first_chunk
--- a/standins/scripted_target.py
+++ b/standins/scripted_target.py
@@ -146,6 +146,7 @@
     """One request to a scripted target and its response."""
 
     def __init__(self, target: ScriptedTarget, request: TargetRequest) -> None:
+        self.connected_at = asyncio.get_running_loop().time()
         self._script = target.script
         self._rng = target.rng
         self._request = request
