End an attempt's accounting whatever exception ends the request

What callers saw: after an exception in bookkeeping, an upload without a response until its deadline, 502 for requests that had not run, and a response that was cut after its last byte; the target kept a request in flight and its connection a call, so that later requests avoided it. Cause: TargetAttempt undid its counts on two of its ways out only; the task that sends an upload ended silently on any error that is not one of the project's; an opening that cannot be encoded counted as sent. Change: an attempt stacks what undoes its counts, and the ingress closes what is still open when the request has ended. A failed upload fails its call. Encoding errors are UnsendableMessage, after which nothing was sent. An account gets its token back after any end that did not run. A whole response stays whole. The stand-in target of tests/socket_mesh.py says that it closes after its response, as it does.

--- a/filbertdrift/accounts/admission.py
+++ b/filbertdrift/accounts/admission.py
@@ -67,7 +67,7 @@
         counts.not_run += 1
         limiter.give_back(account)
         raise
-    except asyncio.CancelledError:
+    except (asyncio.CancelledError, Exception):
         if not req.may_have_run:
             limiter.give_back(account)
         raise
--- a/filbertdrift/balance/callwatch.py
+++ b/filbertdrift/balance/callwatch.py
@@ -4,7 +4,6 @@
 from collections.abc import Awaitable, Callable, Sequence
 
 from filbertdrift.balance.callroom import CallRoom
-from filbertdrift.errors import RequestNotRun, RequestUnknown
 from filbertdrift.routed import RoutedRequest, RoutedResponse
 
 CALL_RANK = 0
@@ -58,7 +57,7 @@
         self._room.record_call(routed.route.name, running, now)
         try:
             response = await dispatch(routed)
-        except (RequestNotRun, RequestUnknown):
+        except Exception:
             self._record(routed, is_failure=True)
             raise
         except asyncio.CancelledError:
--- a/filbertdrift/callstream.py
+++ b/filbertdrift/callstream.py
@@ -4,11 +4,7 @@
 from dataclasses import dataclass
 
 from filbertdrift.connection import Connection
-from filbertdrift.errors import (
-    FilbertdriftError,
-    MalformedMessage,
-    PeerUnavailable,
-)
+from filbertdrift.errors import MalformedMessage, PeerUnavailable
 from filbertdrift.gen import ttypes
 
 CHUNK_BYTES = 65_536
@@ -62,7 +58,7 @@
         self._window_bytes = window_bytes
         self._credit_granted = asyncio.Event()
         self._received: asyncio.Queue[object] = asyncio.Queue()
-        self._failure: FilbertdriftError | None = None
+        self._failure: Exception | None = None
 
     def clock_s(self) -> float:
         """Return the time on the clock of the connection."""
@@ -111,7 +107,7 @@
             PeerUnavailable: The connection broke before the call ended.
         """
         body = await self._received.get()
-        if isinstance(body, FilbertdriftError):
+        if isinstance(body, Exception):
             raise body
         return body
 
@@ -144,7 +140,7 @@
         else:
             self._received.put_nowait(body)
 
-    def fail(self, exc: FilbertdriftError) -> None:
+    def fail(self, exc: Exception) -> None:
         """Fail this end of the call with an error."""
         self._failure = exc
         self._credit_granted.set()
--- a/filbertdrift/dispatch.py
+++ b/filbertdrift/dispatch.py
@@ -280,7 +280,9 @@
             return None
         progress.target_attempts += 1
         self.counters.hedged += 1
-        return loop.create_task(self._try_targets(routed, progress))
+        retry = loop.create_task(self._try_targets(routed, progress))
+        routed.cleanup.callback(retry.cancel)
+        return retry
 
     def _find_patience_s(
         self, routed: RoutedRequest, target_attempts: int, now: float
--- a/filbertdrift/entry.py
+++ b/filbertdrift/entry.py
@@ -297,11 +297,13 @@
         self._body_bytes = 0
         self._is_dispatched = False
         self._responses.has_begun = False
+        self._responses.is_whole = False
         self._req = None
         try:
             await self._route(head)
         except Exception as exc:
-            if self._responses.has_begun or not self._is_failure(exc):
+            is_cut = self._responses.has_begun and not self._responses.is_whole
+            if is_cut or not self._is_failure(exc):
                 raise
             await self._respond_to_failure(head, exc)
 
@@ -318,6 +320,9 @@
         self._log(head, 'request_failed').opt(exception=exc).error(
             'a request has failed'
         )
+        if self._responses.is_whole:
+            self._responses.must_close |= not self._has_read_body
+            return
         await self._send_error(head, build_failure_error(self._req))
 
     async def _route(self, head: RequestHead) -> None:
@@ -375,11 +380,19 @@
         self._req = req
         routed = self._handler.route_request(req, route)
         self._is_dispatched = True
+        with routed.cleanup:
+            await self._exchange(head, routed)
+
+    async def _exchange(self, head: RequestHead, routed: RoutedRequest) -> None:
         try:
-            with self._interruptible(req):
+            with self._interruptible(routed.req):
                 response = await self._handler.dispatch(routed)
         except (RequestNotRun, RequestUnknown) as exc:
-            self._log_limit(head, routed, exc)
+            if _is_over_limit(exc):
+                account = routed.req.client_account
+                self._log_rejection(
+                    head, STATUS_TOO_MANY_REQUESTS, str(exc), account
+                )
             await self._send_error(head, exc)
             return
         try:
@@ -536,18 +549,6 @@
         challenge = (b'www-authenticate', self._server.header_names.api_key)
         await self._send_text(head, STATUS_UNAUTHORIZED, reason, [challenge])
 
-    def _log_limit(
-        self,
-        head: RequestHead,
-        routed: RoutedRequest,
-        exc: RequestNotRun | RequestUnknown,
-    ) -> None:
-        """Log a request that its account's limit refused."""
-        status = exc.status if isinstance(exc, RequestNotRun) else 0
-        if status == STATUS_TOO_MANY_REQUESTS:
-            account = routed.req.client_account
-            self._log_rejection(head, status, str(exc), account)
-
     def _log_rejection(
         self, head: RequestHead, status: int, reason: str, account: str = ''
     ) -> None:
@@ -598,6 +599,14 @@
         raise StopsBefore()
 
 
+def _is_over_limit(exc: RequestNotRun | RequestUnknown) -> bool:
+    """Return whether the limit of its account refused a request."""
+    return (
+        isinstance(exc, RequestNotRun)
+        and exc.status == STATUS_TOO_MANY_REQUESTS
+    )
+
+
 def _effective_timeout_s(
     stated_timeout_s: float | None, route: PrefixRoute
 ) -> float:
--- a/filbertdrift/errors.py
+++ b/filbertdrift/errors.py
@@ -74,6 +74,10 @@
     """Bytes received from another process are not a valid message."""
 
 
+class UnsendableMessage(FilbertdriftError):
+    """A message cannot be encoded; nothing of it was sent."""
+
+
 class RulesUnknown(FilbertdriftError):
     """The configuration needs a later version of the validation rules."""
 
--- a/filbertdrift/responsewriter.py
+++ b/filbertdrift/responsewriter.py
@@ -23,6 +23,7 @@
         must_close: The connection closes after the response, which says so.
         has_begun: Bytes of the response have been written, so that no other
             response can be sent.
+        is_whole: The response has been written to its end.
     """
 
     def __init__(
@@ -31,6 +32,7 @@
         """Create the writer; nothing is written."""
         self.must_close = False
         self.has_begun = False
+        self.is_whole = False
         self._listener = listener
         self._writer = writer
 
@@ -70,6 +72,7 @@
             self._writer.write(http1.encode_part(part, is_chunked=is_chunked))
             await self._drain()
         await self._drain()
+        self.is_whole = True
 
     async def send_text(
         self, head: RequestHead, status: int, reason: str, extra: Headers
@@ -95,6 +98,7 @@
         body = b'' if head.method == 'HEAD' else text
         self._write(http1.encode_response_head(status, headers) + body)
         await self._drain()
+        self.is_whole = True
 
     def _write(self, raw: bytes) -> None:
         self.has_begun = True
--- a/filbertdrift/target_attempt.py
+++ b/filbertdrift/target_attempt.py
@@ -1,6 +1,7 @@
 """One attempt of a routed request at the node of one target."""
 
 import asyncio
+import contextlib
 from collections.abc import Callable
 
 from loguru import logger
@@ -15,6 +16,7 @@
     PeerUnavailable,
     RequestNotRun,
     RequestUnknown,
+    UnsendableMessage,
 )
 from filbertdrift.gen import ttypes
 from filbertdrift.hedge import Retry, StartRetry, await_first
@@ -109,6 +111,10 @@
         self._upload: asyncio.Task[None] | None = None
         # A cancelled call whose last message may tell that it did not run.
         self._unconfirmed: tuple[PeerLink, CallStream] | None = None
+        self._link_call: tuple[PeerLink, CallStream] | None = None
+        # Undoes what has been counted for this attempt, whatever ends it.
+        self._cleanup = contextlib.ExitStack()
+        self._cancels_call = True
 
     async def run(self) -> RoutedResponse:
         """Send the request and return the opened response.
@@ -118,53 +124,55 @@
             RequestNotRun: It was refused before it ran.
             RequestUnknown: It may have run.
         """
+        self._routed.cleanup.callback(self.abandon)
+        try:
+            return await self._run()
+        except BaseException as exc:
+            self._end_without_response(exc)
+            raise
+
+    def abandon(self) -> None:
+        """End the call and its accounting, unless they have ended."""
+        self._end_call(cancel=True)
+        self.forget()
+
+    async def _run(self) -> RoutedResponse:
         loop = asyncio.get_running_loop()
         started_at = loop.time()
         self._began(started_at)
         if self._routed.tracker:
             self._routed.tracker.sent(self._member, started_at)
-        try:
-            link, call = await self._begin_call()
-        except BaseException:
-            self._ended(loop.time())
-            raise
+        link, call = await self._begin_call()
         self.is_offer = self._should_offer(link, started_at)
         call.keepalive_timeout_s = self._keepalive_timeout_s
         if self.is_offer:
             link.expect_reply(started_at)
-        try:
-            opened = await self._exchange(call)
-        except BaseException as exc:
-            self._end_without_response(exc, link, call)
-            raise
+        opened = await self._exchange(call)
         if isinstance(opened, RoutedResponse):
             # The retry has responded first.
-            self._end_call(link, call, cancel=True)
+            self._end_call(cancel=True)
             return opened
         self._record_response(opened, loop.time() - started_at)
-        return self._open_response(opened, link, call)
+        return self._open_response(opened, call)
 
-    def _end_without_response(
-        self, exc: BaseException, link: PeerLink, call: CallStream
-    ) -> None:
+    def _end_without_response(self, exc: BaseException) -> None:
         is_unknown = isinstance(exc, RequestUnknown)
-        if is_unknown and not self._is_refused:
+        if is_unknown and self._link_call and not self._is_refused:
+            link, call = self._link_call
             self._unconfirmed = (link, call)
             link.cancel(call)
-        self._end_call(link, call, cancel=not self._is_refused)
+        self._end_call(cancel=not self._is_refused)
         if is_unknown:
             now = asyncio.get_running_loop().time()
             self._record_wait(now - self._started_at)
 
     def _open_response(
-        self, opened: ttypes.AnswerOpen, link: PeerLink, call: CallStream
+        self, opened: ttypes.AnswerOpen, call: CallStream
     ) -> RoutedResponse:
         # Nothing can be tried elsewhere from now on.
         call.keepalive_timeout_s = float('inf')
         response = RoutedResponse(
-            opened,
-            call,
-            lambda cancel: self._end_call(link, call, cancel=cancel),
+            opened, call, lambda cancel: self._end_call(cancel=cancel)
         )
         response.upload = self._upload
         response.deadline = self._req.deadline
@@ -261,6 +269,8 @@
         try:
             link = self._links.ready(node) or await self._links.connect(node)
             call = link.begin()
+            self._link_call = (link, call)
+            self._cleanup.callback(self._end_link_call, link, call)
         except PeerUnavailable as exc:
             now = asyncio.get_running_loop().time()
             self._chooser.failed(self._member, now, unreachable=True)
@@ -312,8 +322,9 @@
         deadline = self._req.deadline + RESPONSE_SLACK_S
         try:
             async with asyncio.timeout_at(deadline):
+                opening = self._opening(call)
                 self._req.may_have_run |= not self.is_offer
-                await call.send(self._opening(call))
+                await self._send_opening(call, opening)
                 if self.is_offer or not self._req.is_whole:
                     self._upload = loop.create_task(self._send_body(call))
                 body = await self._receive_reply(call, started_at)
@@ -327,6 +338,15 @@
             raise self._refusal_error(body)
         raise self._unknown_error(f'unexpected {type(body).__name__}')
 
+    async def _send_opening(
+        self, call: CallStream, opening: ttypes.RequestOpen
+    ) -> None:
+        try:
+            await call.send(opening)
+        except UnsendableMessage:
+            self._req.may_have_run = self._may_have_run_before
+            raise
+
     async def _receive_reply(
         self, call: CallStream, started_at: float
     ) -> object:
@@ -388,6 +408,9 @@
                 request=self._req.request_id,
             ).info('{}', exc)
             call.fail(exc)
+        except Exception as exc:
+            # The task that waits for the response ends the request.
+            call.fail(exc)
 
     async def _send_held_back(self, call: CallStream) -> bool:
         """Send the first chunk of an offer; return whether the body ends."""
@@ -434,12 +457,14 @@
     def _refusal_error(self, body: ttypes.Refusal) -> Exception:
         now = asyncio.get_running_loop().time()
         self._is_refused = True
+        is_not_run = body.kind == ttypes.RefusalKind.NOT_RUN
+        if is_not_run:
+            self._req.may_have_run = self._may_have_run_before
         self._record_report(body)
         self.reached_target = bool(body.reached_target)
-        if body.kind != ttypes.RefusalKind.NOT_RUN:
+        if not is_not_run:
             self._record_outcome(is_failure=True, now=now)
             return self._unknown_error(body.reason or '')
-        self._req.may_have_run = self._may_have_run_before
         load = body.load_permille or 0
         if body.notice:
             self._known_targets.record(self._member.node, body.notice)
@@ -486,25 +511,23 @@
         self._chooser.failed(self._member, now, unreachable=False)
         return RequestUnknown(reason, step='gate', peer=self._member.node)
 
-    def _end_call(
-        self, link: PeerLink, call: CallStream, *, cancel: bool
-    ) -> None:
+    def _end_call(self, *, cancel: bool) -> None:
+        self._cancels_call = cancel
+        self._cleanup.close()
+
+    def _end_link_call(self, link: PeerLink, call: CallStream) -> None:
         if self._upload:
             self._upload.cancel()
         if self._unconfirmed is None:
-            link.end(call, cancel=cancel)
-        self._ended(asyncio.get_running_loop().time())
+            link.end(call, cancel=self._cancels_call)
 
     def _began(self, now: float) -> None:
         self._started_at = now
         self._chooser.began(self._member, now)
+        self._cleanup.callback(_record_end, self._chooser, self._member)
         if self._outcomes:
             self._outcomes.began(self._member)
-
-    def _ended(self, now: float) -> None:
-        self._chooser.ended(self._member, now)
-        if self._outcomes:
-            self._outcomes.ended(self._member)
+            self._cleanup.callback(self._outcomes.ended, self._member)
 
     def _record_outcome(self, *, is_failure: bool, now: float) -> None:
         if self._outcomes:
@@ -514,3 +537,7 @@
                 is_failure=is_failure,
                 latency_s=now - self._started_at,
             )
+
+
+def _record_end(chooser: CompletionChooser, member: Member) -> None:
+    chooser.ended(member, asyncio.get_running_loop().time())
--- a/filbertdrift/wire.py
+++ b/filbertdrift/wire.py
@@ -12,7 +12,7 @@
 )
 from thrift.transport.TTransport import TMemoryBuffer
 
-from filbertdrift.errors import MalformedMessage
+from filbertdrift.errors import MalformedMessage, UnsendableMessage
 from filbertdrift.gen import ttypes
 
 MAX_FRAME_BYTES = 4_194_304
@@ -77,10 +77,16 @@
 
     Returns:
         The struct in thrift's compact protocol.
+
+    Raises:
+        UnsendableMessage: A value is out of the range of its field.
     """
     buffer = TMemoryBuffer()
     _PROTOCOL.trans = buffer
-    message.write(_PROTOCOL)  # type: ignore[attr-defined]
+    try:
+        message.write(_PROTOCOL)  # type: ignore[attr-defined]
+    except Exception as exc:
+        raise UnsendableMessage(repr(exc), step='encode') from exc
     return buffer.getvalue()
 
 
--- a/tests/socket_mesh.py
+++ b/tests/socket_mesh.py
@@ -33,11 +33,14 @@
     """A node and its target on loopback sockets.
 
     Attributes:
+        node: The node of the callers.
+        serving: The node of the target.
         received: First bytes of each connection to the target.
         closed: When the node closed a connection before the response.
     """
 
     node: MeshNode
+    serving: MeshNode
     log: MemoryKeyedLog
     caller_port: int
     received: list[bytes]
@@ -149,7 +152,9 @@
     )
     await _wait_for_target(nodes[0])
     try:
-        yield SocketMesh(nodes[0], log, caller_port, received, closed)
+        yield SocketMesh(
+            nodes[0], nodes[-1], log, caller_port, received, closed
+        )
     finally:
         for node in nodes:
             await node.stop()
@@ -183,7 +188,8 @@
 ) -> None:
     head = b'HTTP/1.1 200 OK\r\nattempt-id: r1\r\nserver-seal: s\r\n'
     if not pieces:
-        writer.write(head + b'content-length: 2\r\n\r\nok')
+        ending = b'connection: close\r\ncontent-length: 2\r\n\r\nok'
+        writer.write(head + ending)
         return
     size = pieces * PIECE_BYTES
     writer.write(head + b'content-length: %d\r\n\r\n' % size)
