Go on with a run whose retry ended by an unexpected exception

What callers saw: 502 although the first target went on well; it was cancelled. Cause: the exception of the retry's task was raised in the task that awaits both. Evidence: test_failing_steps.test_retry_beside_a_run raised OverflowError before. Change: such a retry counts as one that may have run, and its exception is logged with the id of the request. Result: the run's response is returned; the test passes.

--- a/filbertdrift/dispatch.py
+++ b/filbertdrift/dispatch.py
@@ -280,7 +280,9 @@
             return None
         progress.target_attempts += 1
         self.counters.hedged += 1
-        retry = loop.create_task(self._try_targets(routed, progress))
+        retry = loop.create_task(
+            self._try_targets(routed, progress), name=routed.req.request_id
+        )
         routed.cleanup.callback(retry.cancel)
         return retry
 
--- a/filbertdrift/hedge.py
+++ b/filbertdrift/hedge.py
@@ -114,6 +114,9 @@
         return None, None
     except RequestUnknown as exc:
         return None, exc
+    except Exception as exc:
+        # It is logged when the retry is dropped.
+        return None, RequestUnknown(repr(exc), step='retry')
 
 
 def _has_responded(receiving: asyncio.Future[object]) -> bool:
@@ -131,4 +134,6 @@
     if exc is None:
         retry.result().close()
     elif not isinstance(exc, FilbertdriftError):
-        logger.opt(exception=exc).error('a retry has failed')
+        logger.bind(event='request_failed', request=retry.get_name()).opt(
+            exception=exc
+        ).error('a retry has failed')
--- a/tests/test_failing_steps.py
+++ b/tests/test_failing_steps.py
@@ -13,6 +13,9 @@
 from filbertdrift import target_attempt
 from filbertdrift.callstream import CallStream
 from filbertdrift.entry import _IngressConnection
+from filbertdrift.gen import ttypes
+from filbertdrift.hedge import await_first
+from filbertdrift.routed import RoutedResponse
 from tests.socket_mesh import SocketMesh, request, socket_mesh
 
 PART = b'10000\r\n' + b'u' * 0x10000 + b'\r\n'
@@ -125,6 +128,27 @@
     asyncio.run(_check(step, lines, effect=lambda *_: OUT_OF_RANGE))
 
 
+# An exception in a retry cancelled the run beside it, which went on well.
+def test_retry_beside_a_run(lines: list[Mapping[str, Any]]) -> None:
+    """The run responds."""
+    asyncio.run(_check_retry())
+    assert [line['request'] for line in lines] == ['r1']
+
+
+async def _check_retry() -> None:
+    loop = asyncio.get_running_loop()
+    call = CallStream(mock.Mock(), 1, 0)
+
+    async def fail() -> RoutedResponse:
+        raise OverflowError('int out of range')
+
+    retry = loop.create_task(fail(), name='r1')
+    opened = ttypes.AnswerOpen(status=200)
+    loop.call_later(SETTLE_S, call.deliver, opened)
+    reply = await await_first(call, retry, loop.time() + TIMEOUT_S)
+    assert reply is opened
+
+
 async def _check(
     step: Step,
     lines: list[Mapping[str, Any]],
