--- a/tests/test_stop_in_time.py
+++ b/tests/test_stop_in_time.py
@@ -1,42 +1,21 @@
 """The node process exits before it is killed, whatever does not end."""
 
-import itertools
-import json
-import os
+import contextlib
 import signal
 import subprocess
-import sys
-import tempfile
 import time
 from collections.abc import Sequence
-from pathlib import Path
 from typing import Any
 
 from testtools import TestCase
 from testtools.matchers import Contains, Equals, HasLength, LessThan
 
-from filbertdrift.platform.settings import SETTINGS_VARIABLE
 from tests.hanging_daemon import VARIANTS
+from tests.node_process import node_process
 
 GRACE_S = 4.0
 # Beyond the grace, for a process that is not bounded.
 MOST_S = 6.0
-SETTINGS = """
-node_name = "n-1"
-ip = "{ip}"
-zone = "a"
-internal_port_range = [7000, 7009]
-bounds = ["grace_s={grace_s}"]
-app_addr = "{ip}:8080"
-service = "desk"
-platform = {{ address = "{ip}:1" }}
-[listen]
-outbound = "{ip}:7100"
-ready = "{ip}:7101"
-control = "{ip}:7102"
-"""
-# Each process has an address of its own: the port for metrics is fixed.
-_HOSTS = itertools.count(1)
 
 
 class StopInTimeTest(TestCase):
@@ -70,34 +49,12 @@
 
 def _stop_node(variant: str) -> tuple[float, Sequence[dict[str, Any]]]:
     """Start and stop a node; return how long the stop took, and its log."""
-    pid = os.getpid()
-    ip = f'127.{20 + pid % 200}.{pid // 200 % 250}.{next(_HOSTS)}'
-    with tempfile.TemporaryDirectory() as folder:
-        path = Path(folder) / 'node.toml'
-        path.write_text(SETTINGS.format(ip=ip, grace_s=GRACE_S))
-        log_path = Path(folder) / 'log'
-        with log_path.open('wb') as log:
-            process = subprocess.Popen(  # noqa: S603
-                (sys.executable, '-m', 'tests.hanging_daemon', variant),
-                env={**os.environ, SETTINGS_VARIABLE: str(path)},
-                stdout=log,
-            )
-        try:
-            _wait_for_start(log_path)
-            stopped_at = time.monotonic()
-            process.send_signal(signal.SIGTERM)
-            process.wait(MOST_S)
-        except subprocess.TimeoutExpired:
-            process.kill()
-            process.wait()
+    command = ('tests.hanging_daemon', variant)
+    with node_process(command, GRACE_S) as node:
+        node.wait_for_event('started')
+        stopped_at = time.monotonic()
+        node.process.send_signal(signal.SIGTERM)
+        with contextlib.suppress(subprocess.TimeoutExpired):
+            node.process.wait(MOST_S)
         took_s = time.monotonic() - stopped_at
-        lines = [json.loads(line) for line in log_path.open()]
-    return took_s, lines
-
-
-def _wait_for_start(log_path: Path) -> None:
-    until = time.monotonic() + 30
-    while b'"event":"started"' not in log_path.read_bytes():
-        if time.monotonic() > until:
-            raise AssertionError('the node does not start')
-        time.sleep(0.05)
+        return took_s, node.lines()
