Serve requests that arrive as their idle connection is closed

What callers saw: around a planned stop, uploads that were reset and requests that ended with a closed connection; the node's log named none of them. Cause: a connection counts as idle until its task goes on. A request that had been received, or lay in the socket of a node whose loop is late, was dropped with the task, also when the idle timeout ended. Evidence: the three tests of test_arriving_requests failed before; the caller got the end of the stream twice, where the request was received, and a reset where it was in the socket. Change: a connection with unread bytes is not closed as idle; its request is served, and the response says that the connection closes. The receive buffer that counts its unread bytes is shared with the connections to targets. The library's own port closes idle connections again until none is left. Result: the three tests hold. A request that is still on its way when its connection closes is cut as before and was not read.

--- a/filbertdrift/caller.py
+++ b/filbertdrift/caller.py
@@ -16,6 +16,7 @@
     replace_key,
 )
 from filbertdrift.accounts.directory import ClientAccount
+from filbertdrift.bytestream import ByteStream
 from filbertdrift.callerport import CallerConnection, CallerListener
 from filbertdrift.errors import (
     FilbertdriftError,
@@ -102,10 +103,11 @@
         self.close_idle()
         while not self.is_empty:
             await asyncio.sleep(DRAIN_POLL_S)
+            self.close_idle()
 
     def _new_connection(
         self,
-        reader: asyncio.StreamReader,
+        reader: ByteStream,
         writer: asyncio.StreamWriter,
     ) -> CallerConnection:
         return _CallerConnection(self, reader, writer)
@@ -117,7 +119,7 @@
     def __init__(
         self,
         server: CallerServer,
-        reader: asyncio.StreamReader,
+        reader: ByteStream,
         writer: asyncio.StreamWriter,
     ) -> None:
         """Create the connection without a request in progress."""
--- a/filbertdrift/callerport.py
+++ b/filbertdrift/callerport.py
@@ -10,6 +10,7 @@
 
 from loguru import logger
 
+from filbertdrift.bytestream import ByteStream, has_unread_in_socket
 from filbertdrift.stopping.plan import StopPlan
 
 READ_BUFFER_BYTES = 65_536
@@ -32,14 +33,12 @@
 
     def __init__(
         self,
-        reader: asyncio.StreamReader,
-        serve: Callable[
-            [asyncio.StreamReader, asyncio.StreamWriter],
-            Awaitable[None],
-        ],
+        reader: ByteStream,
+        serve: Callable[[ByteStream, asyncio.StreamWriter], Awaitable[None]],
     ) -> None:
         """Create the protocol without a task."""
         super().__init__(reader, self._serve_connection)
+        self._reader = reader
         self._serve = serve
         self._serving_task: asyncio.Task[None] | None = None
 
@@ -61,7 +60,7 @@
     ) -> None:
         self._serving_task = asyncio.current_task()
         with contextlib.suppress(asyncio.CancelledError):
-            await self._serve(reader, writer)
+            await self._serve(self._reader, writer)
 
     def _cancel(self) -> None:
         if self._serving_task and not self._serving_task.done():
@@ -80,7 +79,7 @@
     def __init__(
         self,
         listener: 'CallerListener',
-        reader: asyncio.StreamReader,
+        reader: ByteStream,
         writer: asyncio.StreamWriter,
     ) -> None:
         """Create the connection without a request in progress."""
@@ -95,14 +94,20 @@
         """Serve requests until the caller or the node closes."""
 
     def close_if_idle(self) -> None:
-        """Cancel the connection's task unless a request is in progress."""
-        if self._is_idle and self._task:
+        """Cancel the connection's task unless a request has arrived."""
+        if self._is_idle and self._task and not self._has_unread():
             self._task.cancel()
 
     def abort(self) -> None:
         """Close the connection at once, dropping unsent bytes."""
         self._writer.transport.abort()
 
+    def _has_unread(self) -> bool:
+        """Return whether bytes have arrived that the task did not read yet."""
+        if self._reader.unread_bytes:
+            return True
+        return has_unread_in_socket(self._writer)
+
     async def _linger(self) -> None:
         """Send the end of the stream and read on until the caller closes.
 
@@ -193,7 +198,7 @@
 
     async def serve(
         self,
-        reader: asyncio.StreamReader,
+        reader: ByteStream,
         writer: asyncio.StreamWriter,
     ) -> None:
         """Serve one connection until it ends."""
@@ -207,11 +212,11 @@
     @abstractmethod
     def _new_connection(
         self,
-        reader: asyncio.StreamReader,
+        reader: ByteStream,
         writer: asyncio.StreamWriter,
     ) -> CallerConnection:
         """Return the object that serves an accepted connection."""
 
     def _new_protocol(self) -> asyncio.Protocol:
-        reader = asyncio.StreamReader(limit=READ_BUFFER_BYTES)
+        reader = ByteStream(READ_BUFFER_BYTES)
         return CallerProtocol(reader, self.serve)
--- a/filbertdrift/entry.py
+++ b/filbertdrift/entry.py
@@ -15,6 +15,7 @@
     UnknownKey,
     add_account,
 )
+from filbertdrift.bytestream import ByteStream
 from filbertdrift.callerport import CallerConnection, CallerListener
 from filbertdrift.contract import HeaderNames, parse_timeout_s
 from filbertdrift.errors import (
@@ -160,7 +161,7 @@
 
     def _new_connection(
         self,
-        reader: asyncio.StreamReader,
+        reader: ByteStream,
         writer: asyncio.StreamWriter,
     ) -> CallerConnection:
         self.counters.connections += 1
@@ -173,7 +174,7 @@
     def __init__(
         self,
         server: IngressServer,
-        reader: asyncio.StreamReader,
+        reader: ByteStream,
         writer: asyncio.StreamWriter,
     ) -> None:
         """Create the connection without a request in progress."""
@@ -288,6 +289,8 @@
         if not self._is_idle:
             # The caller began a head and did not finish it in time.
             self._has_timed_out = True
+        elif self._has_unread():
+            return
         if self._task:
             self._task.cancel()
 
--- a/filbertdrift/target_connection.py
+++ b/filbertdrift/target_connection.py
@@ -2,44 +2,34 @@
 
 import asyncio
 import os
-import select
 from collections.abc import Callable, Iterable
 from typing import SupportsIndex
 
 from loguru import logger
 
 from filbertdrift import http1
+from filbertdrift.bytestream import ByteStream, has_unread_in_socket
 from filbertdrift.errors import PeerUnavailable
 
 
-class TargetStream(asyncio.StreamReader):
+class TargetStream(ByteStream):
     """The bytes that a target sends on a connection.
 
     Attributes:
-        unread_bytes: Number of bytes received and not yet read.
         on_stray_bytes: Called when bytes arrive; set between two exchanges.
     """
 
     def __init__(self) -> None:
         """Create the empty stream of a connection that is in use."""
         super().__init__()
-        self.unread_bytes = 0
         self.on_stray_bytes: Callable[[], None] | None = None
 
     def feed_data(self, data: Iterable[SupportsIndex]) -> None:
         """Receive bytes."""
-        raw = bytes(data)
-        self.unread_bytes += len(raw)
-        super().feed_data(raw)
+        super().feed_data(data)
         if self.on_stray_bytes:
             self.on_stray_bytes()
 
-    async def read(self, limit_bytes: int = -1) -> bytes:
-        """Return bytes up to a limit, none at the end of the stream."""
-        raw = await super().read(limit_bytes)
-        self.unread_bytes -= len(raw)
-        return raw
-
 
 class TargetConnection:
     """A connection to the target.
@@ -71,7 +61,7 @@
             now < self.reuse_until
             and not self._reader.at_eof()
             and not self._writer.is_closing()
-            and not self._has_unread_in_socket()
+            and not has_unread_in_socket(self._writer)
         )
 
     def is_between_exchanges(self) -> bool:
@@ -116,15 +106,6 @@
         )
         self.close()
 
-    def _has_unread_in_socket(self) -> bool:
-        """Return whether the socket has bytes that the loop did not read."""
-        sock = self._writer.get_extra_info('socket')
-        if sock is None or sock.fileno() < 0:
-            return True
-        poll = select.poll()
-        poll.register(sock.fileno(), select.POLLIN)
-        return bool(poll.poll(0))
-
     def _was_reset(self) -> bool:
         """Return whether the stream ended with a reset, not with a close.
 
