Take the connections in the backlog before a node stops listening

What callers saw: around a planned stop, requests on new connections that were reset, in the place of a response. Cause: the kernel accepts connections for a listening socket, and resets those that wait in its backlog when the socket is closed. How long they wait is how late the loop is. Evidence: test_request_in_the_backlog got ConnectionResetError before. Change: the connections that wait are accepted right before the socket is closed, and served like others; accept_failed is logged where that fails. A connection that is accepted late counts as one of the listener's at once.

--- a/filbertdrift/callerport.py
+++ b/filbertdrift/callerport.py
@@ -5,6 +5,8 @@
 
 import asyncio
 import contextlib
+import os
+import socket
 from abc import ABC, abstractmethod
 from collections.abc import Awaitable, Callable
 
@@ -158,6 +160,7 @@
         self.lingering = 0
         self._server: asyncio.Server | None = None
         self._connections: set[CallerConnection] = set()
+        self._accepting: set[asyncio.Task[None]] = set()
 
     async def start(self, host: str, port: int) -> None:
         """Listen for callers.
@@ -176,12 +179,21 @@
     @property
     def is_empty(self) -> bool:
         """Return whether there are no connections."""
-        return not self._connections
+        return not (self._connections or self._accepting)
 
     def stop_listening(self) -> None:
-        """Stop accepting connections."""
-        if self._server:
-            self._server.close()
+        """Stop accepting connections, after those that wait for it."""
+        server = self._server
+        if server is None:
+            return
+        self._server = None
+        # Closing the socket would reset the connections in its backlog.
+        waiting = [
+            sock for each in server.sockets for sock in _accept_waiting(each)
+        ]
+        server.close()
+        for sock in waiting:
+            self._accept_late(sock)
 
     def close_idle(self) -> None:
         """Stop listening and close the connections between requests."""
@@ -209,6 +221,19 @@
         finally:
             self._connections.discard(conn)
 
+    def _accept_late(self, sock: socket.socket) -> None:
+        """Serve a connection that the socket's backlog held."""
+        task = asyncio.ensure_future(self._connect_accepted(sock))
+        self._accepting.add(task)
+        task.add_done_callback(self._accepting.discard)
+
+    async def _connect_accepted(self, sock: socket.socket) -> None:
+        loop = asyncio.get_running_loop()
+        try:
+            await loop.connect_accepted_socket(self._new_protocol, sock)
+        except OSError as exc:
+            logger.bind(event='accept_failed').warning('{!r}', exc)
+
     @abstractmethod
     def _new_connection(
         self,
@@ -220,3 +245,18 @@
     def _new_protocol(self) -> asyncio.Protocol:
         reader = ByteStream(READ_BUFFER_BYTES)
         return CallerProtocol(reader, self.serve)
+
+
+def _accept_waiting(listening: socket.socket) -> list[socket.socket]:
+    """Accept the connections in the backlog of a listening socket."""
+    accepted: list[socket.socket] = []
+    with socket.socket(fileno=os.dup(listening.fileno())) as sock:
+        sock.setblocking(False)
+        try:
+            while len(accepted) < BACKLOG:
+                accepted.append(sock.accept()[0])
+        except BlockingIOError:
+            return accepted
+        except OSError as exc:
+            logger.bind(event='accept_failed').warning('{!r}', exc)
+    return accepted
--- a/tests/test_arriving_requests.py
+++ b/tests/test_arriving_requests.py
@@ -92,6 +92,17 @@
             mesh.node.entry.close_idle()
             return await read_response(sock)
 
+    # A request on a connection that the kernel had accepted was reset.
+    def test_request_in_the_backlog(self) -> None:
+        self._check(asyncio.run(self._in_backlog()))
+
+    async def _in_backlog(self) -> bytes:
+        async with socket_mesh(work_s=WORK_S) as mesh:
+            sock = socket.create_connection((HOST, mesh.caller_port))
+            send_to_kernel(sock)
+            mesh.node.entry.close_idle()
+            return await read_response(sock)
+
     def _check(self, response: bytes) -> None:
         self.assertThat(response, StartsWith(b'HTTP/1.1 200 '))
         self.assertThat(response, Contains(b'connection: close'))
