--- a/filbertdrift/callerport.py
+++ b/filbertdrift/callerport.py
@@ -5,11 +5,14 @@
 
 import asyncio
 import contextlib
+import os
+import socket
 from abc import ABC, abstractmethod
 from collections.abc import Awaitable, Callable
 
 from loguru import logger
 
+from filbertdrift.bytestream import ByteStream, has_unread_in_socket
 from filbertdrift.stopping.plan import StopPlan
 
 READ_BUFFER_BYTES = 65_536
@@ -32,14 +35,12 @@
 
     def __init__(
         self,
-        reader: asyncio.StreamReader,
-        serve: Callable[
-            [asyncio.StreamReader, asyncio.StreamWriter],
-            Awaitable[None],
-        ],
+        reader: ByteStream,
+        serve: Callable[[ByteStream, asyncio.StreamWriter], Awaitable[None]],
     ) -> None:
         """Create the protocol without a task."""
         super().__init__(reader, self._serve_connection)
+        self._reader = reader
         self._serve = serve
         self._serving_task: asyncio.Task[None] | None = None
 
@@ -61,7 +62,7 @@
     ) -> None:
         self._serving_task = asyncio.current_task()
         with contextlib.suppress(asyncio.CancelledError):
-            await self._serve(reader, writer)
+            await self._serve(self._reader, writer)
 
     def _cancel(self) -> None:
         if self._serving_task and not self._serving_task.done():
@@ -80,7 +81,7 @@
     def __init__(
         self,
         listener: 'CallerListener',
-        reader: asyncio.StreamReader,
+        reader: ByteStream,
         writer: asyncio.StreamWriter,
     ) -> None:
         """Create the connection without a request in progress."""
@@ -95,14 +96,20 @@
         """Serve requests until the caller or the node closes."""
 
     def close_if_idle(self) -> None:
-        """Cancel the connection's task unless a request is in progress."""
-        if self._is_idle and self._task:
+        """Cancel the connection's task unless a request has arrived."""
+        if self._is_idle and self._task and not self._has_unread():
             self._task.cancel()
 
     def abort(self) -> None:
         """Close the connection at once, dropping unsent bytes."""
         self._writer.transport.abort()
 
+    def _has_unread(self) -> bool:
+        """Return whether bytes have arrived that the task did not read yet."""
+        if self._reader.unread_bytes:
+            return True
+        return has_unread_in_socket(self._writer)
+
     async def _linger(self) -> None:
         """Send the end of the stream and read on until the caller closes.
 
@@ -153,6 +160,7 @@
         self.lingering = 0
         self._server: asyncio.Server | None = None
         self._connections: set[CallerConnection] = set()
+        self._accepting: set[asyncio.Task[None]] = set()
 
     async def start(self, host: str, port: int) -> None:
         """Listen for callers.
@@ -171,12 +179,21 @@
     @property
     def is_empty(self) -> bool:
         """Return whether there are no connections."""
-        return not self._connections
+        return not (self._connections or self._accepting)
 
     def stop_listening(self) -> None:
-        """Stop accepting connections."""
-        if self._server:
-            self._server.close()
+        """Stop accepting connections, after those that wait for it."""
+        server = self._server
+        if server is None:
+            return
+        self._server = None
+        # Closing the socket would reset the connections in its backlog.
+        waiting = [
+            sock for each in server.sockets for sock in _accept_waiting(each)
+        ]
+        server.close()
+        for sock in waiting:
+            self._accept_late(sock)
 
     def close_idle(self) -> None:
         """Stop listening and close the connections between requests."""
@@ -193,7 +210,7 @@
 
     async def serve(
         self,
-        reader: asyncio.StreamReader,
+        reader: ByteStream,
         writer: asyncio.StreamWriter,
     ) -> None:
         """Serve one connection until it ends."""
@@ -204,14 +221,42 @@
         finally:
             self._connections.discard(conn)
 
+    def _accept_late(self, sock: socket.socket) -> None:
+        """Serve a connection that the socket's backlog held."""
+        task = asyncio.ensure_future(self._connect_accepted(sock))
+        self._accepting.add(task)
+        task.add_done_callback(self._accepting.discard)
+
+    async def _connect_accepted(self, sock: socket.socket) -> None:
+        loop = asyncio.get_running_loop()
+        try:
+            await loop.connect_accepted_socket(self._new_protocol, sock)
+        except OSError as exc:
+            logger.bind(event='accept_failed').warning('{!r}', exc)
+
     @abstractmethod
     def _new_connection(
         self,
-        reader: asyncio.StreamReader,
+        reader: ByteStream,
         writer: asyncio.StreamWriter,
     ) -> CallerConnection:
         """Return the object that serves an accepted connection."""
 
     def _new_protocol(self) -> asyncio.Protocol:
-        reader = asyncio.StreamReader(limit=READ_BUFFER_BYTES)
+        reader = ByteStream(READ_BUFFER_BYTES)
         return CallerProtocol(reader, self.serve)
+
+
+def _accept_waiting(listening: socket.socket) -> list[socket.socket]:
+    """Accept the connections in the backlog of a listening socket."""
+    accepted: list[socket.socket] = []
+    with socket.socket(fileno=os.dup(listening.fileno())) as sock:
+        sock.setblocking(False)
+        try:
+            while len(accepted) < BACKLOG:
+                accepted.append(sock.accept()[0])
+        except BlockingIOError:
+            return accepted
+        except OSError as exc:
+            logger.bind(event='accept_failed').warning('{!r}', exc)
+    return accepted
--- a/filbertdrift/stopping/__init__.py
+++ b/filbertdrift/stopping/__init__.py
@@ -4,6 +4,6 @@
 a node that stops still takes; `drain` waits for the requests in progress and
 ends those that last too long; `steps` runs each step up to its deadline and
 logs its duration; `order` receives the signal and exits in time; `early`
-handles signals while the process starts. The plan is their only state;
-they send no messages.
+handles signals while the process starts. The plan is their only state; they
+send no messages.
 """
