Count a target's response that arrived before its connection broke

What callers saw: 502 for an upload whose target had responded early, with 500, 200 or a refusal marked as not run, and then reset the connection. Cause: a write of the body that fails closes the connection before the socket has been read, and the stream raises the stored error before it gives out what it has buffered. Also, uvloop raises RuntimeError on a write to a closed transport, which ended the run without a last message to the ingress. Evidence: both tests of ResetTest got 502 before, with a node that is too busy to read the response before it writes. Change: what the socket and the stream still have is read first, at most 64 KiB from the socket; the error follows it. A write to a closed transport is PeerUnavailable. Result: both pass. A response without a length, or one that is cut within its length or chunks, still gets 502 when the connection is reset, in the same table; 20 tests of test_cut_responses, test_target and test_target_attempt hold.

--- a/filbertdrift/target_connection.py
+++ b/filbertdrift/target_connection.py
@@ -1,8 +1,10 @@
 """A connection to a target, and what it received beside the responses."""
 
 import asyncio
+import contextlib
 import os
 import select
+import socket
 from collections.abc import Callable, Iterable
 from typing import SupportsIndex
 
@@ -11,6 +13,9 @@
 from filbertdrift import http1
 from filbertdrift.errors import PeerUnavailable
 
+# Unread bytes that an ended connection may have.
+MAX_SALVAGED_BYTES = 65_536
+
 
 class TargetStream(asyncio.StreamReader):
     """The bytes that a target sends on a connection.
@@ -18,6 +23,7 @@
     Attributes:
         unread_bytes: Number of bytes received and not yet read.
         on_stray_bytes: Called when bytes arrive; set between two exchanges.
+        has_ended: The target has sent the end of the stream.
     """
 
     def __init__(self) -> None:
@@ -25,6 +31,20 @@
         super().__init__()
         self.unread_bytes = 0
         self.on_stray_bytes: Callable[[], None] | None = None
+        self.has_ended = False
+        self._end: Exception | None = None
+
+    def feed_eof(self) -> None:
+        """End the stream, after the bytes that have arrived."""
+        self.has_ended = True
+        super().feed_eof()
+
+    def set_exception(self, exc: Exception) -> None:
+        """End the stream with an error, after the bytes that have arrived."""
+        if self.unread_bytes:
+            self._end = exc
+        else:
+            super().set_exception(exc)
 
     def feed_data(self, data: Iterable[SupportsIndex]) -> None:
         """Receive bytes."""
@@ -38,9 +58,49 @@
         """Return bytes up to a limit, none at the end of the stream."""
         raw = await super().read(limit_bytes)
         self.unread_bytes -= len(raw)
+        if self._end and not self.unread_bytes:
+            self.set_exception(self._end)
         return raw
 
 
+class TargetProtocol(asyncio.StreamReaderProtocol):
+    """Takes what has arrived when a connection to a target breaks.
+
+    Args:
+        stream: Receives the bytes.
+    """
+
+    def __init__(self, stream: TargetStream) -> None:
+        """Create the protocol of a connection."""
+        super().__init__(stream)
+        self._stream = stream
+        self._connection: asyncio.BaseTransport | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the connection, whose socket is read when it breaks."""
+        super().connection_made(transport)
+        self._connection = transport
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """End the stream, after what the socket still has.
+
+        A write that fails closes the connection before its last bytes, such as
+        an early response, have been read.
+        """
+        if exc is not None and not self._stream.has_ended and self._connection:
+            self._salvage(self._connection.get_extra_info('socket'))
+        super().connection_lost(exc)
+
+    def _salvage(self, sock: socket.socket | None) -> None:
+        left_bytes = MAX_SALVAGED_BYTES - self._stream.unread_bytes
+        if sock is None or sock.fileno() < 0 or left_bytes <= 0:
+            return
+        with contextlib.suppress(OSError):
+            raw = os.read(sock.fileno(), left_bytes)
+            if raw:
+                self._stream.feed_data(raw)
+
+
 class TargetConnection:
     """A connection to the target.
 
@@ -96,6 +156,11 @@
         Raises:
             PeerUnavailable: The connection broke.
         """
+        if self._writer.is_closing():
+            # uvloop raises RuntimeError on writes to a closed transport.
+            raise PeerUnavailable(
+                'closed', step='send to target', peer=self.messages.peer
+            )
         try:
             self._writer.write(raw)
             await self._writer.drain()
