--- a/filbertdrift/target_connection.py
+++ b/filbertdrift/target_connection.py
@@ -1,7 +1,9 @@
 """A connection to a target, and what it received beside the responses."""
 
 import asyncio
+import contextlib
 import os
+import socket
 from collections.abc import Callable, Iterable
 from typing import SupportsIndex
 
@@ -11,18 +13,36 @@
 from filbertdrift.bytestream import ByteStream, has_unread_in_socket
 from filbertdrift.errors import PeerUnavailable
 
+# Unread bytes that an ended connection may have.
+MAX_SALVAGED_BYTES = 65_536
+
 
 class TargetStream(ByteStream):
     """The bytes that a target sends on a connection.
 
     Attributes:
         on_stray_bytes: Called when bytes arrive; set between two exchanges.
+        has_ended: The target has sent the end of the stream.
     """
 
     def __init__(self) -> None:
         """Create the empty stream of a connection that is in use."""
         super().__init__()
         self.on_stray_bytes: Callable[[], None] | None = None
+        self.has_ended = False
+        self._end: Exception | None = None
+
+    def feed_eof(self) -> None:
+        """End the stream, after the bytes that have arrived."""
+        self.has_ended = True
+        super().feed_eof()
+
+    def set_exception(self, exc: Exception) -> None:
+        """End the stream with an error, after the bytes that have arrived."""
+        if self.unread_bytes:
+            self._end = exc
+        else:
+            super().set_exception(exc)
 
     def feed_data(self, data: Iterable[SupportsIndex]) -> None:
         """Receive bytes."""
@@ -30,6 +50,51 @@
         if self.on_stray_bytes:
             self.on_stray_bytes()
 
+    async def read(self, limit_bytes: int = -1) -> bytes:
+        """Return bytes up to a limit, none at the end of the stream."""
+        raw = await super().read(limit_bytes)
+        if self._end and not self.unread_bytes:
+            self.set_exception(self._end)
+        return raw
+
+
+class TargetProtocol(asyncio.StreamReaderProtocol):
+    """Takes what has arrived when a connection to a target breaks.
+
+    Args:
+        stream: Receives the bytes.
+    """
+
+    def __init__(self, stream: TargetStream) -> None:
+        """Create the protocol of a connection."""
+        super().__init__(stream)
+        self._stream = stream
+        self._connection: asyncio.BaseTransport | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the connection, whose socket is read when it breaks."""
+        super().connection_made(transport)
+        self._connection = transport
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """End the stream, after what the socket still has.
+
+        A write that fails closes the connection before its last bytes, such as
+        an early response, have been read.
+        """
+        if exc is not None and not self._stream.has_ended and self._connection:
+            self._salvage(self._connection.get_extra_info('socket'))
+        super().connection_lost(exc)
+
+    def _salvage(self, sock: socket.socket | None) -> None:
+        left_bytes = MAX_SALVAGED_BYTES - self._stream.unread_bytes
+        if sock is None or sock.fileno() < 0 or left_bytes <= 0:
+            return
+        with contextlib.suppress(OSError):
+            raw = os.read(sock.fileno(), left_bytes)
+            if raw:
+                self._stream.feed_data(raw)
+
 
 class TargetConnection:
     """A connection to the target.
@@ -88,6 +153,11 @@
         Raises:
             PeerUnavailable: The connection broke.
         """
+        if self._writer.is_closing():
+            # uvloop raises RuntimeError on writes to a closed transport.
+            raise PeerUnavailable(
+                'closed', step='send to target', peer=self.messages.peer
+            )
         try:
             self._writer.write(raw)
             await self._writer.drain()
