Pass a target's promise on only where it was given

Cause: only responses with the not-executed mark and 421 are refusals, but 408, 429 and 503 without the mark were passed on unchanged. Change: the ingress takes such a response for a request that may have run. Idempotent requests are tried again within the budget; otherwise the caller gets 502 without the target's seal, and a promise_not_given line has the status and the node. It counts as a failure of the target.

--- a/filbertdrift/target_attempt.py
+++ b/filbertdrift/target_attempt.py
@@ -5,6 +5,7 @@
 
 from loguru import logger
 
+from filbertdrift import promises
 from filbertdrift.accounts.startlimit import find_start_within_ms
 from filbertdrift.balance.completion import CompletionChooser
 from filbertdrift.callstream import CallStream, ConnectionSilent
@@ -142,6 +143,11 @@
             self._end_call(link, call, cancel=True)
             return opened
         self._record_response(opened, loop.time() - started_at)
+        if promises.is_unfounded(opened.status):
+            self._end_call(link, call, cancel=not opened.end)
+            raise promises.build_unfounded_error(
+                opened.status, self._req.request_id, self._member.node
+            )
         return self._open_response(opened, link, call)
 
     def _end_without_response(
@@ -209,10 +215,12 @@
         now = asyncio.get_running_loop().time()
         self._known_targets.record(self._member.node, opened.notice)
         self._record_limit(opened, now)
-        self._record_outcome(
-            is_failure=opened.status >= STATUS_SERVER_ERROR, now=now
+        is_failure = (
+            opened.status >= STATUS_SERVER_ERROR
+            or promises.is_unfounded(opened.status)
         )
-        if opened.status >= STATUS_SERVER_ERROR:
+        self._record_outcome(is_failure=is_failure, now=now)
+        if is_failure:
             self._chooser.answered_with_error(self._member, now)
             return
         load = opened.load_permille or 0
--- a/standins/scripted_target.py
+++ b/standins/scripted_target.py
@@ -32,7 +32,8 @@
         connect_s: Time that a connection takes.
         slots: Number of slots in the target's heartbeats.
         is_up: Whether connections are accepted.
-        failure_share: Share of requests that fail with status 500.
+        failure_share: Share of requests that fail.
+        failure_status: The status of their responses.
         lost_share: Share of requests that run and whose response never comes.
         refuses: Whether requests are refused with 503 and marked as not run.
         is_other_instance: Whether requests are refused with 421, as by another
@@ -65,6 +66,7 @@
     slots: int = 8
     is_up: bool = True
     failure_share: float = 0.0
+    failure_status: int = 500
     lost_share: float = 0.0
     refuses: bool = False
     is_other_instance: bool = False
@@ -192,7 +194,7 @@
         await self._work()
         status = 200
         if self._rng.random() < self._script.failure_share:
-            status = 500
+            status = self._script.failure_status
         return _response(status, self._request_id(), self._script)
 
     def forbid_reuse(self) -> None:
