Refuse heartbeats whose slow start is out of range

What callers saw: another writer's heartbeat with a cold_remaining_s of -1 or 2^63 was answered 200 and took the place of the sound target; none of the next 36 requests reached it. Cause: the field was checked for its type only. Evidence: HeartbeatTest.test_sound_target_stays failed before with -1: 200 in place of 400. Result: the tests of test_odd_entries and test_platform pass.

--- a/filbertdrift/platform/documents.py
+++ b/filbertdrift/platform/documents.py
@@ -62,6 +62,7 @@
 }
 
 _Positive = Annotated[float, Meta(gt=0)]
+_Duration = Annotated[float, Meta(ge=0, le=MAX_DURATION_S)]
 _Count = Annotated[int, Meta(ge=1)]
 _Whole = Annotated[int, Meta(ge=0, le=MAX_WHOLE)]
 _Text = Annotated[str, Meta(max_length=MAX_NAME_CHARS)]
@@ -119,7 +120,7 @@
     address: str
     state: Literal['ready', 'draining']
     slots: Annotated[int, Meta(ge=1, le=MAX_SLOTS)]
-    cold_remaining_s: float = 0
+    cold_remaining_s: _Duration = 0
     # The sequence number of the heartbeat, counted from the target's start.
     seq: _Whole = 0
     # Unix time of the target's start in ms; not all targets send it.
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -62,7 +62,7 @@
     'slots': (0, -1, I32, I64, 10**40, 1.5, '4', None),
     'seq': (-1, I64, 10**40, 'x'),
     'born': (-1, I64, 10**40, 0.5, 'x', None),
-    'cold_remaining_s': ('x', None),
+    'cold_remaining_s': (-1, -0.1, I64, 2 * I64, 10**40, 86_401, 'x', None),
     'service': ('', 'x' * 70_000, 'x' * 300, 5, None),
     'version': ('x' * 300, '\ud800', 5, None),
     'zone': (5, None),
