Use a target that has started anew at once

What callers saw: a target that had started anew at its address got no requests of the nodes that had been answered 421 there, for up to 30 s. Cause: a gate that refuses with room left ejects its target, each time for longer. The heartbeat of the new instance changed nothing that is announced, so other nodes did not learn of it. Evidence: test_nodes_that_were_refused_use_it_at_once failed before: none of 40 requests reached the new instance. Change: a node announces its target anew for each new instance, and the others end an ejection that refusals have caused when a node announces that its target serves. An ejection of a node that could not be reached stays. The format of messages is unchanged.

--- a/filbertdrift/balance/chooser.py
+++ b/filbertdrift/balance/chooser.py
@@ -12,7 +12,7 @@
 from collections.abc import Callable, Collection, Sequence
 from dataclasses import dataclass, field
 
-from filbertdrift.members import Member
+from filbertdrift.members import Member, MemberStatus
 
 SPILL_PERMILLE = 800
 LOAD_HALF_LIFE_S = 0.5
@@ -66,6 +66,8 @@
     failures: int = 0
     ejections: int = 0
     ejected_until: float = 0.0
+    # It was ejected because its target refused requests.
+    is_refusing: bool = False
     success_rate: float = 1.0
     success_rate_at: float = 0.0
     # Moving averages by kind of request.
@@ -286,7 +288,10 @@
             is_rate_limited: The target has reached the limit that it states.
         """
         if load_permille < FULL_PERMILLE and not is_rate_limited:
+            stats = self._stats_for(member, now)
+            is_ejected = now < stats.ejected_until
             self.failed(member, now, unreachable=True)
+            stats.is_refusing |= not is_ejected
             return
         self.record_load(member, load_permille, now)
         if kind:
@@ -353,6 +358,8 @@
         """
         stats = self._stats_for(member, now)
         self._update_success_rate(stats, now, is_success=False)
+        if now >= stats.ejected_until:
+            stats.is_refusing = False
         if unreachable and now < stats.ejected_until:
             return
         stats.failures += 1
@@ -363,6 +370,25 @@
             stats.ejected_until = now + min(ejection_s, MAX_EJECTION_S) * jitter
             stats.failures = 0
 
+    def announced(self, member: Member) -> None:
+        """Record that a node has announced the state of its target anew.
+
+        What an earlier instance at the address has refused says nothing of
+        one that serves there now.
+
+        Args:
+            member: The new record of the node.
+        """
+        stats = self._stats.get(member.node)
+        is_serving = member.status == MemberStatus.SERVING
+        if stats is None or not stats.is_refusing or not is_serving:
+            return
+        stats.is_refusing = False
+        stats.ejected_until = 0
+        stats.ejections = 0
+        stats.failures = 0
+        stats.success_rate = 1
+
     def remove_missing(self, nodes: Collection[str]) -> None:
         """Remove the statistics of members that are gone."""
         for node in list(self._stats):
--- a/filbertdrift/lifecycle.py
+++ b/filbertdrift/lifecycle.py
@@ -235,8 +235,12 @@
         self.is_healthy = is_healthy
         self.announce_status()
 
-    def announce_status(self) -> None:
-        """Announce the target's status to the other nodes if it changed."""
+    def announce_status(self, *, is_renewed: bool = False) -> None:
+        """Announce the target's status to the other nodes if it changed.
+
+        Args:
+            is_renewed: It is announced in any case.
+        """
         status, service, slots, version = MemberStatus.IDLE, '', 0, ''
         current = self.current
         if current is not None:
@@ -260,7 +264,7 @@
             departed_instance=departure.instance if departure else '',
             departed_born_ms=departure.until_ms if departure else 0,
         )
-        if changed != local_member:
+        if is_renewed or changed != local_member:
             self._membership.update_local_member(changed)
 
     def close_gate(self, runs_end_at: float = NO_END) -> None:
@@ -357,7 +361,8 @@
         )
         self._limit_gate(self.current.gate)
         self.is_healthy = True
-        self.announce_status()
+        # Other nodes may have left the address out for the instance before.
+        self.announce_status(is_renewed=before is not None)
 
     def _is_current(self, departure: Departure) -> bool:
         """Return whether a departure is that of the current incarnation."""
--- a/filbertdrift/mesh.py
+++ b/filbertdrift/mesh.py
@@ -529,6 +529,7 @@
                 service=member.service,
                 status=member.status.name,
             ).info('member {} is {}', member.node, member.status.name)
+            self.chooser.announced(member)
             self._tell_departure(member)
 
     def _tell_departure(self, member: Member) -> None:
