Number roll-out reports from the start of their node

What callers saw: nothing on record; found by looking for the cause of the repeated crash notices in other messages. Cause: a node matched replies to its reports by a number that began with 1 in each process. A late reply to the earlier process counted for a report of the new one, and permitted use of the new version for its delay too long. Evidence: ReporterTest.test_reply_to_an_earlier_process_is_ignored failed before: the late reply permitted the version. Change: numbers count from the node's generation. The format of messages is unchanged. Result: the tests of test_rollouts_units and test_rollouts_mesh pass.

--- a/filbertdrift/rollouts/control.py
+++ b/filbertdrift/rollouts/control.py
@@ -92,16 +92,11 @@
     ) -> None:
         """Start without roll-outs."""
         self.counters = RolloutCounters()
+        local = membership.local_member
         self.filter = VersionFilter(
-            settings.bounds.expose_share,
-            _now,
-            freshness.age_s,
-            rng,
-            membership.local_member.node,
-        )
-        self.outcomes = OutcomeCounter(
-            membership.local_member.domain, self.filter.states.get
+            settings.bounds.expose_share, _now, freshness.age_s, rng, local.node
         )
+        self.outcomes = OutcomeCounter(local.domain, self.filter.states.get)
         self.drivers: dict[str, Driver] = {}
         self.step_log = StepLog(log, settings.formats, self._on_log_step, rng)
         self._settings = settings
@@ -110,7 +105,10 @@
         self._tasks: dict[str, asyncio.Task[None]] = {}
         self._follow_task: asyncio.Task[None] | None = None
         self._reporter = Reporter(
-            self.filter, self.outcomes, lambda: len(membership.table)
+            self.filter,
+            self.outcomes,
+            lambda: len(membership.table),
+            local.generation,
         )
         self._order_at: dict[str, float] = {}
         self._repair_at: dict[str, float] = {}
--- a/filbertdrift/rollouts/reports.py
+++ b/filbertdrift/rollouts/reports.py
@@ -28,6 +28,8 @@
 # What a datagram takes beside the routes' counts.
 REPORT_OVERHEAD_BYTES = 200
 MAX_ROUTE_BYTES = MAX_DATAGRAM_BYTES - REPORT_OVERHEAD_BYTES
+# Generations are times in ms, and numbers have 63 bits.
+REPORTS_PER_GENERATION = 0x100000
 # Reports whose replies are awaited; older ones permit nothing.
 MAX_SENT_REPORTS = 64
 UNKNOWN_AGE_MS = -1
@@ -58,6 +60,8 @@
         versions: What is known of each service.
         outcomes: The counts of this node.
         member_count: Returns how many nodes report.
+        generation: This node's generation. Its reports are numbered from it
+            on, as replies to those of an earlier process may still arrive.
     """
 
     def __init__(
@@ -65,12 +69,13 @@
         versions: VersionFilter,
         outcomes: OutcomeCounter,
         member_count: Callable[[], int],
+        generation: int,
     ) -> None:
         """Start without reports."""
         self._versions = versions
         self._outcomes = outcomes
         self._member_count = member_count
-        self._sequence = 0
+        self._sequence = generation * REPORTS_PER_GENERATION
         self._sent: dict[int, _SentReport] = {}
         self._due_at: dict[str, float] = {}
         # Services whose last report had requests at old targets in a shift.
--- a/tests/test_rollouts_units.py
+++ b/tests/test_rollouts_units.py
@@ -6,6 +6,7 @@
 from testtools import TestCase
 from testtools.matchers import Equals, Is, LessThan
 
+from filbertdrift.gen.ttypes import RolloutNotice
 from filbertdrift.members import Member, MemberStatus
 from filbertdrift.rollouts.counts import (
     BUCKETS,
@@ -24,7 +25,8 @@
     VersionFilter,
 )
 from filbertdrift.rollouts.judge import Judge
-from filbertdrift.rollouts.steps import Order, Phase, Step
+from filbertdrift.rollouts.reports import Reporter
+from filbertdrift.rollouts.steps import Order, Phase, Step, step_to_message
 from standins.rollout_fleet import Behaviour, good, slow
 
 ORDER = Order('desk', 'v2', 30, 1, 1, 5)
@@ -157,6 +159,38 @@
         self.assertThat(self.versions(), Equals({'v1', 'v2'}))
 
 
+class ReporterTest(TestCase):
+    """Replies to the reports of a node."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.filter = VersionFilter(
+            0.1, lambda: 100.0, lambda: 1.0, random.Random(1)
+        )
+
+    def reporter(self, generation: int) -> Reporter:
+        """Return the reporter of one process of the node."""
+        counter = OutcomeCounter('a', self.filter.states.get)
+        return Reporter(self.filter, counter, lambda: 1, generation)
+
+    # A reply to the earlier process of a node permitted the new version from
+    # the first report of the next process on.
+    def test_reply_to_an_earlier_process_is_ignored(self) -> None:
+        state = self.filter.state('desk')
+        state.adopt(TRIAL, 80.0)
+        earlier = self.reporter(1000).take_due('desk', 90.0)[0]
+        reporter = self.reporter(1010)
+        report = reporter.take_due('desk', 100.0)[0]
+        reply = RolloutNotice('desk', step_to_message(TRIAL, 1.0))
+        reply.is_permitted = True
+        reply.sequence = earlier.sequence
+        reporter.on_reply('desk', reply)
+        self.assertThat(state.permitted_at, LessThan(0))
+        reply.sequence = report.sequence
+        reporter.on_reply('desk', reply)
+        self.assertThat(state.permitted_at, Equals(100.0))
+
+
 class CountsTest(TestCase):
     """Reports that are repeated or late change nothing."""
 
