Close a connection whose reader has ended by an unexpected exception

What callers saw: requests over one connection between nodes got no response until their deadlines, and nor did later ones. Cause: PeerLink._read handled two errors; any other exception ended its task, and the connection still counted as open. Evidence: test_failing_steps.test_reader_of_a_connection timed out before. Change: any exception closes the connection and fails its calls, with a link_failed line. Result: 502 at once, and the next request opens a new connection.

--- a/filbertdrift/link.py
+++ b/filbertdrift/link.py
@@ -4,6 +4,8 @@
 import contextlib
 import itertools
 
+from loguru import logger
+
 from filbertdrift.callstream import CallStream
 from filbertdrift.connection import Connection
 from filbertdrift.errors import MalformedMessage, PeerUnavailable
@@ -183,6 +185,12 @@
                     call.deliver(body)
         except (PeerUnavailable, MalformedMessage) as exc:
             reason = exc.reason
+        except Exception as exc:
+            # A connection that nobody reads must not count as open.
+            logger.bind(event='link_failed', peer=self.peer).opt(
+                exception=exc
+            ).error('a connection has failed')
+            reason = repr(exc)
         self.close(reason)
 
 
--- a/tests/test_failing_steps.py
+++ b/tests/test_failing_steps.py
@@ -128,6 +128,14 @@
     asyncio.run(_check(step, lines, effect=lambda *_: OUT_OF_RANGE))
 
 
+# LOST: a connection whose reader had ended counted as open, and its requests
+# waited until their deadlines.
+def test_reader_of_a_connection(lines: list[Mapping[str, Any]]) -> None:
+    """The connection is closed."""
+    step = Step('deliver', lambda _: CallStream, 502, failures=0)
+    asyncio.run(_check(step, lines))
+
+
 # An exception in a retry cancelled the run beside it, which went on well.
 def test_retry_beside_a_run(lines: list[Mapping[str, Any]]) -> None:
     """The run responds."""
@@ -191,7 +199,7 @@
 
 
 async def _send(mesh: SocketMesh, *, upload: bool = False) -> bytes:
-    raw = request()
+    raw = request('/write/x')
     if upload:
         head = request('/write/x', headers=('transfer-encoding: chunked',))
         raw = head + PART * PARTS + b'0\r\n\r\n'
