Tell the ingress when a target's node fails to serve a request

What callers saw: no response until the deadline, though the request often had not run and could have been tried elsewhere; an upload kept its slot as long. Cause: HandoverServer.serve sent a last message for two errors; the server of calls and the task that passes a body on dropped any other exception. Change: failures.failure_as_outcome turns an exception into an outcome: not run only while the target has certainly not got the request. What fails after that, and in other calls, is told as unknown by the server of calls. A run ends when its body cannot be passed on. A slot is free also if its record fails.

--- a/filbertdrift/balance/slothold.py
+++ b/filbertdrift/balance/slothold.py
@@ -7,7 +7,7 @@
 from filbertdrift.balance.admissionqueue import SlotRequest
 from filbertdrift.balance.estimate import RequestFeatures
 from filbertdrift.balance.slottime import SlotUse
-from filbertdrift.errors import RequestUnknown
+from filbertdrift.errors import RequestNotRun, RequestUnknown
 from filbertdrift.gen import ttypes
 from filbertdrift.objective_gate import ObjectiveGate
 
@@ -102,5 +102,7 @@
         return SlotUse.GIVEN_UP if is_timeout else SlotUse.FAILED
     if isinstance(exc, asyncio.CancelledError):
         return SlotUse.GIVEN_UP
-    # The target refused it.
-    return SlotUse.IDLE
+    if isinstance(exc, RequestNotRun):
+        # The target refused it.
+        return SlotUse.IDLE
+    return SlotUse.FAILED
--- a/filbertdrift/callserver.py
+++ b/filbertdrift/callserver.py
@@ -8,7 +8,7 @@
 from filbertdrift.callstream import WINDOW_BYTES, CallStream
 from filbertdrift.connection import Connection
 from filbertdrift.errors import MalformedMessage, PeerUnavailable
-from filbertdrift.final_messages import tell_dropped
+from filbertdrift.final_messages import tell_dropped, tell_failed
 from filbertdrift.gen import ttypes
 from filbertdrift.link import IDLE_TIMEOUT_S, KEEPALIVE_TIMEOUT_S, TICK_S
 from filbertdrift.transit import TransitEstimator
@@ -120,6 +120,12 @@
         except MalformedMessage as exc:
             logger.warning('{}', exc)
             self._conn.close()
+        except Exception as exc:
+            request_id = getattr(body, 'request_id', '')
+            logger.bind(event='call_failed', request=request_id).opt(
+                exception=exc
+            ).error('a {} has failed', type(body).__name__)
+            tell_failed(call)
         finally:
             self._calls.pop(call.call_id, None)
             self._tasks.pop(call.call_id, None)
--- a/filbertdrift/final_messages.py
+++ b/filbertdrift/final_messages.py
@@ -35,3 +35,19 @@
             reached_target=False,
         )
     )
+
+
+def tell_failed(call: CallStream) -> None:
+    """Tell the peer that a call has failed, and may have had an effect.
+
+    Args:
+        call: The call.
+    """
+    call.send_last_nowait(
+        ttypes.Refusal(
+            ttypes.RefusalKind.UNKNOWN,
+            'its node failed to serve it',
+            0,
+            reached_target=False,
+        )
+    )
--- a/filbertdrift/handover.py
+++ b/filbertdrift/handover.py
@@ -27,6 +27,7 @@
     RequestNotRun,
     RequestUnknown,
 )
+from filbertdrift.failures import failure_as_outcome
 from filbertdrift.final_messages import tell_dropped, tell_outlasted
 from filbertdrift.gen import ttypes
 from filbertdrift.health import TargetHealth
@@ -120,10 +121,15 @@
             call: Stream that carries the response and the rest of the body.
             req: The opening message.
         """
-        self._record_arrival(call, req)
+        self.in_progress += 1
+        self._serving[call] = asyncio.current_task()
         refused_by = RefusedBy()
         try:
-            await self._serve(call, req, refused_by)
+            with failure_as_outcome(
+                req.request_id or '', lambda: call in self._running
+            ):
+                self._record_arrival(call, req)
+                await self._serve(call, req, refused_by)
         except RequestNotRun as exc:
             await self._send_refusal(call, req, exc, refused_by)
         except RequestUnknown as exc:
@@ -150,8 +156,6 @@
     def _record_arrival(
         self, call: CallStream, req: ttypes.RequestOpen
     ) -> None:
-        self.in_progress += 1
-        self._serving[call] = asyncio.current_task()
         self.transit_durations.record(call.transit_s)
         self._reporter.arrived(call, req)
 
--- a/filbertdrift/objective_gate.py
+++ b/filbertdrift/objective_gate.py
@@ -245,10 +245,12 @@
             use: What became of it.
         """
         run = self._find_run(kind, req)
-        if service_time_s > 0:
-            self._capacity.kinds.record_kind(kind, service_time_s)
-        self._end_run(run, service_time_s, use)
-        self._wake()
+        try:
+            if service_time_s > 0:
+                self._capacity.kinds.record_kind(kind, service_time_s)
+        finally:
+            self._end_run(run, service_time_s, use)
+            self._wake()
 
     def record_limit(self, per_s: float | None, sent_at: float) -> None:
         """Record the limit on the rate that a response of the target states.
--- a/filbertdrift/target_run.py
+++ b/filbertdrift/target_run.py
@@ -147,7 +147,9 @@
         if not self._req.end:
             loop = asyncio.get_running_loop()
             self._upload_task = loop.create_task(self._forward_body())
-        head = await self._await_head(overdue_at)
+            head = await self._await_head_beside(self._upload_task, overdue_at)
+        else:
+            head = await self._await_head(overdue_at)
         self._record_statement(head)
         await self._check_not_refused(head)
         self._check_authentic(head)
@@ -158,6 +160,27 @@
             await self._upload_task
         return head.status
 
+    async def _await_head_beside(
+        self, upload: asyncio.Task[None], overdue_at: float | None
+    ) -> http1.ResponseHead:
+        """Return the head of the response, unless sending the body fails.
+
+        A target that closes its connection may have responded before.
+        """
+        loop = asyncio.get_running_loop()
+        reading = loop.create_task(self._await_head(overdue_at))
+        try:
+            await asyncio.wait(
+                (reading, upload), return_when=asyncio.FIRST_COMPLETED
+            )
+            if not reading.done():
+                exc = upload.exception()
+                if exc is not None and not isinstance(exc, PeerUnavailable):
+                    raise exc
+            return await reading
+        finally:
+            reading.cancel()
+
     async def _await_head(self, overdue_at: float | None) -> http1.ResponseHead:
         """Return the head of the response; tell the ingress if it is overdue.
 
--- a/tests/test_failing_steps.py
+++ b/tests/test_failing_steps.py
@@ -11,11 +11,17 @@
 from loguru import logger
 
 from filbertdrift import target_attempt
+from filbertdrift.balance.kindcost import KindCosts
+from filbertdrift.balance.slothold import SlotHold
 from filbertdrift.callstream import CallStream
 from filbertdrift.entry import _IngressConnection
 from filbertdrift.gen import ttypes
+from filbertdrift.handover import HandoverServer
 from filbertdrift.hedge import await_first
+from filbertdrift.incarnation import Incarnation
 from filbertdrift.routed import RoutedResponse
+from filbertdrift.target import HttpExchange
+from filbertdrift.target_run import TargetRun
 from tests.socket_mesh import SocketMesh, request, socket_mesh
 
 PART = b'10000\r\n' + b'u' * 0x10000 + b'\r\n'
@@ -104,6 +110,55 @@
 )
 
 
+def _gate(mesh: SocketMesh) -> object:
+    assert mesh.serving.lifecycle.current is not None
+    return mesh.serving.lifecycle.current.gate
+
+
+def _target(mesh: SocketMesh) -> object:
+    assert mesh.serving.lifecycle.current is not None
+    return mesh.serving.lifecycle.current.target
+
+
+def _handover(mesh: SocketMesh) -> HandoverServer:
+    return mesh.serving.handover
+
+
+def _reporter(mesh: SocketMesh) -> object:
+    return mesh.serving.gate_reporter
+
+
+SERVING_STEPS = (
+    # The node cannot tell whether its handler has passed the request on.
+    Step('check', lambda mesh: mesh.serving.pause, 502),
+    Step('record', lambda mesh: _handover(mesh).transit_durations, 503),
+    Step('arrived', _reporter, 503),
+    Step('_find_target', _handover, 503),
+    Step('check', lambda mesh: mesh.serving.crashes, 503),
+    Step('account_weight', _handover, 503),
+    Step('turn', lambda mesh: _handover(mesh)._pacer.inbound, 503, upload=True),
+    Step('receive_chunk', lambda _: CallStream, 503, upload=True),
+    Step('admit', _gate, 503),
+    Step('started', _reporter, 503),
+    Step('open_exchange', _target, 503),
+    Step('send_head', lambda _: HttpExchange, 502),
+    Step('send_body', lambda _: HttpExchange, 502, upload=True),
+    Step('head', lambda _: HttpExchange, 502),
+    Step('record_statement', lambda mesh: mesh.serving.lifecycle, 502),
+    Step('_check_authentic', lambda _: TargetRun, 502),
+    Step('wait_to_send', lambda mesh: _handover(mesh)._pacer.outbound, 502),
+    Step('fill_response', _reporter, 502),
+    # The refusal fails as well.
+    Step('build_notice', lambda _: Incarnation, 502, failures=2),
+    # The response has been sent by then.
+    Step('end', lambda _: SlotHold, 200),
+    Step('release', _gate, 200, after=True),
+    Step('record_kind', lambda _: KindCosts, 200),
+    Step('record_success', lambda mesh: mesh.serving.health, 200),
+    Step('ended', _reporter, 200, after=True),
+)
+
+
 @pytest.fixture(name='lines')
 def _lines() -> Iterator[list[Mapping[str, Any]]]:
     """Return the fields of each log line."""
@@ -128,6 +183,14 @@
     asyncio.run(_check(step, lines, effect=lambda *_: OUT_OF_RANGE))
 
 
+# LOST: an exception at the target's node left the ingress without a word, so
+# that its caller waited until the deadline.
+@pytest.mark.parametrize('step', SERVING_STEPS, ids=str)
+def test_serving_step(step: Step, lines: list[Mapping[str, Any]]) -> None:
+    """The ingress is told, and nothing stays counted."""
+    asyncio.run(_check(step, lines))
+
+
 # LOST: a connection whose reader had ended counted as open, and its requests
 # waited until their deadlines.
 def test_reader_of_a_connection(lines: list[Mapping[str, Any]]) -> None:
@@ -136,6 +199,19 @@
     asyncio.run(_check(step, lines))
 
 
+# LOST: a number out of range of its field left the ingress without a word.
+def test_response_that_cannot_be_encoded(
+    lines: list[Mapping[str, Any]],
+) -> None:
+    """The request may have run."""
+
+    def fill(call: CallStream, opened: ttypes.AnswerOpen) -> None:
+        opened.limited_ms = OUT_OF_RANGE
+
+    step = Step('fill_response', _reporter, 502)
+    asyncio.run(_check(step, lines, effect=fill))
+
+
 # An exception in a retry cancelled the run beside it, which went on well.
 def test_retry_beside_a_run(lines: list[Mapping[str, Any]]) -> None:
     """The run responds."""
