Respond to a request of the INI node that an exception has ended

What callers saw: a connection closed without a response, or none until the deadline; an idempotency key stayed taken by a request that had not run, and the history of requests called such a request answered. Cause: the caller's connection, the forwarder and the target's server handled the errors of the project only. Change: as for the ingress with prefix routes, by the same functions: the request knows whether it may have run and what is still open, and the serving node turns an exception into an outcome.

--- a/filbertdrift/attempt.py
+++ b/filbertdrift/attempt.py
@@ -8,6 +8,7 @@
     PeerUnavailable,
     RequestNotRun,
     RequestUnknown,
+    UnsendableMessage,
 )
 from filbertdrift.gen import ttypes
 from filbertdrift.link import PeerLink
@@ -30,6 +31,7 @@
 
     Attributes:
         refused_load_permille: The load that a refusal reported.
+        cancels_call: The call is cancelled when the attempt ends.
     """
 
     def __init__(
@@ -47,7 +49,9 @@
         self._route = route
         self._req = req
         self._upload: asyncio.Task[None] | None = None
+        self._may_have_run_before = req.may_have_run
         self.refused_load_permille = 0
+        self.cancels_call = True
 
     async def run(self, opening: ttypes.RequestOpen) -> ttypes.AnswerOpen:
         """Send the request and return the opening of the response.
@@ -57,7 +61,7 @@
             RequestUnknown: It may have run.
         """
         try:
-            await self._call.send(opening)
+            await self._send(opening)
             if not self._req.is_whole:
                 loop = asyncio.get_running_loop()
                 self._upload = loop.create_task(self._send_body())
@@ -67,11 +71,23 @@
         except TimeoutError as exc:
             raise self._unknown_error('deadline passed') from exc
         except BaseException:
-            self.stop_upload()
+            self._stop_upload()
+            raise
+
+    async def _send(self, opening: ttypes.RequestOpen) -> None:
+        self._req.may_have_run = True
+        try:
+            await self._call.send(opening)
+        except UnsendableMessage:
+            self._req.may_have_run = self._may_have_run_before
             raise
 
-    def stop_upload(self) -> None:
-        """Stop sending the body."""
+    def end(self) -> None:
+        """End the call and stop sending the body."""
+        self._stop_upload()
+        self._link.end(self._call, cancel=self.cancels_call)
+
+    def _stop_upload(self) -> None:
         if self._upload:
             self._upload.cancel()
 
@@ -104,7 +120,7 @@
                     return await receive
         finally:
             receive.cancel()
-            self.stop_upload()
+            self._stop_upload()
 
     async def _send_body(self) -> None:
         end = False
@@ -119,6 +135,7 @@
     def _refusal_error(self, body: ttypes.Refusal) -> Exception:
         self.refused_load_permille = body.load_permille or 0
         if body.kind == ttypes.RefusalKind.NOT_RUN:
+            self._req.may_have_run = self._may_have_run_before
             return RequestNotRun(
                 body.reason or '',
                 retry_after_ms=body.come_back_ms or RETRY_AFTER_MS,
--- a/filbertdrift/caller.py
+++ b/filbertdrift/caller.py
@@ -23,6 +23,7 @@
     RequestNotRun,
     RequestUnknown,
 )
+from filbertdrift.failures import build_failure
 from filbertdrift.http1 import BodyPart, Headers, RequestHead
 from filbertdrift.request import IngressRequest, Outcome, Response
 from filbertdrift.serving import REQUEST_ID_HEADER, TIMEOUT_HEADER
@@ -127,6 +128,13 @@
         self._request_reader = http1.RequestReader(reader, 'caller')
         self._must_close = False
         self._has_read_body = False
+        # Bytes of a response to the present request have been written.
+        self._has_begun = False
+        self._is_whole = False
+        # The present request, None before it is handed over.
+        self._req: IngressRequest | None = None
+        self._request_id = ''
+        self._is_serving = False
 
     async def run(self) -> None:
         """Serve requests until the caller or the node closes."""
@@ -144,7 +152,11 @@
             await self._reject_malformed(431, exc)
         except MalformedMessage as exc:
             await self._reject_malformed(400, exc)
-        except (FilbertdriftError, OSError, TimeoutError):
+        except Exception as exc:
+            if self._is_serving:
+                logger.bind(event='unanswered', request=self._request_id).opt(
+                    exception=exc
+                ).warning('a request got no whole response')
             self._writer.transport.abort()
 
     async def _serve_requests(self) -> None:
@@ -152,7 +164,9 @@
             head = await self._read_head()
             if head is None:
                 return
+            self._is_serving = True
             await self._serve(head)
+            self._is_serving = False
 
     async def _read_head(self) -> RequestHead | None:
         self._is_idle = True
@@ -165,11 +179,38 @@
 
     async def _serve(self, head: RequestHead) -> None:
         self._server.in_progress += 1
+        self._has_begun = False
+        self._is_whole = False
+        self._req = None
+        self._request_id = http1.find_header(head.headers, REQUEST_ID_HEADER)
         try:
             await self._proxy_request(head)
+        except Exception as exc:
+            is_cut = self._has_begun and not self._is_whole
+            if is_cut or not self._is_failure(exc):
+                raise
+            await self._respond_to_failure(head, exc)
         finally:
             self._server.in_progress -= 1
 
+    def _is_failure(self, exc: Exception) -> bool:
+        """Return whether an exception is no end that a caller can cause."""
+        usual = (FilbertdriftError, OSError, TimeoutError)
+        return self._req is not None or not isinstance(exc, usual)
+
+    async def _respond_to_failure(
+        self, head: RequestHead, exc: Exception
+    ) -> None:
+        """Respond to a request that an unexpected exception has ended."""
+        logger.bind(event='request_failed', request=self._request_id).opt(
+            exception=exc
+        ).error('a request has failed')
+        if self._is_whole:
+            self._must_close |= not self._has_read_body
+            return
+        may_have_run = self._req is not None and self._req.may_have_run
+        await self._send_error(head, build_failure(may_have_run=may_have_run))
+
     async def _proxy_request(self, head: RequestHead) -> None:
         snapshot = self._handler.snapshot
         if snapshot is None:
@@ -188,21 +229,21 @@
                 head, 404, 'no route matches', Outcome.NOT_RUN
             )
             return
-        try:
-            response = await self._forward(snapshot, route, head)
-        except (RequestNotRun, RequestUnknown, UnknownKey) as exc:
-            await self._send_error(head, exc)
-            return
-        try:
-            await self._send_response(head, route, response)
-        finally:
-            response.close()
+        with contextlib.ExitStack() as cleanup:
+            try:
+                response = await self._forward(snapshot, route, head, cleanup)
+            except (RequestNotRun, RequestUnknown, UnknownKey) as exc:
+                await self._send_error(head, exc)
+                return
+            with contextlib.closing(response):
+                await self._send_response(head, route, response)
 
     async def _forward(
         self,
         snapshot: Snapshot,
         route: Route,
         head: RequestHead,
+        cleanup: contextlib.ExitStack,
     ) -> Response:
         account = _find_account(snapshot, route, head.headers)
         if http1.find_header(head.headers, b'expect'):
@@ -213,6 +254,9 @@
         req = ingress_request(route, head, first, self._read_body)
         if snapshot.accounts is not None:
             replace_key(req, account, API_KEY_HEADER, ACCOUNT_HEADER)
+        cleanup.callback(req.cleanup.close)
+        self._req = req
+        self._request_id = req.request_id
         return await self._handler.forward(snapshot, route, req)
 
     async def _read_body(self) -> BodyPart:
@@ -245,6 +289,7 @@
         )
         self._add_connection_header(head, headers)
         raw = http1.encode_response_head(response.status, headers)
+        self._has_begun = True
         self._writer.write(raw + http1.encode_part(part, is_chunked=is_chunked))
         while not part.end:
             try:
@@ -256,6 +301,7 @@
             self._writer.write(http1.encode_part(part, is_chunked=is_chunked))
             await self._drain(route.policy.stall_s)
         await self._drain(route.policy.stall_s)
+        self._is_whole = True
 
     def _add_framing_header(
         self,
@@ -331,8 +377,10 @@
             self._must_close = True
         self._add_connection_header(head, headers)
         body = b'' if head.method == 'HEAD' else text
+        self._has_begun = True
         self._writer.write(http1.encode_response_head(status, headers) + body)
         await self._writer.drain()
+        self._is_whole = True
 
     async def _reject_malformed(
         self, status: int, exc: FilbertdriftError
--- a/filbertdrift/dispatch.py
+++ b/filbertdrift/dispatch.py
@@ -283,7 +283,7 @@
         retry = loop.create_task(
             self._try_targets(routed, progress), name=routed.req.request_id
         )
-        routed.cleanup.callback(retry.cancel)
+        routed.req.cleanup.callback(retry.cancel)
         return retry
 
     def _find_patience_s(
--- a/filbertdrift/entry.py
+++ b/filbertdrift/entry.py
@@ -24,11 +24,11 @@
     RequestNotRun,
     RequestUnknown,
 )
+from filbertdrift.failures import build_failure
 from filbertdrift.http1 import BodyPart, Headers, RequestHead
 from filbertdrift.ingress_errors import (
     StopsBefore,
     build_cut_error,
-    build_failure_error,
     build_no_config_error,
     build_outdated_error,
 )
@@ -323,7 +323,8 @@
         if self._responses.is_whole:
             self._responses.must_close |= not self._has_read_body
             return
-        await self._send_error(head, build_failure_error(self._req))
+        may_have_run = self._req is not None and self._req.may_have_run
+        await self._send_error(head, build_failure(may_have_run=may_have_run))
 
     async def _route(self, head: RequestHead) -> None:
         handler = self._handler
@@ -380,7 +381,7 @@
         self._req = req
         routed = self._handler.route_request(req, route)
         self._is_dispatched = True
-        with routed.cleanup:
+        with req.cleanup:
             await self._exchange(head, routed)
 
     async def _exchange(self, head: RequestHead, routed: RoutedRequest) -> None:
--- a/filbertdrift/forward.py
+++ b/filbertdrift/forward.py
@@ -1,6 +1,7 @@
 """Ingress side of a request: routing, forwarding, retries, the outcome."""
 
 import asyncio
+import contextlib
 import random
 from dataclasses import dataclass
 
@@ -166,27 +167,41 @@
         member: Member,
         route: Route,
         req: IngressRequest,
+    ) -> ForwardedResponse:
+        cleanup = contextlib.ExitStack()
+        req.cleanup.callback(cleanup.close)
+        try:
+            return await self._open_response(member, route, req, cleanup)
+        except BaseException:
+            cleanup.close()
+            raise
+
+    async def _open_response(
+        self,
+        member: Member,
+        route: Route,
+        req: IngressRequest,
+        cleanup: contextlib.ExitStack,
     ) -> ForwardedResponse:
         loop = asyncio.get_running_loop()
         started_at = loop.time()
         self._chooser.began(member, started_at)
+        cleanup.callback(self._record_end, member)
         try:
             link = self._links.ready(member.node)
             if link is None:
                 link = await self._open_link(member)
             call = link.begin()
         except PeerUnavailable as exc:
-            self._chooser.ended(member, loop.time())
             self._chooser.failed(member, loop.time(), unreachable=True)
             raise self._not_run(exc) from exc
         attempt = Attempt(link, call, member, route, req)
+        cleanup.callback(attempt.end)
         try:
             response = await attempt.run(
                 self._request_open(call, member, route, req)
             )
-        except BaseException as exc:
-            link.end(call, cancel=True)
-            self._chooser.ended(member, loop.time())
+        except (RequestNotRun, RequestUnknown) as exc:
             self._record_failure(member, attempt, exc)
             raise
         now = loop.time()
@@ -200,13 +215,7 @@
         return ForwardedResponse(
             response,
             call,
-            lambda cancel: self._close(
-                member,
-                link,
-                call,
-                attempt,
-                cancel=cancel,
-            ),
+            lambda cancel: self._close(attempt, cleanup, cancel=cancel),
         )
 
     async def _open_link(self, member: Member) -> PeerLink:
@@ -214,15 +223,15 @@
 
     def _close(
         self,
-        member: Member,
-        link: PeerLink,
-        call: CallStream,
         attempt: Attempt,
+        cleanup: contextlib.ExitStack,
         *,
         cancel: bool,
     ) -> None:
-        attempt.stop_upload()
-        link.end(call, cancel=cancel)
+        attempt.cancels_call = cancel
+        cleanup.close()
+
+    def _record_end(self, member: Member) -> None:
         self._chooser.ended(member, asyncio.get_running_loop().time())
 
     def _request_open(
--- a/filbertdrift/ingress_errors.py
+++ b/filbertdrift/ingress_errors.py
@@ -8,7 +8,6 @@
 OUTDATED_RETRY_AFTER_MS = 300
 # Other nodes are there for the caller at once.
 STOP_RETRY_AFTER_MS = 100
-FAILURE_RETRY_AFTER_MS = 300
 
 
 class StopsBefore(RequestNotRun):
@@ -56,19 +55,3 @@
     if req is None or not req.may_have_run:
         return StopsBefore()
     return RequestUnknown('this node stops', step='dispatch')
-
-
-def build_failure_error(
-    req: IngressRequest | None,
-) -> RequestNotRun | RequestUnknown:
-    """Return the outcome of a request that an unexpected exception has ended.
-
-    Args:
-        req: The request, None before it was handed over.
-    """
-    reason = 'this node failed to serve the request'
-    if req is not None and req.may_have_run:
-        return RequestUnknown(reason, step='dispatch')
-    return RequestNotRun(
-        reason, retry_after_ms=FAILURE_RETRY_AFTER_MS, step='dispatch'
-    )
--- a/filbertdrift/keyed.py
+++ b/filbertdrift/keyed.py
@@ -161,8 +161,9 @@
             return _replay(holder.entry, wanted.fingerprint, req.client_account)
         try:
             response = await self._forwarder.forward(snapshot, route, req)
-        except RequestNotRun:
-            await self._claims.release(holder.entry)
+        except Exception as exc:
+            if isinstance(exc, RequestNotRun) or not req.may_have_run:
+                await self._claims.release(holder.entry)
             raise
         return RecordedResponse(response, self._claims, holder.entry)
 
--- a/filbertdrift/node.py
+++ b/filbertdrift/node.py
@@ -300,7 +300,7 @@
         counters = self.forwarder.counters
         loop = asyncio.get_running_loop()
         started_at = loop.time()
-        outcome, reason = Outcome.ANSWERED, ''
+        outcome, reason = Outcome.UNKNOWN, 'this node failed to serve it'
         try:
             with self.tracer.span(
                 'entry',
@@ -312,6 +312,8 @@
                 response = await self.keyed_forwarder.forward(
                     snapshot, route, req
                 )
+            outcome = Outcome.ANSWERED
+            reason = ''
         except RequestNotRun as exc:
             outcome, reason = Outcome.NOT_RUN, str(exc)
             counters.not_run += 1
--- a/filbertdrift/request.py
+++ b/filbertdrift/request.py
@@ -1,5 +1,6 @@
 """Requests at their ingress node, their outcomes and responses."""
 
+import contextlib
 from abc import ABC, abstractmethod
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
@@ -41,6 +42,8 @@
             absent.
         account: The client account of the caller's key, None without one.
         start_by: No target may be handed it later, on the loop's clock.
+        cleanup: Ends the attempts that are still open; closed by the ingress
+            once the request has ended.
     """
 
     request_id: str
@@ -60,6 +63,7 @@
     caller_timeout_s: float | None = None
     account: ClientAccount | None = None
     start_by: float = float('inf')
+    cleanup: contextlib.ExitStack = field(default_factory=contextlib.ExitStack)
 
     def find_rank(self, route_rank: int) -> int:
         """Return the priority that counts: of the account, or the route.
--- a/filbertdrift/routed.py
+++ b/filbertdrift/routed.py
@@ -1,9 +1,8 @@
 """Requests with their route and service, and the responses to them."""
 
 import asyncio
-import contextlib
 from collections.abc import Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from loguru import logger
 
@@ -30,8 +29,6 @@
         candidates: The targets that it may be sent to, None before the first
             attempt.
         tracker: Set while its target is chosen by expected completion.
-        cleanup: Ends the attempts that are still open; closed by the ingress
-            once the request has ended.
     """
 
     req: IngressRequest
@@ -41,7 +38,6 @@
     version: int
     candidates: Sequence[Member] | None = None
     tracker: RequestTracker | None = None
-    cleanup: contextlib.ExitStack = field(default_factory=contextlib.ExitStack)
 
     @property
     def rank(self) -> int:
--- a/filbertdrift/serving.py
+++ b/filbertdrift/serving.py
@@ -20,6 +20,7 @@
     RequestNotRun,
     RequestUnknown,
 )
+from filbertdrift.failures import failure_as_outcome
 from filbertdrift.gate import Gate
 from filbertdrift.gen import ttypes
 from filbertdrift.health import TargetHealth
@@ -84,6 +85,8 @@
         self._health = health
         self._crashes = crashes
         self._running: dict[CallStream, str] = {}
+        # The calls whose requests the target may have got.
+        self._handed_over: set[CallStream] = set()
         self._tracer = tracer
         self._generation = generation
         self.announced: AnnouncedTarget | None = None
@@ -101,7 +104,10 @@
         self.in_progress += 1
         self._running[call] = req.fingerprint or ''
         try:
-            await self._serve(call, req)
+            with failure_as_outcome(
+                req.request_id or '', lambda: call in self._handed_over
+            ):
+                await self._serve(call, req)
         except RequestNotRun as exc:
             self.counters.not_run += 1
             await self._send_refusal(call, exc, exc.retry_after_ms)
@@ -115,6 +121,7 @@
         finally:
             self.in_progress -= 1
             self._running.pop(call, None)
+            self._handed_over.discard(call)
 
     async def _check_crash(self, exc: RequestUnknown) -> None:
         """Mark the running requests if the target is unreachable."""
@@ -156,6 +163,7 @@
                 )
                 exchange = await self._connect(announced, request, deadline)
                 with contextlib.closing(exchange):
+                    self._handed_over.add(call)
                     await _TargetRun(call, req, exchange, gate).run(deadline)
                 announced.is_crashed = False
                 self._health.record_success()
--- a/filbertdrift/target_attempt.py
+++ b/filbertdrift/target_attempt.py
@@ -124,7 +124,7 @@
             RequestNotRun: It was refused before it ran.
             RequestUnknown: It may have run.
         """
-        self._routed.cleanup.callback(self.abandon)
+        self._req.cleanup.callback(self.abandon)
         try:
             return await self._run()
         except BaseException as exc:
