End a response that is cut by its request's body limit

What callers saw: the first bytes of a target's response, followed by a whole 413 of the node as if it were part of the body (MIXED). Cause: the body of an upload is read while its response arrives. One that exceeded the limit failed the call with BodyTooLarge, which the response did not report as a broken one, so the ingress refused the request.

--- a/filbertdrift/forwarded.py
+++ b/filbertdrift/forwarded.py
@@ -5,11 +5,7 @@
 
 from filbertdrift import http1
 from filbertdrift.callstream import CallStream
-from filbertdrift.errors import (
-    MalformedMessage,
-    PeerUnavailable,
-    RequestUnknown,
-)
+from filbertdrift.errors import FilbertdriftError, RequestUnknown
 from filbertdrift.gen import ttypes
 from filbertdrift.request import Response
 
@@ -44,7 +40,7 @@
         try:
             async with asyncio.timeout(stall_s):
                 body = await self._call.receive_chunk()
-        except (TimeoutError, PeerUnavailable, MalformedMessage) as exc:
+        except (TimeoutError, FilbertdriftError) as exc:
             raise RequestUnknown(
                 repr(exc),
                 step='read answer',
