--- a/filbertdrift/accounts/quota_keeper.py
+++ b/filbertdrift/accounts/quota_keeper.py
@@ -5,7 +5,7 @@
 
 import random
 import zlib
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Collection, Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
 
 from filbertdrift.accounts.directory import ClientAccount
@@ -114,12 +114,20 @@
         self, sender: str, generation: int, ask: ttypes.QuotaAsk
     ) -> bool:
         """Return whether an ask is newer than those before it."""
+        if not 0 <= ask.slot < SLOTS:
+            return False
         key = (sender, ask.slot)
         order = (generation, ask.sequence)
         if order <= self._sequences.get(key, (0, 0)):
             return False
         self._sequences[key] = order
-        return 0 <= ask.slot < SLOTS
+        return True
+
+    def remove_missing(self, nodes: Collection[str]) -> None:
+        """Forget the asks of nodes that are gone."""
+        for sender, slot in list(self._sequences):
+            if sender not in nodes:
+                self._sequences.pop((sender, slot))
 
     def serve(
         self, sender: str, ask: ttypes.QuotaAsk, now: float
--- a/filbertdrift/mesh.py
+++ b/filbertdrift/mesh.py
@@ -551,9 +551,13 @@
             alive_nodes = {
                 member.node for member in self.membership.table.alive()
             }
-            self.chooser.remove_missing(alive_nodes)
-            self.freshness.remove_missing(alive_nodes)
-            self.dispatcher.known_targets.remove_missing(alive_nodes)
+            for table in (
+                self.chooser,
+                self.freshness,
+                self.quota.keeper,
+                self.dispatcher.known_targets,
+            ):
+                table.remove_missing(alive_nodes)
             if self.rollouts is not None:
                 self.rollouts.filter.remove_missing(alive_nodes)
             self.membership.prune_last_contacts(alive_nodes)
