End a deferred sync or pull at its deadline

What operators saw: nothing yet; a node slept as long as a peer told it to, up to 24 days, in the middle of a sync. Cause: come_back_ms of a peer had no limit at the node that asked. Evidence: test_failure_bounds.test_sync_that_is_deferred_for_long failed before; there is no such test of the pull, which has the same change. Change: both sleep until their deadline at most. Result: the test passes, and test_membership and test_distribution.

--- a/filbertdrift/distribution.py
+++ b/filbertdrift/distribution.py
@@ -254,7 +254,9 @@
             if not isinstance(reply, ttypes.ConfigDelta):
                 raise MalformedMessage('no config', step='pull', peer=peer)
             if reply.come_back_ms:
-                await asyncio.sleep(reply.come_back_ms / MS_PER_S)
+                left_s = deadline - asyncio.get_running_loop().time()
+                delay_s = reply.come_back_ms / MS_PER_S
+                await asyncio.sleep(min(delay_s, max(left_s, 0)))
             elif self._apply(reply):
                 return
             else:
--- a/filbertdrift/member_sync.py
+++ b/filbertdrift/member_sync.py
@@ -78,7 +78,9 @@
             if not reply.come_back_ms:
                 return reply.entries or ()
             jitter = 0.5 + self._rng.random()
-            await asyncio.sleep(reply.come_back_ms * jitter / MS_PER_S)
+            delay_s = reply.come_back_ms * jitter / MS_PER_S
+            left_s = deadline - asyncio.get_running_loop().time()
+            await asyncio.sleep(min(delay_s, max(left_s, 0)))
 
     def serve(self, req: ttypes.SyncMembers) -> ttypes.MembersDelta:
         """Return the reply to another node's request.
