Let callers have their last responses before a stopping node cuts connections

What callers saw: an upload whose body still came when its node ended all requests was reset, in the place of the 503 that had just been written. Cause: a request is over when its response is written, so the stop went on to abort all connections, also those that read on after a last response. Evidence: test_body_that_still_comes_gets_a_response got a broken pipe before. Change: the step that waits for responses also waits for connections that read on after one, until the time at which responses are cut as before.

--- a/filbertdrift/stopping/drain.py
+++ b/filbertdrift/stopping/drain.py
@@ -42,7 +42,7 @@
         self._log('requests_due')
         # Better a final response than a connection that ends without one.
         self._entry.interrupt()
-        await run_step('responses', self._requests(), plan.drained_by - POLL_S)
+        await run_step('responses', self._responses(), plan.drained_by - POLL_S)
         self._log('requests_ended')
         if self._handover.in_progress:
             self._handover.interrupt()
@@ -58,8 +58,9 @@
             is_quiet = self._entry.is_empty and not self._in_progress
             quiet_polls = quiet_polls + 1 if is_quiet else 0
 
-    async def _requests(self) -> None:
-        while self._in_progress:
+    async def _responses(self) -> None:
+        """Wait until responses were sent and their callers have them."""
+        while self._in_progress or self._entry.lingering:
             await asyncio.sleep(POLL_S)
 
     @property
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -32,6 +32,8 @@
 LAST_SIXTH_S = GRACE_S * 5 / 6
 # A response of the node itself, or of a target that works for 0.1 s.
 RESPONSE_S = 0.3
+# A node ends all requests at 2.5 s and cuts responses at 2.69 s.
+LAST_PARTS_S = (2.58, 2.59, 2.6, 2.61)
 LONG_TIMES = {'timeout_s': 30.0}
 LONG = 'deadline-ms: 20000'
 
@@ -212,6 +214,31 @@
         self.assertThat(response, StartsWith(b'HTTP/1.1 408 '))
         self.assertThat(response, Contains(b'connection: close'))
 
+    # LOST: the connection of an upload was reset, with the response that had
+    # just been written, while its caller went on sending.
+    def test_body_that_still_comes_gets_a_response(self) -> None:
+        response = asyncio.run(self._still_coming())
+        self.assertThat(response, StartsWith(b'HTTP/1.1 503 '))
+
+    async def _still_coming(self) -> bytes:
+        async with stopping_mesh() as mesh:
+            reader, writer = await asyncio.open_connection(
+                HOST, mesh.caller_port
+            )
+            loop = asyncio.get_running_loop()
+            writer.write(long_request(b'long body')[:-6])
+            started_at = loop.time()
+            stopping = asyncio.ensure_future(stop(mesh))
+            for part_s in LAST_PARTS_S:
+                await asyncio.sleep(started_at + part_s - loop.time())
+                writer.write(b'x')
+            await stopping
+            # The caller reads when it has sent all.
+            try:
+                return await reader.read()
+            except OSError as exc:
+                return repr(exc).encode()
+
     async def _unread(self, raw: bytes) -> bytes:
         async with stopping_mesh() as mesh:
             sending = asyncio.ensure_future(mesh.send(raw))
