Send uploads in parts beside quick versions in the soak test

The soak test held: it sent each body with its head, changed no route that was in use, and counted a cut connection only if a target had run the request. Change: clients send uploads of 8 to 116 KB in paced parts, in both framings, on kept connections; half of them read when they have sent everything. Versions in quick series remove, move and split the route of uploads, change its timeout and lower max_body_bytes, beside planned stops; so does each later version. A request that an undisturbed node has begun to read must get a complete response; planned stops are no excuse. The deadline of a request counts from its head.

--- a/standins/soak.py
+++ b/standins/soak.py
@@ -22,7 +22,6 @@
 from pathlib import Path
 
 from standins.cutting_proxy import Fault, FaultProxy
-from standins.mesh_fleet import config_document
 from standins.platform_store import Absence, PlatformStore
 from standins.platform_target import RunLog, response_body
 from standins.soak_client import ClientRequest, ClientResult, Ending, SoakClient
@@ -35,7 +34,8 @@
     SoakHistory,
 )
 from standins.soak_instance import GRACE_S, NETWORK, SoakInstance
-from standins.soak_stops import SLOW_ROUTES, Stop, StopHistory, StopLoad
+from standins.soak_stops import Stop, StopHistory, StopLoad
+from standins.soak_uploads import CutHistory, UploadLoad, draw_document
 
 STORE_PORT = 7407
 
@@ -103,6 +103,7 @@
         self.verdict = SoakResult(seed, str(folder))
         self.run_log = RunLog()
         self._rng = random.Random(seed)
+        self._upload_rng = random.Random(f'uploads-{seed}')
         self._per_s = per_s
         self._store = PlatformStore(f'{STORE_HOST}:{STORE_PORT}')
         self._version = 1
@@ -111,6 +112,7 @@
         self._background_tasks: set[asyncio.Task[None]] = set()
         self._history = SoakHistory()
         self._stop_history = StopHistory(self._history)
+        self._cut_history = CutHistory(self._history, self._stop_history.stops)
         self.instances = [
             SoakInstance(
                 number,
@@ -134,7 +136,7 @@
         """
         await self._store.start()
         await self._store.publish(
-            config_document(version=self._version, **SLOW_ROUTES)
+            draw_document(self._upload_rng, self._version)
         )
         try:
             await asyncio.gather(
@@ -142,12 +144,23 @@
             )
             await asyncio.sleep(SETTLE_S)
             traffic = asyncio.ensure_future(self._send_traffic())
-            await StopLoad(
+            stops = StopLoad(
                 random.Random(f'stops-{self.verdict.seed}'),
                 self.instances,
                 self._send_and_count,
                 self._terminate,
-            ).run(stops_s)
+            )
+            uploads = UploadLoad(
+                self._upload_rng,
+                self.instances,
+                self._send_and_count,
+                self._publish_change,
+            )
+            await asyncio.gather(
+                stops.run(stops_s),
+                uploads.send(stops_s),
+                uploads.publish(stops_s),
+            )
             departures = DepartureLoad(
                 random.Random(f'departures-{self.verdict.seed}'),
                 self.instances,
@@ -155,7 +168,9 @@
                 self._run_in_background,
             )
             await asyncio.gather(
-                self._inject_faults(seconds), departures.run(seconds)
+                self._inject_faults(seconds),
+                departures.run(seconds),
+                uploads.send(seconds),
             )
             for instance in self.instances:
                 instance.clear_faults()
@@ -166,7 +181,11 @@
                 *self._background_tasks, return_exceptions=True
             )
             await self._check_recovered()
-            for history in (self._history, self._stop_history):
+            for history in (
+                self._history,
+                self._stop_history,
+                self._cut_history,
+            ):
                 for violation in history.violations(self.run_log):
                     self._add_violation(violation)
         finally:
@@ -232,6 +251,7 @@
         now = time.monotonic()
         request_id = request.request_id
         self._stop_history.record(instance.name, request, result)
+        self._cut_history.record(instance.name, request, result)
         if result.status in {408, 421, 429, 503}:
             self._history.refused.add(request_id)
         if result.status == 200 and (
@@ -402,7 +422,7 @@
         self._version += self._rng.randint(1, 5)
         version = self._version
         route = {'path_prefix': f'/v{version}/', 'kind': 'idempotent'}
-        document = config_document(version, newest=route, **SLOW_ROUTES)
+        document = draw_document(self._upload_rng, version, newest=route)
         await self._store.publish(document)
         return version
 
--- a/standins/soak_client.py
+++ b/standins/soak_client.py
@@ -36,13 +36,16 @@
         ending: How it ended.
         status: Status of the response, 0 if there is none.
         body: Body of the response.
-        sent_at: Monotonic time at which the rest of the request was sent, 0 if
-            it was not.
+        began_at: Monotonic time at which the head had been sent, 0 if it was
+            not.
+        sent_at: Monotonic time at which the last part was sent, 0 if it was
+            not.
     """
 
     ending: Ending
     status: int = 0
     body: bytes = b''
+    began_at: float = 0
     sent_at: float = 0
 
 
@@ -57,7 +60,11 @@
         deadline_s: Its deadline, from when it is sent.
         wait_s: How long the client waits for the response.
         leaves_after_s: When the client closes the connection, None to wait.
-        pause_s: Time between the first bytes of the head and the rest.
+        pause_s: Time between two parts.
+        part_bytes: Size of the parts in which the body follows its head, 0 to
+            send the first bytes of the head and then the rest.
+        is_chunked: The body has chunked transfer coding.
+        reads_last: Whether the client sends the last part before it reads.
     """
 
     request_id: str
@@ -67,18 +74,41 @@
     wait_s: float
     leaves_after_s: float | None = None
     pause_s: float = 0
+    part_bytes: int = 0
+    is_chunked: bool = False
+    reads_last: bool = False
+
+    def encode(self) -> list[bytes]:
+        """Return the request as HTTP/1.1, in the parts in which it is sent."""
+        head = self._encode_head()
+        if not self.part_bytes:
+            first = HEAD_START_BYTES if self.pause_s else 0
+            return [head[:first], head[first:] + self.body]
+        parts = [
+            http1.BodyPart(
+                self.body[start : start + self.part_bytes],
+                end=start + self.part_bytes >= len(self.body),
+            )
+            for start in range(0, len(self.body), self.part_bytes)
+        ]
+        encoded = [
+            http1.encode_part(part, is_chunked=self.is_chunked)
+            for part in parts
+        ]
+        return [head, *encoded]
 
-    def encode(self) -> bytes:
-        """Return the request as HTTP/1.1."""
+    def _encode_head(self) -> bytes:
+        framing = (b'content-length', b'%d' % len(self.body))
+        if self.is_chunked:
+            framing = (b'transfer-encoding', b'chunked')
         headers = [
             (b'host', HOST.encode()),
             (HEADERS.request_id, self.request_id.encode()),
             (HEADERS.deadline_ms, b'%d' % (self.deadline_s * 1000)),
-            (b'content-length', b'%d' % len(self.body)),
+            framing,
         ]
         method = 'POST' if self.body else 'GET'
-        head = http1.encode_request_head(method, self.path, headers)
-        return head + self.body
+        return http1.encode_request_head(method, self.path, headers)
 
 
 class _Connection:
@@ -88,6 +118,7 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         self.is_reusable = True
+        self.began_at = 0.0
         self.sent_at = 0.0
         self._reader = reader
         self._writer = writer
@@ -101,14 +132,32 @@
 
     async def exchange(self, request: ClientRequest) -> ClientResult:
         """Send a request and read its response."""
-        encoded = request.encode()
+        self.began_at = 0
         self.sent_at = 0
-        if request.pause_s:
-            self._writer.write(encoded[:HEAD_START_BYTES])
-            encoded = encoded[HEAD_START_BYTES:]
+        sending = asyncio.ensure_future(self._send(request))
+        try:
+            if request.reads_last or not request.part_bytes:
+                await sending
+            return await self._receive(sending)
+        finally:
+            sending.cancel()
+            await asyncio.gather(sending, return_exceptions=True)
+
+    async def _send(self, request: ClientRequest) -> None:
+        first, *parts = request.encode()
+        self._writer.write(first)
+        if request.part_bytes:
+            self.began_at = time.monotonic()
+        for part in parts:
             await asyncio.sleep(request.pause_s)
-        self._writer.write(encoded)
+            self._writer.write(part)
+            if request.part_bytes:
+                await self._writer.drain()
+            elif part:
+                self.began_at = time.monotonic()
         self.sent_at = time.monotonic()
+
+    async def _receive(self, sending: asyncio.Future[None]) -> ClientResult:
         head = await self._responses.head()
         chunks = []
         end = False
@@ -117,6 +166,8 @@
             chunks.append(part.chunk)
             end = part.end
         self.is_reusable = head.keep_alive
+        if head.keep_alive:
+            await sending
         return ClientResult(Ending.ANSWERED, head.status, b''.join(chunks))
 
     def close(self) -> None:
@@ -150,7 +201,7 @@
             self._idle.append(conn)
         else:
             conn.close()
-        return replace(result, sent_at=conn.sent_at)
+        return replace(result, began_at=conn.began_at, sent_at=conn.sent_at)
 
     def close(self) -> None:
         """Close the open connections."""
@@ -163,7 +214,7 @@
     ) -> ClientResult:
         leaves = request.leaves_after_s
         limit_s = request.wait_s if leaves is None else leaves
-        limit_s += request.pause_s
+        limit_s += request.pause_s * (len(request.encode()) - 1)
         try:
             async with asyncio.timeout(limit_s):
                 return await conn.exchange(request)
--- a/standins/soak_stops.py
+++ b/standins/soak_stops.py
@@ -36,6 +36,9 @@
 # Timeouts of the slow routes and of the others.
 SLOW_TIMEOUT_S = 9.0
 TIMEOUT_S = 1.0
+# The path of uploads in parts, and timeouts of their route.
+UPLOAD_PATH = '/upload/'
+UPLOAD_TIMEOUTS_S = (2.0, 5.0)
 # Routes for slow requests.
 SLOW_ROUTES = {
     f'slow_{kind}': {
@@ -114,15 +117,14 @@
         is_ended = result.ending in {Ending.ANSWERED, Ending.CUT}
         if result.status == 200 or not (is_ended and result.sent_at):
             return
-        is_slow = request.path.startswith('/slow/')
-        timeout_s = SLOW_TIMEOUT_S if is_slow else TIMEOUT_S
+        timeout_s = _find_timeout_s(request.path)
         self.failed.append(
             FailedRequest(
                 request.request_id,
                 ingress,
                 result.sent_at,
                 time.monotonic(),
-                result.sent_at + min(request.deadline_s, timeout_s),
+                result.began_at + min(request.deadline_s, timeout_s),
                 result.status,
             )
         )
@@ -151,6 +153,13 @@
         )
 
 
+def _find_timeout_s(path: str) -> float:
+    """Return the shortest timeout of the route of a path."""
+    if path.startswith(UPLOAD_PATH):
+        return min(UPLOAD_TIMEOUTS_S)
+    return SLOW_TIMEOUT_S if path.startswith('/slow/') else TIMEOUT_S
+
+
 def _find_lost(
     stop: Stop, failed: FailedRequest, works: Sequence[Work]
 ) -> Iterator[str]:
--- a/tests/broken_daemon.py
+++ b/tests/broken_daemon.py
@@ -15,6 +15,7 @@
     target_run,
     targetlimit,
 )
+from filbertdrift.callerport import CallerConnection
 from filbertdrift.callstream import CallStream
 from filbertdrift.config_holder import ConfigHolder
 from filbertdrift.errors import RequestNotRun, RequestUnknown
@@ -118,6 +119,15 @@
     target_attempt.await_first = await_retry
 
 
+def close_after_refusals() -> None:
+    """Close connections while the bodies of refused requests arrive."""
+    CallerConnection._linger = _end_at_once  # type: ignore[method-assign]
+
+
+async def _end_at_once(conn: CallerConnection) -> None:
+    """Read nothing."""
+
+
 VARIANTS: Mapping[str, Callable[[], None]] = {
     'repeat_writes': repeat_writes,
     'lie_not_run': lie_not_run,
@@ -127,6 +137,7 @@
     'ignore_limits': ignore_limits,
     'ignore_stated_leaving': ignore_stated_leaving,
     'give_up_overdue_runs': give_up_overdue_runs,
+    'close_after_refusals': close_after_refusals,
 }
 
 if __name__ == '__main__':
