--- a/filbertdrift/responsewriter.py
+++ b/filbertdrift/responsewriter.py
@@ -21,8 +21,11 @@
 
     Attributes:
         must_close: The connection closes after the response, which says so.
+        may_be_sent_more: It closes although the caller asked to keep it, and
+            may have sent more.
         has_begun: Bytes of the response have been written, so that no other
             response can be sent.
+        is_whole: The response has been written to its end.
     """
 
     def __init__(
@@ -30,7 +33,9 @@
     ) -> None:
         """Create the writer; nothing is written."""
         self.must_close = False
+        self.may_be_sent_more = False
         self.has_begun = False
+        self.is_whole = False
         self._listener = listener
         self._writer = writer
 
@@ -70,6 +75,7 @@
             self._writer.write(http1.encode_part(part, is_chunked=is_chunked))
             await self._drain()
         await self._drain()
+        self.is_whole = True
 
     async def send_text(
         self, head: RequestHead, status: int, reason: str, extra: Headers
@@ -95,6 +101,7 @@
         body = b'' if head.method == 'HEAD' else text
         self._write(http1.encode_response_head(status, headers) + body)
         await self._drain()
+        self.is_whole = True
 
     def _write(self, raw: bytes) -> None:
         self.has_begun = True
@@ -111,4 +118,5 @@
     ) -> None:
         if self._listener.is_closing or not head.keep_alive or self.must_close:
             self.must_close = True
+            self.may_be_sent_more = head.keep_alive
             headers.append((b'connection', b'close'))
