--- a/tests/broken_daemon.py
+++ b/tests/broken_daemon.py
@@ -3,6 +3,7 @@
 Start it as `python -m tests.broken_daemon VARIANT`.
 """
 
+import signal
 import sys
 from collections.abc import Callable, Mapping
 
@@ -20,7 +21,7 @@
 from filbertdrift.config_holder import ConfigHolder
 from filbertdrift.errors import RequestNotRun, RequestUnknown
 from filbertdrift.hedge import Retry
-from filbertdrift.platform import daemon
+from filbertdrift.platform import daemon, process
 from filbertdrift.routed import RoutedResponse
 
 
@@ -128,6 +129,15 @@
     """Read nothing."""
 
 
+def end_at_hang_up() -> None:
+    """Leave SIGHUP to its default effect while the node runs."""
+    process._handle_reload = _reset_hang_up
+
+
+def _reset_hang_up(loop: object) -> None:
+    signal.signal(signal.SIGHUP, signal.SIG_DFL)
+
+
 VARIANTS: Mapping[str, Callable[[], None]] = {
     'repeat_writes': repeat_writes,
     'lie_not_run': lie_not_run,
@@ -138,6 +148,7 @@
     'ignore_stated_leaving': ignore_stated_leaving,
     'give_up_overdue_runs': give_up_overdue_runs,
     'close_after_refusals': close_after_refusals,
+    'end_at_hang_up': end_at_hang_up,
 }
 
 if __name__ == '__main__':
