Ignore SIGHUP while the interpreter ends

What operators saw: a node that had stopped as planned exited with -1 in place of 0 when SIGHUP came after its last line "stopped". Cause: the interpreter resets handlers that are written in Python to the default of the system before it removes its modules, which takes a while on a busy machine; SIGHUP ends the process by default. Change: SIGHUP is ignored once the node has stopped; a signal that is ignored stays so until the process is gone. Result: tests/test_early_signals.py passes.

--- a/filbertdrift/platform/process.py
+++ b/filbertdrift/platform/process.py
@@ -55,6 +55,8 @@
     try:
         uvloop.run(_run(settings, balances_by_cost=options.balance_by_cost))
     finally:
+        # The interpreter resets handlers of its own to the default as it ends.
+        signal.signal(signal.SIGHUP, signal.SIG_IGN)
         event_log.close()
 
 
--- a/tests/signalled_daemon.py
+++ b/tests/signalled_daemon.py
@@ -1,15 +1,28 @@
-"""A node process that gets a signal while it imports a module.
+"""A node process that gets a signal while it imports a module, or as it ends.
 
-Start it as `python -m tests.signalled_daemon SIGNAL MODULE`.
+Start it as `python -m tests.signalled_daemon SIGNAL MODULE`; the module AT_EXIT
+stands for the end of the interpreter.
 """
 
 import os
 import runpy
 import sys
-from collections.abc import Sequence
+from collections.abc import Callable, Iterator, Sequence
 from importlib.abc import MetaPathFinder
 from types import ModuleType
 
+AT_EXIT = 'exit'
+
+
+def signal_at_end(
+    kill: Callable[[int, int], None], pid: int, number: int
+) -> Iterator[None]:
+    """Signal a process when the suspended generator is removed."""
+    try:
+        yield
+    finally:
+        kill(pid, number)
+
 
 class SignallingFinder(MetaPathFinder):
     """Finds nothing, and signals this process when a module is imported.
@@ -38,5 +51,8 @@
 if __name__ == '__main__':
     module = sys.argv.pop()
     number = int(sys.argv.pop())
+    if module == AT_EXIT:
+        late_signal = signal_at_end(os.kill, os.getpid(), number)
+        next(late_signal)
     sys.meta_path.insert(0, SignallingFinder(number, module))
     runpy.run_module('filbertdrift.platform.daemon', run_name='__main__')
--- a/tests/test_early_signals.py
+++ b/tests/test_early_signals.py
@@ -7,6 +7,7 @@
 
 from filbertdrift.errors import EXIT_OK
 from tests.node_process import node_process
+from tests.signalled_daemon import AT_EXIT
 
 GRACE_S = 4.0
 DAEMON = 'tests.signalled_daemon'
@@ -24,6 +25,11 @@
             code = _exit_code(signal.SIGHUP, module)
             self.assertThat(code, Equals(EXIT_OK), module)
 
+    # A planned stop looked like a crash if SIGHUP came after its last step.
+    def test_sighup_at_the_end_of_the_interpreter(self) -> None:
+        code = _exit_code(signal.SIGHUP, AT_EXIT)
+        self.assertThat(code, Equals(EXIT_OK))
+
     # A planned stop during the start looked like a crash.
     def test_sigterm_during_the_start_is_a_clean_exit(self) -> None:
         for module in MODULES:
