--- a/filbertdrift/entry.py
+++ b/filbertdrift/entry.py
@@ -15,6 +15,7 @@
     UnknownKey,
     add_account,
 )
+from filbertdrift.bytestream import ByteStream
 from filbertdrift.callerport import CallerConnection, CallerListener
 from filbertdrift.contract import HeaderNames, parse_timeout_s
 from filbertdrift.errors import (
@@ -24,11 +25,11 @@
     RequestNotRun,
     RequestUnknown,
 )
+from filbertdrift.failures import build_failure
 from filbertdrift.http1 import BodyPart, Headers, RequestHead
 from filbertdrift.ingress_errors import (
     StopsBefore,
     build_cut_error,
-    build_failure_error,
     build_no_config_error,
     build_outdated_error,
 )
@@ -160,7 +161,7 @@
 
     def _new_connection(
         self,
-        reader: asyncio.StreamReader,
+        reader: ByteStream,
         writer: asyncio.StreamWriter,
     ) -> CallerConnection:
         self.counters.connections += 1
@@ -173,7 +174,7 @@
     def __init__(
         self,
         server: IngressServer,
-        reader: asyncio.StreamReader,
+        reader: ByteStream,
         writer: asyncio.StreamWriter,
     ) -> None:
         """Create the connection without a request in progress."""
@@ -288,6 +289,8 @@
         if not self._is_idle:
             # The caller began a head and did not finish it in time.
             self._has_timed_out = True
+        elif self._has_unread():
+            return
         if self._task:
             self._task.cancel()
 
@@ -323,7 +326,8 @@
         if self._responses.is_whole:
             self._responses.must_close |= not self._has_read_body
             return
-        await self._send_error(head, build_failure_error(self._req))
+        may_have_run = self._req is not None and self._req.may_have_run
+        await self._send_error(head, build_failure(may_have_run=may_have_run))
 
     async def _route(self, head: RequestHead) -> None:
         handler = self._handler
@@ -380,7 +384,7 @@
         self._req = req
         routed = self._handler.route_request(req, route)
         self._is_dispatched = True
-        with routed.cleanup:
+        with req.cleanup:
             await self._exchange(head, routed)
 
     async def _exchange(self, head: RequestHead, routed: RoutedRequest) -> None:
--- a/filbertdrift/serving.py
+++ b/filbertdrift/serving.py
@@ -21,6 +21,7 @@
     RequestNotRun,
     RequestUnknown,
 )
+from filbertdrift.failures import failure_as_outcome
 from filbertdrift.gate import Gate
 from filbertdrift.gen import ttypes
 from filbertdrift.health import TargetHealth
@@ -99,7 +100,10 @@
         """
         self.in_progress += 1
         try:
-            await self._serve(call, req)
+            with failure_as_outcome(
+                req.request_id or '', lambda: self._crash_watch.is_running(call)
+            ):
+                await self._serve(call, req)
         except RequestNotRun as exc:
             self.counters.not_run += 1
             await self._send_refusal(call, exc, exc.retry_after_ms)
