--- a/standins/soak.py
+++ b/standins/soak.py
@@ -22,10 +22,10 @@
 from pathlib import Path
 
 from standins.cutting_proxy import Fault, FaultProxy
-from standins.mesh_fleet import config_document
 from standins.platform_store import Absence, PlatformStore
 from standins.platform_target import RunLog, response_body
 from standins.soak_client import ClientRequest, ClientResult, Ending, SoakClient
+from standins.soak_crashes import CrashHistory, CrashLoad
 from standins.soak_departures import EXTRA_SERVING_S, DepartureLoad
 from standins.soak_history import (
     DRAIN_S,
@@ -35,7 +35,9 @@
     SoakHistory,
 )
 from standins.soak_instance import GRACE_S, NETWORK, SoakInstance
-from standins.soak_stops import SLOW_ROUTES, Stop, StopHistory, StopLoad
+from standins.soak_signals import HangUpLoad, unprompted_ends
+from standins.soak_stops import Stop, StopHistory, StopLoad
+from standins.soak_uploads import CutHistory, UploadLoad, draw_document
 
 STORE_PORT = 7407
 
@@ -103,6 +105,7 @@
         self.verdict = SoakResult(seed, str(folder))
         self.run_log = RunLog()
         self._rng = random.Random(seed)
+        self._upload_rng = random.Random(f'uploads-{seed}')
         self._per_s = per_s
         self._store = PlatformStore(f'{STORE_HOST}:{STORE_PORT}')
         self._version = 1
@@ -111,6 +114,8 @@
         self._background_tasks: set[asyncio.Task[None]] = set()
         self._history = SoakHistory()
         self._stop_history = StopHistory(self._history)
+        self._cut_history = CutHistory(self._history, self._stop_history.stops)
+        self._crash_history = CrashHistory(self._history)
         self.instances = [
             SoakInstance(
                 number,
@@ -134,7 +139,7 @@
         """
         await self._store.start()
         await self._store.publish(
-            config_document(version=self._version, **SLOW_ROUTES)
+            draw_document(self._upload_rng, self._version)
         )
         try:
             await asyncio.gather(
@@ -142,21 +147,7 @@
             )
             await asyncio.sleep(SETTLE_S)
             traffic = asyncio.ensure_future(self._send_traffic())
-            await StopLoad(
-                random.Random(f'stops-{self.verdict.seed}'),
-                self.instances,
-                self._send_and_count,
-                self._terminate,
-            ).run(stops_s)
-            departures = DepartureLoad(
-                random.Random(f'departures-{self.verdict.seed}'),
-                self.instances,
-                self._kill,
-                self._run_in_background,
-            )
-            await asyncio.gather(
-                self._inject_faults(seconds), departures.run(seconds)
-            )
+            await self._run_loads(seconds, stops_s)
             for instance in self.instances:
                 instance.clear_faults()
             self._store.is_down = False
@@ -166,9 +157,16 @@
                 *self._background_tasks, return_exceptions=True
             )
             await self._check_recovered()
-            for history in (self._history, self._stop_history):
+            for history in (
+                self._history,
+                self._stop_history,
+                self._cut_history,
+                self._crash_history,
+            ):
                 for violation in history.violations(self.run_log):
                     self._add_violation(violation)
+            for end in unprompted_ends(self.instances):
+                self._add_violation(end)
         finally:
             await asyncio.gather(
                 *(instance.close() for instance in self.instances)
@@ -176,6 +174,41 @@
             self._store.close()
         return self.verdict
 
+    async def _run_loads(self, seconds: float, stops_s: float) -> None:
+        """Run what is sent and done beside the usual traffic."""
+        seed = self.verdict.seed
+        send, instances = self._send_and_count, self.instances
+        stops = StopLoad(
+            random.Random(f'stops-{seed}'), instances, send, self._terminate
+        )
+        uploads = UploadLoad(
+            self._upload_rng, instances, send, self._publish_change
+        )
+        hang_ups = HangUpLoad(random.Random(f'signals-{seed}'), instances)
+        crashes = CrashLoad(random.Random(f'crashes-{seed}'), instances, send)
+        departures = DepartureLoad(
+            random.Random(f'departures-{seed}'),
+            instances,
+            self._kill,
+            self._run_in_background,
+        )
+        await asyncio.gather(
+            stops.run(stops_s),
+            uploads.send(stops_s),
+            uploads.publish(stops_s),
+            hang_ups.run(stops_s),
+            crashes.run(stops_s),
+        )
+        if stops_s:
+            await asyncio.sleep(STABILITY_S)
+            await crashes.run_last()
+        await asyncio.gather(
+            self._inject_faults(seconds),
+            departures.run(seconds),
+            uploads.send(seconds),
+            hang_ups.run(seconds),
+        )
+
     # Traffic
 
     async def _send_traffic(self) -> None:
@@ -232,6 +265,7 @@
         now = time.monotonic()
         request_id = request.request_id
         self._stop_history.record(instance.name, request, result)
+        self._cut_history.record(instance.name, request, result)
         if result.status in {408, 421, 429, 503}:
             self._history.refused.add(request_id)
         if result.status == 200 and (
@@ -314,7 +348,7 @@
             now = time.monotonic()
             start = Disturbance(now, now, is_harmful=False)
             self._history.disturb(instance.name, start)
-            await instance.start_node()
+            await instance.restart_node(ended)
         self._history.interrupt(instance.name, since)
 
     async def _pause(self, instance: SoakInstance) -> None:
@@ -327,16 +361,11 @@
 
     async def _break_target(self, instance: SoakInstance) -> None:
         with self._disturbance(instance):
-            await self._inject_proxy_fault(instance.target_proxy)
+            await _break_links(instance.target_proxy, self._rng)
 
     async def _break_store(self, instance: SoakInstance) -> None:
         with self._disturbance(instance):
-            await self._inject_proxy_fault(instance.store_proxy)
-
-    async def _inject_proxy_fault(self, proxy: FaultProxy) -> None:
-        proxy.play(self._rng.choice(list(Fault)))
-        await asyncio.sleep(self._rng.uniform(0.2, 3))
-        proxy.play(Fault.NONE)
+            await _break_links(instance.store_proxy, self._rng)
 
     async def _replace_target(self, instance: SoakInstance) -> None:
         departure = self._rng.random()
@@ -402,7 +431,7 @@
         self._version += self._rng.randint(1, 5)
         version = self._version
         route = {'path_prefix': f'/v{version}/', 'kind': 'idempotent'}
-        document = config_document(version, newest=route, **SLOW_ROUTES)
+        document = draw_document(self._upload_rng, version, newest=route)
         await self._store.publish(document)
         return version
 
@@ -484,6 +513,12 @@
         task.add_done_callback(self._background_tasks.discard)
 
 
+async def _break_links(proxy: FaultProxy, rng: random.Random) -> None:
+    proxy.play(rng.choice(list(Fault)))
+    await asyncio.sleep(rng.uniform(0.2, 3))
+    proxy.play(Fault.NONE)
+
+
 def run_soak(
     seed: int,
     seconds: float = 20,
