Hold an upload to the body limit under which it began

What callers saw: 413 for an upload that a target already ran, when a configuration lowered the limit while the body arrived; a cut connection if the response had begun. Cause: each part of a body was checked against the limit of the configuration in force at that moment. Evidence: test_upload_that_runs got 413 before. The stand-in target looped without an end once an upload to it was cut; it stops at the end of the stream. Change: the limit is that of the configuration at the request's head. Result: the test passes.

--- a/filbertdrift/entry.py
+++ b/filbertdrift/entry.py
@@ -186,6 +186,7 @@
         self._has_read_body = True
         self._has_timed_out = False
         self._body_bytes = 0
+        self._body_limit_bytes = 0
         self._timer: asyncio.TimerHandle | None = None
         # The rest of the request, or a response to it, is awaited.
         self._is_waiting = False
@@ -298,6 +299,8 @@
         self._server.counters.requests += 1
         self._has_read_body = False
         self._body_bytes = 0
+        # A configuration that lowers the limit does not end a run.
+        self._body_limit_bytes = self._handler.limits.body_bytes
         self._is_dispatched = False
         self._responses.has_begun = False
         self._responses.is_whole = False
@@ -476,7 +479,7 @@
         self._has_read_body = part.end
 
     def _check_body_size(self, size_bytes: int) -> None:
-        limit_bytes = self._handler.limits.body_bytes
+        limit_bytes = self._body_limit_bytes
         if size_bytes > limit_bytes:
             raise BodyTooLarge(
                 f'body over {limit_bytes} bytes',
--- a/tests/socket_mesh.py
+++ b/tests/socket_mesh.py
@@ -107,7 +107,7 @@
         received.append(raw)
         head, _, body = raw.partition(b'\r\n\r\n')
         wanted = _content_length(head)
-        while len(body) < wanted:
+        while len(body) < wanted and not reader.at_eof():
             body += await reader.read(1_000_000)
         end = asyncio.ensure_future(reader.read(1))
         done, _ = await asyncio.wait((end,), timeout=work_s)
