Respond to a call that an exception ends

What targets saw: a closed connection in place of a response to a heartbeat. Cause: the listener of a node's own endpoints let any exception but those of the project and the network end the connection. Evidence: test_failing_calls read no bytes before. Change: such a call gets 500, with a call_failed line, and the connection stays. Result: the test passes, as do those of test_platform and test_mesh_metrics.

--- a/filbertdrift/listener.py
+++ b/filbertdrift/listener.py
@@ -12,7 +12,11 @@
 from loguru import logger
 
 from filbertdrift import http1
-from filbertdrift.errors import MalformedMessage, PeerUnavailable
+from filbertdrift.errors import (
+    FilbertdriftError,
+    MalformedMessage,
+    PeerUnavailable,
+)
 from filbertdrift.network import split_address
 
 IDLE_TIMEOUT_S = 60.0
@@ -20,6 +24,7 @@
 BODY_TIMEOUT_S = 5.0
 MAX_BODY_BYTES = 65_536
 STATUS_BAD_REQUEST = 400
+STATUS_INTERNAL_ERROR = 500
 
 
 @dataclass(frozen=True, slots=True)
@@ -103,12 +108,25 @@
                 return
             async with asyncio.timeout(BODY_TIMEOUT_S):
                 body = await _read_body(requests)
-            reply = await self._handler(head.method, head.path, body)
+            reply = await self._handle(head, body)
             keep_alive = head.keep_alive
             _write_response(writer, reply, keep_alive=keep_alive)
             with contextlib.suppress(ConnectionError):
                 await writer.drain()
 
+    async def _handle(
+        self, head: http1.RequestHead, body: bytes
+    ) -> HttpResponse:
+        try:
+            return await self._handler(head.method, head.path, body)
+        except (FilbertdriftError, OSError):
+            raise
+        except Exception as exc:
+            logger.bind(event='call_failed', path=head.path).opt(
+                exception=exc
+            ).error('a call has failed')
+            return HttpResponse(STATUS_INTERNAL_ERROR)
+
 
 async def _read_body(requests: http1.RequestReader) -> bytes:
     chunks: list[bytes] = []
