Read on after the 400 of a call to the node's own endpoints

What callers saw: a heartbeat or another call with a body over 64 KiB was reset in place of its 400. Cause: as for uploads, the connection was closed while the body arrived. Evidence: test_failing_calls.RejectedCallTest failed before; found by the review of this change. Change: the bounded lingering close of callers' connections is a function, read_to_end, and serves here as well. Result: it passes, as do test_unanswered and test_planned_stop.

--- a/filbertdrift/callerport.py
+++ b/filbertdrift/callerport.py
@@ -125,13 +125,7 @@
             return
         listener.lingering += 1
         try:
-            async with asyncio.timeout(LINGER_S):
-                self._writer.write_eof()
-                # A task that read the body may have been cancelled just now.
-                await asyncio.sleep(0)
-                await self._drop_received()
-        except (TimeoutError, OSError) as exc:
-            logger.bind(event='linger_ended').debug('{!r}', exc)
+            await read_to_end(self._reader, self._writer)
         finally:
             listener.lingering -= 1
 
@@ -161,15 +155,6 @@
             logger.bind(event='body_not_dropped').info('{!r}', exc)
         return part.end
 
-    async def _drop_received(self) -> None:
-        left_bytes = LINGER_BYTES
-        while left_bytes > 0:
-            async with asyncio.timeout(LINGER_SILENCE_S):
-                raw = await self._reader.read(READ_BUFFER_BYTES)
-            if not raw:
-                return
-            left_bytes -= len(raw)
-
 
 class CallerListener(ABC):
     """Accepts callers' connections and keeps track of them.
@@ -277,6 +262,31 @@
         return CallerProtocol(reader, self.serve)
 
 
+async def read_to_end(
+    reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+) -> None:
+    """Send the end of the stream, and drop what arrives until the other one.
+
+    Args:
+        reader: Receiving side of the connection.
+        writer: Its sending side, with the last response.
+    """
+    left_bytes = LINGER_BYTES
+    try:
+        async with asyncio.timeout(LINGER_S):
+            writer.write_eof()
+            # A task that read the body may have been cancelled just now.
+            await asyncio.sleep(0)
+            while left_bytes > 0:
+                async with asyncio.timeout(LINGER_SILENCE_S):
+                    raw = await reader.read(READ_BUFFER_BYTES)
+                if not raw:
+                    return
+                left_bytes -= len(raw)
+    except (TimeoutError, OSError) as exc:
+        logger.bind(event='linger_ended').debug('{!r}', exc)
+
+
 def _accept_waiting(listening: socket.socket) -> list[socket.socket]:
     """Accept the connections in the backlog of a listening socket."""
     accepted: list[socket.socket] = []
--- a/filbertdrift/listener.py
+++ b/filbertdrift/listener.py
@@ -12,6 +12,7 @@
 from loguru import logger
 
 from filbertdrift import http1
+from filbertdrift.callerport import read_to_end
 from filbertdrift.errors import (
     FilbertdriftError,
     MalformedMessage,
@@ -86,6 +87,7 @@
             _write_response(
                 writer, HttpResponse(STATUS_BAD_REQUEST), keep_alive=False
             )
+            await read_to_end(reader, writer)
         except (PeerUnavailable, OSError, TimeoutError) as exc:
             logger.bind(event='call_aborted').info('{!r}', exc)
             writer.transport.abort()
