Signal only nodes that have had a handler of SIGHUP in the soak test

The soak test signalled nodes that were older than 2 s. A node that is paused as it starts, or starts on a busy machine, has no handler by then, and the default effect of the signal ends it, which is documented. Change: a process is signalled once a handler of it has been seen; every process is looked at before each signal.

--- a/standins/soak_signals.py
+++ b/standins/soak_signals.py
@@ -4,14 +4,12 @@
 import random
 import signal
 import time
+from asyncio.subprocess import Process
 from collections.abc import Iterator, Sequence
 
 from standins.soak_instance import SoakInstance
 
 HANG_UP_PAUSE_S = (0.02, 0.3)
-# A node that has run for longer handles SIGHUP; one that starts handles it from
-# its first handler on.
-START_S = 2.0
 
 
 class HangUpLoad:
@@ -27,17 +25,24 @@
     ) -> None:
         self._rng = rng
         self._instances = instances
+        # Processes that have had a handler, also if it is gone.
+        self._prepared: set[Process] = set()
 
     async def run(self, seconds: float) -> None:
         """Signal one node after the other for some time."""
         ends_at = time.monotonic() + seconds
         while time.monotonic() < ends_at:
             instance = self._rng.choice(self._instances)
-            is_started = time.monotonic() > instance.started_at + START_S
-            if is_started or instance.has_handler(signal.SIGHUP):
+            self._note_handlers()
+            if instance.process in self._prepared:
                 instance.signal(signal.SIGHUP)
             await asyncio.sleep(self._rng.uniform(*HANG_UP_PAUSE_S))
 
+    def _note_handlers(self) -> None:
+        for instance in self._instances:
+            if instance.process and instance.has_handler(signal.SIGHUP):
+                self._prepared.add(instance.process)
+
 
 def unprompted_ends(instances: Sequence[SoakInstance]) -> Iterator[str]:
     """Yield processes that ended without SIGTERM or SIGKILL, or by SIGHUP."""
