Soak: restart a node process once, also if two faults ended it

A process that two faults ended was started twice: both saw that it had ended before the new one was known. One of the two was left behind when the test was over.

--- a/standins/soak.py
+++ b/standins/soak.py
@@ -334,7 +334,7 @@
             now = time.monotonic()
             start = Disturbance(now, now, is_harmful=False)
             self._history.disturb(instance.name, start)
-            await instance.start_node()
+            await instance.restart_node(ended)
         self._history.interrupt(instance.name, since)
 
     async def _pause(self, instance: SoakInstance) -> None:
--- a/standins/soak_instance.py
+++ b/standins/soak_instance.py
@@ -70,6 +70,7 @@
             log,
             self.name,
         )
+        self._start_lock = asyncio.Lock()
         self.client = SoakClient((self.ip, CALLER_PORT))
         self._daemon = daemon
         self._settings = folder / f'{self.name}.toml'
@@ -83,6 +84,14 @@
         await self.target.start()
         await self.start_node()
 
+    async def restart_node(
+        self, ended: asyncio.subprocess.Process | None
+    ) -> None:
+        """Start the node process after one that has ended, once."""
+        async with self._start_lock:
+            if self.process is ended:
+                await self.start_node()
+
     async def start_node(self) -> None:
         """Start the node process."""
         environment = {
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -3,12 +3,16 @@
 import asyncio
 import os
 import sys
+import tempfile
+from pathlib import Path
+from unittest import mock
 
 from testtools import TestCase
 from testtools.matchers import Contains, Equals, GreaterThan
 
 from standins.platform_target import PlatformTarget, RunLog
 from standins.soak import run_soak
+from standins.soak_instance import SoakInstance
 
 # Seeds that failed before, each with the cause.
 REGRESSION_SEEDS: tuple[int, ...] = (
@@ -51,6 +55,33 @@
             self.assertThat(verdict.outcomes['200'], GreaterThan(MIN_SERVED))
 
 
+class RestartTest(TestCase):
+    """Faults that end the same process restart it once."""
+
+    # Guards against a second process at the same address, which stayed when the
+    # test was over and served an old configuration to the next one.
+    def test_two_restarts_at_once(self) -> None:
+        self.assertThat(asyncio.run(_count_starts()), Equals(1))
+
+
+async def _count_starts() -> int:
+    with tempfile.TemporaryDirectory() as folder:
+        store = ('127.0.0.1', 1)
+        instance = SoakInstance(0, Path(folder), store, RunLog(), [])
+        starts = []
+
+        async def start_node() -> None:
+            await asyncio.sleep(0)
+            instance.process = mock.Mock()
+            starts.append(instance.process)
+
+        instance.start_node = start_node  # type: ignore[method-assign]
+        await asyncio.gather(
+            instance.restart_node(None), instance.restart_node(None)
+        )
+        return len(starts)
+
+
 class LeavingTargetTest(TestCase):
     """The stand-in target records acknowledged departures only."""
 
