Exit at once when a node has stopped

Cause: the interpreter removes its modules after the last line. It stops the thread that exits in time before that, so nothing bounds it. The variant interpreter of test_process_exits_whatever_hangs lasted over 6 s before, with a grace of 4 s. Change: the process exits once its log is written. A start that fails still ends with its error.

--- a/filbertdrift/platform/process.py
+++ b/filbertdrift/platform/process.py
@@ -12,7 +12,7 @@
 import uvloop
 from loguru import logger
 
-from filbertdrift.errors import SettingsError
+from filbertdrift.errors import EXIT_OK, SettingsError
 from filbertdrift.eventlog import configure_event_log
 from filbertdrift.identity import Identity
 from filbertdrift.listener import HttpListener
@@ -58,6 +58,9 @@
         # The interpreter resets handlers of its own to the default as it ends.
         signal.signal(signal.SIGHUP, signal.SIG_IGN)
         event_log.close()
+    # On a busy machine the interpreter takes long to end, and nothing bounds
+    # that: it stops the thread that exits in time first.
+    os._exit(EXIT_OK)
 
 
 def _parse_options() -> argparse.Namespace:
--- a/tests/hanging_daemon.py
+++ b/tests/hanging_daemon.py
@@ -4,13 +4,16 @@
 import contextlib
 import itertools
 import sys
-from collections.abc import Callable, Mapping
+import time
+from collections.abc import Callable, Iterator, Mapping
 
 from filbertdrift.membership import Membership
 from filbertdrift.mesh import MeshNode
 from filbertdrift.platform import daemon
 from filbertdrift.platform.store import StoreLog
 
+LONG_S = 60
+
 
 async def _never_end(*_: object) -> None:
     while True:
@@ -48,6 +51,22 @@
     MeshNode.drain = drain  # type: ignore[method-assign]
 
 
+def _wait_when_removed(sleep: Callable[[float], None]) -> Iterator[None]:
+    """Wait when the interpreter removes the suspended generator."""
+    try:
+        yield
+    finally:
+        sleep(LONG_S)
+
+
+def _end_interpreter_slowly() -> None:
+    waiting = _wait_when_removed(time.sleep)
+    next(waiting)
+    _kept.append(waiting)
+
+
+_kept: list[object] = []
+
 VARIANTS: Mapping[str, Callable[[], None]] = {
     'none': lambda: None,
     'task': _hang_task,
@@ -55,6 +74,7 @@
     'unknown_task': _hang_unknown_task,
     'drain': _hang_drain,
     'loop': _saturate_loop,
+    'interpreter': _end_interpreter_slowly,
 }
 
 if __name__ == '__main__':
