Log how long a process did not read its sockets, and the age of requests

Nothing tells how old a request was when its ingress read it, standstills below 2 s are not seen, and a delay of 0 between nodes may be measured or unknown.

Change: ArrivalClock notes when the event loop last read all of its sockets, and TimedStream when the bytes of callers may have arrived. Lines 'stalled' with the processor time used meanwhile, which tells a suspended process from a busy one; age_ms on 'request' and is_transit_known on 'handover' lines; counters arrivals_stalls and arrivals_stalled_ms. No decision depends on them yet. transit moves to the new package age.

test_connection_accepted_at_the_last_moment gave the listener a plain stream; it hands it the accepted socket now, as the listener does itself.

--- /dev/null
+++ b/filbertdrift/age/arrivals.py
@@ -0,0 +1,135 @@
+"""When the bytes that a process reads may have arrived."""
+
+import asyncio
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from loguru import logger
+
+from filbertdrift.pause import read_suspended_s
+
+MS_PER_S = 1000
+TICK_S = 0.2
+# Bytes that waited for less count as new. An idle process knows no better than
+# to a tick.
+MIN_STALL_S = 0.35
+# Passes of the event loop until all that arrived in a stall has been read: a
+# connection has to be accepted first, and its end follows its bytes.
+SETTLE_PASSES = 8
+# Passes after which what had arrived at their beginning has been read.
+READ_PASSES = 2
+# How exactly it is known when the sockets were last read.
+PRECISION_S = 0.05
+
+
+@dataclass(slots=True)
+class ArrivalCounters:
+    """Times in which a process did not read its sockets."""
+
+    stalls: int = 0
+    stalled_ms: int = 0
+
+
+class ArrivalClock:
+    """Tells when the bytes that are read now may have arrived.
+
+    A process that is suspended or busy reads late. Bytes that are read after
+    such a stall may have arrived at any time in it.
+
+    Args:
+        suspended_s: Returns for how long the machine was suspended since boot;
+            the loop's clock does not include that time.
+
+    Attributes:
+        counters: The stalls.
+    """
+
+    def __init__(
+        self, suspended_s: Callable[[], float] = read_suspended_s
+    ) -> None:
+        """Start without a stall."""
+        self.counters = ArrivalCounters()
+        self._suspended_s = suspended_s
+        # All that had arrived by then has been read; on a clock that includes
+        # suspensions, as the next.
+        self._read_until: float | None = None
+        # The present round of passes, None between rounds.
+        self._round_at: float | None = None
+        self._passes_left = 0
+        self._stalled_since: float | None = None
+        self._settled = asyncio.Event()
+        self._cpu_s = time.process_time()
+
+    async def run(self) -> None:
+        """Observe the event loop until cancelled."""
+        while True:
+            self._observe()
+            await asyncio.sleep(TICK_S)
+
+    def stamp(self) -> float:
+        """Return when bytes that are read now may have arrived at first.
+
+        Returns:
+            The time on the loop's clock, now unless they come from a stall.
+        """
+        age_s = 0.0
+        now = self._observe()
+        if self._stalled_since is not None:
+            age_s = now - self._stalled_since
+        return asyncio.get_running_loop().time() - age_s
+
+    async def settle(self) -> None:
+        """Wait until all that arrived in a stall has been read, if in one.
+
+        Decisions on old requests wait for it, as their callers may have left.
+        """
+        self._observe()
+        if self._stalled_since is not None:
+            await self._settled.wait()
+
+    def _observe(self) -> float:
+        """Note the time, and a stall before it."""
+        now = asyncio.get_running_loop().time() + self._suspended_s()
+        if self._read_until is None:
+            self._read_until = now
+        if self._stalled_since is None:
+            if now - self._read_until > MIN_STALL_S:
+                self._begin_stall(self._read_until, now)
+            elif (
+                self._round_at is None and now - self._read_until > PRECISION_S
+            ):
+                self._begin_round(now, READ_PASSES)
+        return now
+
+    def _begin_stall(self, since: float, now: float) -> None:
+        self._stalled_since = since
+        self._settled.clear()
+        self.counters.stalls += 1
+        stalled_ms = int((now - since) * MS_PER_S)
+        self.counters.stalled_ms += stalled_ms
+        cpu_s = time.process_time() - self._cpu_s
+        logger.bind(
+            event='stalled',
+            stalled_ms=stalled_ms,
+            cpu_ms=int(cpu_s * MS_PER_S),
+        ).info('this process did not read its sockets')
+        self._begin_round(now, SETTLE_PASSES)
+
+    def _begin_round(self, now: float, passes: int) -> None:
+        is_running = self._round_at is not None
+        self._round_at = now
+        self._passes_left = passes
+        if not is_running:
+            asyncio.get_running_loop().call_soon(self._pass)
+
+    def _pass(self) -> None:
+        self._passes_left -= 1
+        if self._passes_left >= 0:
+            asyncio.get_running_loop().call_soon(self._pass)
+            return
+        self._read_until = self._round_at
+        self._round_at = None
+        self._stalled_since = None
+        self._cpu_s = time.process_time()
+        self._settled.set()
--- a/filbertdrift/transit.py
+++ b/filbertdrift/age/transit.py
@@ -25,6 +25,11 @@
         """Start without samples."""
         self._least_offset_ms = float('inf')
 
+    @property
+    def has_history(self) -> bool:
+        """Return whether a delay can be told from earlier messages."""
+        return self._least_offset_ms < float('inf')
+
     def estimate_s(self, sent_at_ms: int | None, received_at_s: float) -> float:
         """Return how long a message was delayed, in seconds.
 
--- a/filbertdrift/caller.py
+++ b/filbertdrift/caller.py
@@ -16,7 +16,7 @@
     replace_key,
 )
 from filbertdrift.accounts.directory import ClientAccount
-from filbertdrift.bytestream import ByteStream
+from filbertdrift.age.timedstream import TimedStream
 from filbertdrift.callerport import CallerConnection, CallerListener
 from filbertdrift.errors import (
     FilbertdriftError,
@@ -108,7 +108,7 @@
 
     def _new_connection(
         self,
-        reader: ByteStream,
+        reader: TimedStream,
         writer: asyncio.StreamWriter,
     ) -> CallerConnection:
         return _CallerConnection(self, reader, writer)
@@ -120,14 +120,13 @@
     def __init__(
         self,
         server: CallerServer,
-        reader: ByteStream,
+        reader: TimedStream,
         writer: asyncio.StreamWriter,
     ) -> None:
         """Create the connection without a request in progress."""
         super().__init__(server, reader, writer)
         self._server = server
         self._handler = server.handler
-        self._request_reader = http1.RequestReader(reader, 'caller')
         self._must_close = False
         # It closes although the caller asked to keep it.
         self._may_be_sent_more = False
@@ -460,6 +459,7 @@
             head.headers, route.policy.customer_header
         ),
         is_nested=depth_count > 0,
+        arrived_at=head.arrived_at,
     )
 
 
--- a/filbertdrift/callerport.py
+++ b/filbertdrift/callerport.py
@@ -13,7 +13,9 @@
 from loguru import logger
 
 from filbertdrift import http1
-from filbertdrift.bytestream import ByteStream, has_unread_in_socket
+from filbertdrift.age.arrivals import ArrivalClock
+from filbertdrift.age.timedstream import TimedStream
+from filbertdrift.bytestream import has_unread_in_socket
 from filbertdrift.errors import FilbertdriftError
 from filbertdrift.stopping.plan import StopPlan
 
@@ -39,8 +41,8 @@
 
     def __init__(
         self,
-        reader: ByteStream,
-        serve: Callable[[ByteStream, asyncio.StreamWriter], Awaitable[None]],
+        reader: TimedStream,
+        serve: Callable[[TimedStream, asyncio.StreamWriter], Awaitable[None]],
     ) -> None:
         """Create the protocol without a task."""
         super().__init__(reader, self._serve_connection)
@@ -85,7 +87,7 @@
     def __init__(
         self,
         listener: 'CallerListener',
-        reader: ByteStream,
+        reader: TimedStream,
         writer: asyncio.StreamWriter,
     ) -> None:
         """Create the connection without a request in progress."""
@@ -94,6 +96,9 @@
         self._writer = writer
         self._is_idle = False
         self._task = asyncio.current_task()
+        self._request_reader = http1.RequestReader(
+            reader, 'caller', lambda: reader.arrived_at
+        )
 
     @abstractmethod
     async def run(self) -> None:
@@ -129,15 +134,12 @@
         finally:
             listener.lingering -= 1
 
-    async def _drop_body(
-        self, messages: http1.RequestReader, deadline: float
-    ) -> bool:
+    async def _drop_body(self, deadline: float) -> bool:
         """Drop the rest of a body that its target did not take.
 
         The next request on the connection follows it.
 
         Args:
-            messages: Reads the body.
             deadline: The deadline of its request, on the loop's clock.
 
         Returns:
@@ -149,7 +151,7 @@
         try:
             async with asyncio.timeout_at(max(deadline, now + DROP_S)):
                 while left_bytes > 0 and not part.end:
-                    part = await messages.part()
+                    part = await self._request_reader.part()
                     left_bytes -= len(part.chunk)
         except (TimeoutError, FilbertdriftError) as exc:
             logger.bind(event='body_not_dropped').info('{!r}', exc)
@@ -160,6 +162,7 @@
     """Accepts callers' connections and keeps track of them.
 
     Attributes:
+        arrivals: Tells when the bytes of callers arrived.
         in_progress: Number of requests in progress.
         is_closing: Connections close after their next response.
         stop_plan: The times of the node's stop, None before it.
@@ -169,6 +172,7 @@
 
     def __init__(self) -> None:
         """Create the listener without connections."""
+        self.arrivals = ArrivalClock()
         self.in_progress = 0
         self.is_closing = False
         self.stop_plan: StopPlan | None = None
@@ -225,7 +229,7 @@
 
     async def serve(
         self,
-        reader: ByteStream,
+        reader: TimedStream,
         writer: asyncio.StreamWriter,
     ) -> None:
         """Serve one connection until it ends."""
@@ -252,13 +256,13 @@
     @abstractmethod
     def _new_connection(
         self,
-        reader: ByteStream,
+        reader: TimedStream,
         writer: asyncio.StreamWriter,
     ) -> CallerConnection:
         """Return the object that serves an accepted connection."""
 
     def _new_protocol(self) -> asyncio.Protocol:
-        reader = ByteStream(READ_BUFFER_BYTES)
+        reader = TimedStream(self.arrivals, READ_BUFFER_BYTES)
         return CallerProtocol(reader, self.serve)
 
 
--- a/filbertdrift/callserver.py
+++ b/filbertdrift/callserver.py
@@ -5,13 +5,13 @@
 
 from loguru import logger
 
+from filbertdrift.age.transit import TransitEstimator
 from filbertdrift.callstream import WINDOW_BYTES, CallStream
 from filbertdrift.connection import Connection
 from filbertdrift.errors import MalformedMessage, PeerUnavailable
 from filbertdrift.final_messages import tell_dropped, tell_failed
 from filbertdrift.gen import ttypes
 from filbertdrift.link import IDLE_TIMEOUT_S, KEEPALIVE_TIMEOUT_S, TICK_S
-from filbertdrift.transit import TransitEstimator
 
 OnCall = Callable[[CallStream, object], Awaitable[None]]
 
@@ -103,6 +103,7 @@
     def _open(self, call_id: int, body: object) -> None:
         call = CallStream(self._conn, call_id, WINDOW_BYTES)
         if isinstance(body, ttypes.RequestOpen):
+            call.is_transit_known = self._transit.has_history
             call.transit_s = self._transit.estimate_s(
                 body.sent_at_ms, self._conn.clock_s()
             )
--- a/filbertdrift/callstream.py
+++ b/filbertdrift/callstream.py
@@ -40,6 +40,7 @@
             the connection is closed.
         transit_s: How long the opening message was delayed in transit, known
             at the end that serves the call.
+        is_transit_known: Whether that was measured; it counts as none if not.
     """
 
     def __init__(
@@ -54,6 +55,7 @@
         self.keepalive_timeout_s = float('inf')
         self.outlasts_silence = False
         self.transit_s = 0.0
+        self.is_transit_known = True
         self._conn = conn
         self._window_bytes = window_bytes
         self._credit_granted = asyncio.Event()
--- a/filbertdrift/dispatch.py
+++ b/filbertdrift/dispatch.py
@@ -463,6 +463,7 @@
         now = asyncio.get_running_loop().time()
         logger.bind(
             event='request',
+            age_ms=int((now - routed.req.arrived_at) * MS_PER_S),
             left_ms=int((routed.req.deadline - now) * MS_PER_S),
             objective_ms=int((routed.objective_at - now) * MS_PER_S),
             repeats_left=int(self._budget.left(routed.service)),
--- a/filbertdrift/entry.py
+++ b/filbertdrift/entry.py
@@ -15,7 +15,7 @@
     UnknownKey,
     add_account,
 )
-from filbertdrift.bytestream import ByteStream
+from filbertdrift.age.timedstream import TimedStream
 from filbertdrift.callerport import CallerConnection, CallerListener
 from filbertdrift.contract import HeaderNames, parse_timeout_s
 from filbertdrift.errors import (
@@ -161,7 +161,7 @@
 
     def _new_connection(
         self,
-        reader: ByteStream,
+        reader: TimedStream,
         writer: asyncio.StreamWriter,
     ) -> CallerConnection:
         self.counters.connections += 1
@@ -174,14 +174,13 @@
     def __init__(
         self,
         server: IngressServer,
-        reader: ByteStream,
+        reader: TimedStream,
         writer: asyncio.StreamWriter,
     ) -> None:
         """Create the connection without a request in progress."""
         super().__init__(server, reader, writer)
         self._server = server
         self._handler = server.handler
-        self._request_reader = http1.RequestReader(reader, 'caller')
         self._responses = ResponseWriter(server, writer)
         self._has_read_body = True
         self._has_timed_out = False
@@ -411,9 +410,7 @@
         finally:
             response.close()
         if not (self._has_read_body or self._responses.must_close):
-            self._has_read_body = await self._drop_body(
-                self._request_reader, routed.req.deadline
-            )
+            self._has_read_body = await self._drop_body(routed.req.deadline)
         self._responses.must_close |= not self._has_read_body
 
     @contextlib.contextmanager
@@ -463,6 +460,7 @@
             is_whole=first.end,
             read_body=self._read_body,
             deadline=deadline,
+            arrived_at=head.arrived_at,
         )
         if permission is not None:
             add_account(req, permission, header_names.client_account)
--- a/filbertdrift/freshness.py
+++ b/filbertdrift/freshness.py
@@ -10,11 +10,11 @@
 from collections.abc import Callable, Collection
 from dataclasses import dataclass
 
+from filbertdrift.age.transit import RecentTransitEstimator
 from filbertdrift.config_holder import ConfigHolder
 from filbertdrift.gen import ttypes
 from filbertdrift.keyedlog import NO_ERA
 from filbertdrift.routing import NO_VERSION
-from filbertdrift.transit import RecentTransitEstimator
 
 MS_PER_S = 1000
 # Evidence that is newer by less is not passed on.
--- a/filbertdrift/handover.py
+++ b/filbertdrift/handover.py
@@ -13,6 +13,7 @@
 from loguru import logger
 
 from filbertdrift.accounts import startlimit
+from filbertdrift.age.transit import check_transit
 from filbertdrift.balance.admissionqueue import SlotRequest
 from filbertdrift.balance.gatereport import GateReporter
 from filbertdrift.balance.slothold import SlotHold, build_slot_request
@@ -43,7 +44,6 @@
     TargetRun,
     find_max_idle_s,
 )
-from filbertdrift.transit import check_transit
 
 MS_PER_S = 1000
 RETRY_AFTER_MS = 100
@@ -420,6 +420,7 @@
             running=current.gate.running if current else 0,
             waiting=current.gate.waiting if current else 0,
             limit_per_s=current.gate.limit.per_s if current else None,
+            is_transit_known=call.is_transit_known,
             transit_ms=int(call.transit_s * MS_PER_S),
             outcome=outcome,
             reason=reason,
--- a/filbertdrift/http1.py
+++ b/filbertdrift/http1.py
@@ -70,12 +70,15 @@
         path: The request target as sent, query included.
         headers: Names in lower case.
         keep_alive: The caller may reuse the connection.
+        arrived_at: When its first byte may have arrived, on the loop's clock;
+            zero if the stream does not tell.
     """
 
     method: str
     path: str
     headers: Headers
     keep_alive: bool
+    arrived_at: float = 0.0
 
 
 @dataclass(slots=True)
@@ -269,10 +272,30 @@
 class RequestReader(_Reader):
     """Reads the requests of a connection in order."""
 
-    def __init__(self, reader: asyncio.StreamReader, peer: str) -> None:
-        """Wrap a stream."""
+    def __init__(
+        self,
+        reader: asyncio.StreamReader,
+        peer: str,
+        find_arrival: Callable[[], float] | None = None,
+    ) -> None:
+        """Wrap a stream.
+
+        Args:
+            reader: The stream.
+            peer: Address of the peer.
+            find_arrival: Returns when the bytes that were read last may have
+                arrived, on the loop's clock.
+        """
         super().__init__(reader, peer)
         self.parser = httptools.HttpRequestParser(self)
+        self._find_arrival = find_arrival
+        self._arrived_at = 0.0
+
+    def on_message_begin(self) -> None:
+        """Begin the head of a request."""
+        super().on_message_begin()
+        if self._find_arrival is not None:
+            self._arrived_at = self._find_arrival()
 
     def on_headers_complete(self) -> None:
         """Queue the head."""
@@ -283,6 +306,7 @@
                 self._url.decode('latin-1'),
                 self._headers,
                 self.parser.should_keep_alive(),
+                self._arrived_at,
             ),
         )
 
--- a/filbertdrift/mesh.py
+++ b/filbertdrift/mesh.py
@@ -292,6 +292,7 @@
         for name, run in (
             ('links', self.links.run),
             ('pause detector', self.pause.run),
+            ('arrivals', self.entry.arrivals.run),
             ('membership', self.membership.run),
             ('directory', self.directory.run),
             ('departures', self.departure_keeper.run),
--- a/filbertdrift/mesh_metrics.py
+++ b/filbertdrift/mesh_metrics.py
@@ -20,6 +20,7 @@
     sources: Mapping[str, object] = {
         'config_exchange': node.exchange.counters,
         'callers': node.entry.counters,
+        'arrivals': node.entry.arrivals.counters,
         'accounts': node.authenticator.counters,
         'requests': node.dispatcher.counters,
         'handover': node.handover.counters,
--- a/filbertdrift/node.py
+++ b/filbertdrift/node.py
@@ -209,6 +209,7 @@
         loop = asyncio.get_running_loop()
         self._tasks.append(loop.create_task(self.links.run()))
         self._tasks.append(loop.create_task(self.pause.run()))
+        self._tasks.append(loop.create_task(self.callers.arrivals.run()))
         self._tasks.append(loop.create_task(self._boot()))
 
     async def drain(self) -> None:
--- a/filbertdrift/serving.py
+++ b/filbertdrift/serving.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass
 
 from filbertdrift import http1
+from filbertdrift.age.transit import check_transit
 from filbertdrift.callstream import WINDOW_BYTES, CallStream
 from filbertdrift.crashes import CrashLedger
 from filbertdrift.crashwatch import CrashWatch
@@ -27,7 +28,6 @@
 from filbertdrift.health import TargetHealth
 from filbertdrift.target import Exchange, Target, TargetRequest
 from filbertdrift.tracing import Tracer
-from filbertdrift.transit import check_transit
 
 MS_PER_S = 1000
 RETRY_AFTER_MS = 200
--- a/standins/mesh_fleet.py
+++ b/standins/mesh_fleet.py
@@ -312,6 +312,7 @@
             is_whole=True,
             read_body=_no_body,
             deadline=now + min(timeout_s, route.timeout_s or timeout_s),
+            arrived_at=now,
         )
         if permission is not None:
             add_account(req, permission, HEADERS.client_account)
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -170,7 +170,7 @@
             accepted: list[asyncio.Task[None]] = []
 
             async def accept() -> None:
-                await entry.serve(*await asyncio.open_connection(sock=theirs))
+                await entry._connect_accepted(theirs)
 
             def close_and_accept() -> None:
                 close_idle()
