--- a/tests/test_full_links.py
+++ b/tests/test_full_links.py
@@ -87,8 +87,8 @@
     def test_late_request_of_a_caller_that_left_is_not_run(self) -> None:
         run_virtual(self._left())
 
-    async def _left(self) -> None:
-        fleet = await self._ingress_and_target()
+    async def _left(self, earlier_requests: int = 20) -> None:
+        fleet = await self._ingress_and_target(earlier_requests)
         fleet.simulator.occupy_link('b-0:7000', 2 * LINK_BYTES_PER_S)
         call = asyncio.ensure_future(
             fleet.call('a-0:7000', '/read/late', timeout_s=1)
@@ -99,14 +99,27 @@
         call.cancel()
         await asyncio.sleep(5)
         script = target_scripts(fleet, 'desk')[0]
-        self.assertThat(script.runs['request-21'], Equals(0))
+        self.assertThat(
+            script.runs[f'request-{earlier_requests + 1}'], Equals(0)
+        )
+
+    # GONE: as above, for the first request on a connection between two nodes,
+    # whose delay counted as none.
+    def test_late_first_request_of_a_caller_that_left_is_not_run(self) -> None:
+        run_virtual(self._left(earlier_requests=0))
 
     # GONE: a target got more time for a request than its caller waited.
     def test_deadline_counts_the_time_between_nodes(self) -> None:
         run_virtual(self._deadline())
 
-    async def _deadline(self) -> None:
-        fleet = await self._ingress_and_target()
+    # GONE: as above, for the first request on a connection.
+    def test_deadline_of_a_first_request_counts_the_time_between_nodes(
+        self,
+    ) -> None:
+        run_virtual(self._deadline(earlier_requests=0))
+
+    async def _deadline(self, earlier_requests: int = 20) -> None:
+        fleet = await self._ingress_and_target(earlier_requests)
         fleet.simulator.occupy_link('b-0:7000', int(0.3 * LINK_BYTES_PER_S))
         response = await fleet.call('a-0:7000', '/read/1', timeout_s=1)
         response.close()
@@ -117,10 +130,16 @@
     def test_late_request_is_not_run_beside_announced_targets(self) -> None:
         run_virtual(self._late_beside_announced())
 
-    async def _late_beside_announced(self) -> None:
+    # GONE: as above, for the first request on a connection.
+    def test_late_first_request_is_not_run_beside_announced_targets(
+        self,
+    ) -> None:
+        run_virtual(self._late_beside_announced(earlier_requests=0))
+
+    async def _late_beside_announced(self, earlier_requests: int = 20) -> None:
         fleet = await small_fleet()
         ingress, target = fleet.address('b', 0), fleet.address('a', 3)
-        for _ in range(20):
+        for _ in range(earlier_requests):
             await fleet.call(ingress, '/ledger/1')
         fleet.simulator.bytes_per_s[target] = LINK_BYTES_PER_S
         fleet.simulator.occupy_link(target, 2 * LINK_BYTES_PER_S)
@@ -197,7 +216,9 @@
         self.assertThat(small, Equals([]))
         self.assertThat(longest_s, LessThan(LEAVE_S))
 
-    async def _ingress_and_target(self) -> MeshFleet:
+    async def _ingress_and_target(
+        self, earlier_requests: int = 20
+    ) -> MeshFleet:
         """Return a fleet of an ingress and a target behind a narrow link."""
         fleet = MeshFleet(32)
         fleet.link_mbps = LINK_BYTES_PER_S * 8 / 1e6
@@ -206,7 +227,7 @@
         await fleet.add('b', 'desk')
         await fleet.wait_until_in_force(1, 5)
         await asyncio.sleep(3)
-        for _ in range(20):
+        for _ in range(earlier_requests):
             (await fleet.call('a-0:7000')).close()
         fleet.simulator.bytes_per_s['b-0:7000'] = LINK_BYTES_PER_S
         return fleet
--- /dev/null
+++ b/tests/test_stalls.py
@@ -0,0 +1,206 @@
+"""Requests that waited while a node stood still."""
+
+import asyncio
+import socket
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+import uvloop
+from testtools import TestCase
+from testtools.matchers import Equals, GreaterThan, LessThan, StartsWith
+
+from filbertdrift.balance.admissionqueue import SlotRequest
+from filbertdrift.errors import PeerUnavailable
+from filbertdrift.gen import ttypes
+from filbertdrift.target import Exchange
+from tests.socket_mesh import SocketMesh, request
+from tests.stalled_mesh import (
+    connect,
+    leave,
+    settle,
+    stalling_mesh,
+    stand_still,
+)
+
+# How long work may reach a target after its caller has left.
+LEAVE_S = 0.5
+STALL_S = 1.2
+CALLERS = 5
+MS_PER_S = 1000
+EVENT_LOOPS: tuple[Callable[[Coroutine[Any, Any, None]], object], ...] = (
+    asyncio.run,
+    uvloop.run,
+)
+
+
+class IngressTest(TestCase):
+    """An ingress that stood still counts the age of what it then reads."""
+
+    # GONE: an ingress that had stood still sent on the requests in its sockets
+    # whose callers had left, with deadlines that counted from then.
+    def test_callers_that_left_on_new_connections(self) -> None:
+        for run in EVENT_LOOPS:
+            run(self._new_connections())
+
+    async def _new_connections(self) -> None:
+        async with stalling_mesh() as mesh:
+            for _ in range(CALLERS):
+                leave(connect(mesh))
+            stand_still(STALL_S)
+            await settle()
+            self.assertThat(_sent_on(mesh), Equals(1))
+
+    # GONE: as above, on connections that were open before.
+    def test_callers_that_left_on_open_connections(self) -> None:
+        for run in EVENT_LOOPS:
+            run(self._open_connections())
+
+    async def _open_connections(self) -> None:
+        async with stalling_mesh() as mesh:
+            callers = [connect(mesh) for _ in range(CALLERS)]
+            await settle()
+            for caller in callers:
+                leave(caller)
+            stand_still(STALL_S)
+            await settle()
+            self.assertThat(_sent_on(mesh), Equals(1))
+
+    # GONE: the end of the stream lay behind the body of an upload.
+    def test_callers_that_left_after_a_body(self) -> None:
+        for run in EVENT_LOOPS:
+            run(self._after_a_body())
+
+    async def _after_a_body(self) -> None:
+        async with stalling_mesh() as mesh:
+            caller = connect(mesh)
+            await settle()
+            caller.sendall(request('/write/x', b'u' * 50_000))
+            caller.close()
+            stand_still(STALL_S)
+            await settle()
+            self.assertThat(_sent_on(mesh), Equals(1))
+
+    # GONE: a target got more time for a request than its caller had left.
+    def test_deadline_counts_the_stall(self) -> None:
+        for run in EVENT_LOOPS:
+            run(self._deadline())
+
+    async def _deadline(self) -> None:
+        async with stalling_mesh() as mesh:
+            caller = connect(mesh)
+            await settle()
+            caller.sendall(request())
+            stand_still(STALL_S)
+            await settle()
+            caller.close()
+            left_ms = _deadline_ms(mesh.received[0])
+            self.assertThat(left_ms, LessThan(2000 - STALL_S * MS_PER_S + 50))
+            self.assertThat(left_ms, GreaterThan(0))
+
+    # GONE: a request was run after the deadline of its caller.
+    def test_deadline_that_passed_in_the_stall(self) -> None:
+        for run in EVENT_LOOPS:
+            run(self._passed())
+
+    async def _passed(self) -> None:
+        async with stalling_mesh() as mesh:
+            caller = connect(mesh)
+            await settle()
+            raw = request().replace(b'deadline-ms: 2000', b'deadline-ms: 600')
+            caller.sendall(raw)
+            stand_still(STALL_S)
+            await settle()
+            response = _receive(caller)
+            self.assertThat(response, StartsWith(b'HTTP/1.1 503 '))
+            self.assertThat(mesh.received, Equals([]))
+
+    # The age of a request does not include how long its connection was idle.
+    def test_idle_connections_are_not_old(self) -> None:
+        for run in EVENT_LOOPS:
+            run(self._idle())
+
+    async def _idle(self) -> None:
+        async with stalling_mesh() as mesh:
+            caller = connect(mesh)
+            await asyncio.sleep(2)
+            caller.sendall(request())
+            await settle()
+            response = _receive(caller)
+            self.assertThat(response, StartsWith(b'HTTP/1.1 200 '))
+            left_ms = _deadline_ms(mesh.received[0])
+            self.assertThat(left_ms, GreaterThan(1600))
+
+
+class GateTest(TestCase):
+    """A node beside a target that stood still reads before it acts."""
+
+    # GONE: after a standstill, a request that had waited went on to the target
+    # before its cancellation was read.
+    def test_cancelled_while_it_waited(self) -> None:
+        for run in EVENT_LOOPS:
+            run(self._cancelled())
+
+    async def _cancelled(self) -> None:
+        async with stalling_mesh() as mesh:
+            current = mesh.serving.lifecycle.current
+            assert current is not None
+            opened: list[object] = []
+
+            link = await mesh.node.links.connect(mesh.serving.network.address)
+            call = link.begin()
+
+            admit_to_slot = current.gate.admit
+
+            async def admit(req: SlotRequest) -> None:
+                await admit_to_slot(req)
+                link.cancel(call)
+                stand_still(STALL_S)
+
+            async def open_exchange(req: object) -> Exchange:
+                opened.append(req)
+                raise PeerUnavailable('refused', step='connect')
+
+            current.gate.admit = admit  # type: ignore[method-assign]
+            current.target.open_exchange = open_exchange  # type: ignore[method-assign]
+            await call.send(_opening(mesh))
+            await settle()
+            self.assertThat(opened, Equals([]))
+
+
+def _sent_on(mesh: SocketMesh) -> int:
+    """Return how many requests the ingress sent to the other node.
+
+    The first one opened the connection.
+    """
+    return mesh.node.network.counters.sent_messages['RequestOpen']
+
+
+def _opening(mesh: SocketMesh) -> ttypes.RequestOpen:
+    generation = mesh.serving.membership.local_member.generation
+    return ttypes.RequestOpen(
+        method='GET',
+        path='/read/x',
+        headers=[],
+        remaining_ms=20_000,
+        objective_ms=20_000,
+        service_name='desk',
+        body=b'',
+        end=True,
+        request_id='r1',
+        route_name='read',
+        generation=generation,
+        importance=0,
+    )
+
+
+def _deadline_ms(raw: bytes) -> int:
+    for line in raw.lower().split(b'\r\n'):
+        if line.startswith(b'deadline-ms:'):
+            return int(line.split(b':')[1])
+    raise AssertionError('no deadline')
+
+
+def _receive(caller: socket.socket) -> bytes:
+    with caller:
+        caller.settimeout(1)
+        return caller.recv(65_536)
