Know the delay of the first request on a connection between nodes

Callers saw: targets worked for callers that had left, and got more time than the callers had, where a request was the first on a connection and late on its way.

Cause: a delay was only known against earlier requests of the same connection, so the first counted as not delayed, and so did all on a connection that opened over a full link. In a large fleet most pairs of nodes have a new one.

Evidence: test_full_links without earlier requests: run 2 s after its caller left, 1000 ms left in place of 720; on a connection that opens over a full link 748 ms left where the caller had 508, and a request run that came 0.9 s late.

Change: a node that opens a connection sends a keepalive at once; the reply states the clock of the other end, which shows at least that when the reply arrives. Requests wait for the first reply, 0.5 s at most, and are stamped with the least that the receiver's clock shows. So their age is never taken for less than it is, without history and without comparing clocks; it is taken for more by the delay of the reply, at most. The gate counts from when a request was sent to when it arrived, once. A node that does not reply gets no requests, which are certainly not run then. Older nodes state no clock; for them the delay is estimated as before.

--- a/filbertdrift/age/transit.py
+++ b/filbertdrift/age/transit.py
@@ -1,9 +1,10 @@
-"""Time that messages spent in transit, by the clocks of their senders.
+"""Time that messages spent in transit.
 
-The clocks of two nodes differ by an unknown offset, which stays the same for
-the lifetime of a connection. The smallest difference between the receiver's
-and the sender's clock is the offset plus the shortest transit seen; what
-exceeds it is time in queues: of the sender, of the links and of the receiver.
+A sender that knows its receiver's clock stamps messages with it. Of others only
+their own clock is known: the clocks of two nodes differ by an unknown offset,
+which stays the same for the lifetime of a connection. The smallest difference
+is the offset plus the shortest transit seen; what exceeds it is time in queues:
+of the sender, of the links and of the receiver.
 """
 
 from filbertdrift.errors import RequestNotRun
@@ -77,6 +78,17 @@
         )
 
 
+def measure_transit_s(receiver_clock_ms: int, received_at_s: float) -> float:
+    """Return how long a message was in transit at most, in seconds.
+
+    Args:
+        receiver_clock_ms: What this node's clock showed at least when it was
+            sent, as its sender states.
+        received_at_s: When it was received, on the same clock.
+    """
+    return max(received_at_s - receiver_clock_ms / MS_PER_S, 0)
+
+
 def check_transit(transit_s: float, peer: str) -> None:
     """Check that a request was not late between the nodes.
 
--- a/filbertdrift/callserver.py
+++ b/filbertdrift/callserver.py
@@ -5,7 +5,11 @@
 
 from loguru import logger
 
-from filbertdrift.age.transit import TransitEstimator
+from filbertdrift.age.transit import (
+    MS_PER_S,
+    TransitEstimator,
+    measure_transit_s,
+)
 from filbertdrift.callstream import WINDOW_BYTES, CallStream
 from filbertdrift.connection import Connection
 from filbertdrift.errors import MalformedMessage, PeerUnavailable
@@ -88,7 +92,9 @@
 
     def _dispatch(self, call_id: int, body: object) -> None:
         if isinstance(body, ttypes.KeepAlive):
-            self._conn.send_nowait(0, ttypes.KeepAlive(reply=True))
+            self._conn.send_nowait(
+                0, ttypes.KeepAlive(reply=True, clock_ms=self._clock_ms())
+            )
             return
         call = self._calls.get(call_id)
         if isinstance(body, ttypes.Cancel):
@@ -103,15 +109,26 @@
     def _open(self, call_id: int, body: object) -> None:
         call = CallStream(self._conn, call_id, WINDOW_BYTES)
         if isinstance(body, ttypes.RequestOpen):
-            call.is_transit_known = self._transit.has_history
-            call.transit_s = self._transit.estimate_s(
-                body.sent_at_ms, self._conn.clock_s()
-            )
+            self._record_transit(call, body)
         self._calls[call_id] = call
         self._unstarted.add(call_id)
         task = self._loop.create_task(self._serve(call, body))
         self._tasks[call_id] = task
 
+    def _record_transit(
+        self, call: CallStream, req: ttypes.RequestOpen
+    ) -> None:
+        now = self._conn.clock_s()
+        call.is_transit_known = self._transit.has_history
+        call.transit_s = self._transit.estimate_s(req.sent_at_ms, now)
+        if req.receiver_clock_ms is not None:
+            call.is_transit_known = True
+            call.transit_s = measure_transit_s(req.receiver_clock_ms, now)
+        call.sent_at = self._loop.time() - call.transit_s
+
+    def _clock_ms(self) -> int:
+        return int(self._conn.clock_s() * MS_PER_S)
+
     async def _serve(self, call: CallStream, body: object) -> None:
         self._unstarted.discard(call.call_id)
         try:
--- a/filbertdrift/callstream.py
+++ b/filbertdrift/callstream.py
@@ -1,6 +1,7 @@
 """One end of a call multiplexed over a node connection, with flow control."""
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from filbertdrift.connection import Connection
@@ -40,6 +41,10 @@
             the connection is closed.
         transit_s: How long the opening message was delayed in transit, known
             at the end that serves the call.
+        sent_at: When the opening message may have been sent, on the loop's
+            clock, known there as well.
+        peer_clock_ms: Returns the least that the clock at the other end shows
+            now, in milliseconds; None if it is unknown.
         is_transit_known: Whether that was measured; it counts as none if not.
     """
 
@@ -55,7 +60,9 @@
         self.keepalive_timeout_s = float('inf')
         self.outlasts_silence = False
         self.transit_s = 0.0
+        self.sent_at = 0.0
         self.is_transit_known = True
+        self.peer_clock_ms: Callable[[], int | None] = _unknown_clock
         self._conn = conn
         self._window_bytes = window_bytes
         self._credit_granted = asyncio.Event()
@@ -170,3 +177,7 @@
     def _raise_if_failed(self) -> None:
         if self._failure is not None:
             raise self._failure
+
+
+def _unknown_clock() -> None:
+    """Return that nothing is known of a clock."""
--- a/filbertdrift/forward.py
+++ b/filbertdrift/forward.py
@@ -16,7 +16,7 @@
 )
 from filbertdrift.forwarded import ForwardedResponse
 from filbertdrift.gen import ttypes
-from filbertdrift.link import LinkPool, PeerLink
+from filbertdrift.link import LinkPool
 from filbertdrift.members import Member
 from filbertdrift.request import IngressRequest
 from filbertdrift.snapshot import Route, Snapshot
@@ -188,9 +188,7 @@
         self._chooser.began(member, started_at)
         cleanup.callback(self._record_end, member)
         try:
-            link = self._links.ready(member.node)
-            if link is None:
-                link = await self._open_link(member)
+            link = await self._links.connect_for_requests(member.node)
             call = link.begin()
         except PeerUnavailable as exc:
             self._chooser.failed(member, loop.time(), unreachable=True)
@@ -218,9 +216,6 @@
             lambda cancel: self._close(attempt, cleanup, cancel=cancel),
         )
 
-    async def _open_link(self, member: Member) -> PeerLink:
-        return await self._links.connect(member.node)
-
     def _close(
         self,
         attempt: Attempt,
@@ -259,6 +254,7 @@
             generation=member.generation,
             stall_ms=int(policy.stall_s * MS_PER_S),
             sent_at_ms=int(call.clock_s() * MS_PER_S),
+            receiver_clock_ms=call.peer_clock_ms(),
         )
 
     def _record_failure(
--- a/filbertdrift/gen/ttypes.py
+++ b/filbertdrift/gen/ttypes.py
@@ -4298,6 +4298,8 @@
     may try another target then; absent if it cannot.
      - start_within_ms: It must not be handed to the target later; absent without such a limit.
      - cost_us: Expected service time at a target of usual speed, in microseconds.
+     - receiver_clock_ms: The least that the receiver's clock showed when it was sent, as known from
+    replies to keepalives.
 
     """
 
@@ -4327,10 +4329,11 @@
         'patience_ms',
         'cost_us',
         'start_within_ms',
+        'receiver_clock_ms',
     )
 
 
-    def __init__(self, method=None, path=None, headers=None, remaining_ms=None, service_name=None, importance=None, customer=None, body=None, end=None, request_id=None, fingerprint=None, refusal_statuses=None, generation=None, stall_ms=None, objective_ms=None, route_name=None, is_idempotent=None, no_wait=None, is_offer=None, sent_at_ms=None, has_large_body=None, known_target=None, patience_ms=None, start_within_ms=None, cost_us=None,):
+    def __init__(self, method=None, path=None, headers=None, remaining_ms=None, service_name=None, importance=None, customer=None, body=None, end=None, request_id=None, fingerprint=None, refusal_statuses=None, generation=None, stall_ms=None, objective_ms=None, route_name=None, is_idempotent=None, no_wait=None, is_offer=None, sent_at_ms=None, has_large_body=None, known_target=None, patience_ms=None, start_within_ms=None, cost_us=None, receiver_clock_ms=None,):
         self.method = method
         self.path = path
         self.headers = headers
@@ -4356,6 +4359,7 @@
         self.patience_ms = patience_ms
         self.start_within_ms = start_within_ms
         self.cost_us = cost_us
+        self.receiver_clock_ms = receiver_clock_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4503,6 +4507,11 @@
                     self.cost_us = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 30:
+                if ftype == TType.I64:
+                    self.receiver_clock_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4619,6 +4628,10 @@
             oprot.writeFieldBegin('start_within_ms', TType.I32, 29)
             oprot.writeI32(self.start_within_ms)
             oprot.writeFieldEnd()
+        if self.receiver_clock_ms is not None:
+            oprot.writeFieldBegin('receiver_clock_ms', TType.I64, 30)
+            oprot.writeI64(self.receiver_clock_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -5383,16 +5396,19 @@
     """
     Attributes:
      - reply
+     - clock_ms: In a reply: when it was sent, on a clock of the sender that never stops.
 
     """
 
     __slots__ = (
         'reply',
+        'clock_ms',
     )
 
 
-    def __init__(self, reply=None,):
+    def __init__(self, reply=None, clock_ms=None,):
         self.reply = reply
+        self.clock_ms = clock_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -5408,6 +5424,11 @@
                     self.reply = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.clock_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -5422,6 +5443,10 @@
             oprot.writeFieldBegin('reply', TType.BOOL, 1)
             oprot.writeBool(self.reply)
             oprot.writeFieldEnd()
+        if self.clock_ms is not None:
+            oprot.writeFieldBegin('clock_ms', TType.I64, 2)
+            oprot.writeI64(self.clock_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -6469,6 +6494,7 @@
     None,  # 27
     None,  # 28
     (29, TType.I32, 'start_within_ms', None, None, ),  # 29
+    (30, TType.I64, 'receiver_clock_ms', None, None, ),  # 30
 )
 all_structs.append(BodyChunk)
 BodyChunk.thrift_spec = (
@@ -6530,6 +6556,7 @@
 KeepAlive.thrift_spec = (
     None,  # 0
     (1, TType.BOOL, 'reply', None, None, ),  # 1
+    (2, TType.I64, 'clock_ms', None, None, ),  # 2
 )
 all_structs.append(ClaimEntry)
 ClaimEntry.thrift_spec = (
--- a/filbertdrift/handover.py
+++ b/filbertdrift/handover.py
@@ -212,11 +212,10 @@
         loop = asyncio.get_running_loop()
         current = self._find_target(req)
         self._crashes.check(req.fingerprint or '')
-        sent_at = loop.time() - call.transit_s
         slot_request = build_slot_request(
-            req, sent_at, self.account_weight(req.customer or '')
+            req, call.sent_at, self.account_weight(req.customer or '')
         )
-        start_by = startlimit.find_start_by(req.start_within_ms, sent_at)
+        start_by = startlimit.find_start_by(req.start_within_ms, call.sent_at)
         check_transit(call.transit_s, call.peer)
         if req.is_offer:
             with current.gate.track_incoming(slot_request):
--- a/filbertdrift/http1.py
+++ b/filbertdrift/http1.py
@@ -70,8 +70,8 @@
         path: The request target as sent, query included.
         headers: Names in lower case.
         keep_alive: The caller may reuse the connection.
-        arrived_at: When its first byte may have arrived, on the loop's clock;
-            zero if the stream does not tell.
+        arrived_at: When its end may have arrived, on the loop's clock; zero if
+            the stream does not tell.
     """
 
     method: str
@@ -289,13 +289,6 @@
         super().__init__(reader, peer)
         self.parser = httptools.HttpRequestParser(self)
         self._find_arrival = find_arrival
-        self._arrived_at = 0.0
-
-    def on_message_begin(self) -> None:
-        """Begin the head of a request."""
-        super().on_message_begin()
-        if self._find_arrival is not None:
-            self._arrived_at = self._find_arrival()
 
     def on_headers_complete(self) -> None:
         """Queue the head."""
@@ -306,7 +299,7 @@
                 self._url.decode('latin-1'),
                 self._headers,
                 self.parser.should_keep_alive(),
-                self._arrived_at,
+                self._find_arrival() if self._find_arrival else 0,
             ),
         )
 
--- a/filbertdrift/link.py
+++ b/filbertdrift/link.py
@@ -6,6 +6,8 @@
 
 from loguru import logger
 
+from filbertdrift.age.arrivals import Settle, settle_at_once
+from filbertdrift.age.peerclock import PeerClock
 from filbertdrift.callstream import CallStream
 from filbertdrift.connection import Connection
 from filbertdrift.errors import MalformedMessage, PeerUnavailable
@@ -44,13 +46,17 @@
         self.is_open = True
         self.last_received_at = loop.time()
         self.last_used_at = loop.time()
+        self._opened_at = loop.time()
+        self._clock = PeerClock()
+        self._greeted = asyncio.Event()
         # When the first unanswered keepalive and the last one were sent.
-        self._unanswered_since = 0.0
-        self._last_keepalive_at = 0.0
+        self._unanswered_since: float | None = None
+        self._last_keepalive_at = float('-inf')
         self._conn = conn
         self._calls: dict[int, CallStream] = {}
         self._ids = itertools.count(1)
         self._task = loop.create_task(self._read())
+        self._send_keepalive(loop.time())
 
     @property
     def is_in_process(self) -> bool:
@@ -67,9 +73,34 @@
             raise PeerUnavailable('closed', step='call', peer=self.peer)
         self.last_used_at = asyncio.get_running_loop().time()
         call = CallStream(self._conn, next(self._ids), 0)
+        call.peer_clock_ms = self.peer_clock_ms
         self._calls[call.call_id] = call
         return call
 
+    async def wait_until_greeted(self) -> None:
+        """Wait for the reply to the first keepalive, which states a clock.
+
+        Raises:
+            PeerUnavailable: None has come within SUSPECT_AFTER_S.
+        """
+        if self._greeted.is_set():
+            return
+        try:
+            async with asyncio.timeout_at(self._opened_at + SUSPECT_AFTER_S):
+                await self._greeted.wait()
+        except TimeoutError as exc:
+            raise PeerUnavailable(
+                'no reply', step='greet', peer=self.peer
+            ) from exc
+
+    def peer_clock_ms(self) -> int | None:
+        """Return the least that the clock at the other end shows now.
+
+        Returns:
+            Milliseconds; None if the other end states no clock.
+        """
+        return self._clock.least_ms(self._conn.clock_s())
+
     def end(self, call: CallStream, *, cancel: bool = False) -> None:
         """Finish a call.
 
@@ -101,7 +132,7 @@
             self.close('silent connection')
         elif not self._calls and now - self.last_used_at > IDLE_TIMEOUT_S:
             self.close('idle')
-        elif now - self.last_received_at >= self._keepalive_interval_s():
+        elif self._is_keepalive_due(now):
             self._send_keepalive(now)
         self._report_silence(self._unanswered_s(now))
 
@@ -133,13 +164,13 @@
         Args:
             now: The time on the event loop's clock.
         """
-        if self._unanswered_since <= self.last_received_at:
+        if self._unanswered_since is None:
             self._unanswered_since = now
 
     def _unanswered_s(self, now: float) -> float:
         """Return the age of the oldest unanswered keepalive, or zero."""
-        is_unanswered = self._unanswered_since > self.last_received_at
-        return now - self._unanswered_since if is_unanswered else 0
+        since = self._unanswered_since
+        return 0 if since is None else now - since
 
     def close(self, reason: str) -> None:
         """Close the connection and fail its calls."""
@@ -150,16 +181,30 @@
         exc = PeerUnavailable(reason, step='call', peer=self.peer)
         for call in list(self._calls.values()):
             call.fail(exc)
+        # A call on it fails at once.
+        self._greeted.set()
 
     def _send_keepalive(self, now: float) -> None:
         """Send a keepalive, unless one was sent within the interval."""
         if now - self._last_keepalive_at < self._keepalive_interval_s():
             return
         self._last_keepalive_at = now
-        if self._unanswered_since <= self.last_received_at:
+        if self._unanswered_since is None:
             self._unanswered_since = now
+        self._clock.asked(self._conn.clock_s())
         self._conn.send_nowait(0, ttypes.KeepAlive(reply=False))
 
+    def _is_keepalive_due(self, now: float) -> bool:
+        if now - self.last_received_at >= self._keepalive_interval_s():
+            return True
+        return bool(self._calls) and self._clock.may_improve(
+            self._conn.clock_s()
+        )
+
+    def _on_keepalive_reply(self, reply: ttypes.KeepAlive) -> None:
+        self._clock.record(reply.clock_ms, self._conn.clock_s())
+        self._greeted.set()
+
     def _keepalive_interval_s(self) -> float:
         return (
             BUSY_KEEPALIVE_INTERVAL_S if self._calls else KEEPALIVE_INTERVAL_S
@@ -180,9 +225,12 @@
             while self.is_open:
                 call_id, body = await self._conn.receive()
                 self.last_received_at = loop.time()
+                self._unanswered_since = None
                 call = self._calls.get(call_id)
                 if call is not None:
                     call.deliver(body)
+                elif isinstance(body, ttypes.KeepAlive):
+                    self._on_keepalive_reply(body)
         except (PeerUnavailable, MalformedMessage) as exc:
             reason = exc.reason
         except Exception as exc:
@@ -204,12 +252,14 @@
         silent_links: Number of connections that were closed for silence.
         keeps_silent: This node stops: no connection with calls is closed for
             silence, as their responses may still come.
+        settle: Waits until all that arrived in a stall has been read.
     """
 
     def __init__(self, network: Network) -> None:
         """Start without connections."""
         self.silent_links = 0
         self.keeps_silent = False
+        self.settle: Settle = settle_at_once
         self._network = network
         self._links: dict[str, PeerLink] = {}
         self._opening: dict[str, asyncio.Task[PeerLink]] = {}
@@ -240,6 +290,18 @@
             opening.add_done_callback(lambda task: self._on_opened(peer, task))
         return await asyncio.shield(opening)
 
+    async def connect_for_requests(self, peer: str) -> PeerLink:
+        """Return the connection to a peer, once its clock is known.
+
+        Raises:
+            PeerUnavailable: The peer cannot be reached, or does not reply.
+        """
+        # Callers may have left while this process stood still.
+        await self.settle()
+        link = await self.connect(peer)
+        await link.wait_until_greeted()
+        return link
+
     def is_suspect(self, peer: str) -> bool:
         """Return whether the connection to a peer is open but suspect."""
         link = self.ready(peer)
--- a/filbertdrift/mesh.py
+++ b/filbertdrift/mesh.py
@@ -247,6 +247,7 @@
         self.handover.account_weight = self._find_account_weight
         self.entry = IngressServer(self, header_names, settings.caller_service)
         self.handover.settle = self.entry.arrivals.settle
+        self.links.settle = self.entry.arrivals.settle
         self.request_durations = DurationHistogram(
             'request',
             'Time from the head of a request to the head of its answer.',
--- a/filbertdrift/node.py
+++ b/filbertdrift/node.py
@@ -174,6 +174,7 @@
         )
         self.callers = CallerServer(self)
         self.server.settle = self.callers.arrivals.settle
+        self.links.settle = self.callers.arrivals.settle
         self.supervisor = Supervisor()
         self._rng = rng
         self._tasks: list[asyncio.Task[None]] = []
--- a/filbertdrift/request.py
+++ b/filbertdrift/request.py
@@ -41,7 +41,7 @@
         caller_timeout_s: The timeout in the caller's deadline header, None if
             absent.
         account: The client account of the caller's key, None without one.
-        arrived_at: When its first byte may have arrived, on the loop's clock.
+        arrived_at: When its head may have arrived, on the loop's clock.
         start_by: No target may be handed it later, on the loop's clock.
         cleanup: Ends the attempts that are still open; closed by the ingress
             once the request has ended.
--- a/filbertdrift/serving.py
+++ b/filbertdrift/serving.py
@@ -138,8 +138,7 @@
         announced = self._find_target(req)
         self._crashes.check(req.fingerprint or '')
         check_transit(call.transit_s, call.peer)
-        sent_at = loop.time() - call.transit_s
-        deadline = sent_at + req.remaining_ms / MS_PER_S
+        deadline = call.sent_at + req.remaining_ms / MS_PER_S
         gate = announced.gate
         await gate.admit(req.importance, req.customer or '', deadline)
         started_at = loop.time()
--- a/filbertdrift/target_attempt.py
+++ b/filbertdrift/target_attempt.py
@@ -275,7 +275,7 @@
     async def _begin_call(self) -> tuple[PeerLink, CallStream]:
         node = self._member.node
         try:
-            link = self._links.ready(node) or await self._links.connect(node)
+            link = await self._links.connect_for_requests(node)
             call = link.begin()
             self._link_call = (link, call)
             self._cleanup.callback(self._end_link_call, link, call)
@@ -452,6 +452,7 @@
             is_offer=self.is_offer,
             has_large_body=routed.has_large_body or None,
             sent_at_ms=int(call.clock_s() * MS_PER_S),
+            receiver_clock_ms=call.peer_clock_ms(),
             known_target=self._known_targets.find(self._member.node),
             patience_ms=(
                 None
--- a/idl/filbertdrift.thrift
+++ b/idl/filbertdrift.thrift
@@ -380,6 +380,11 @@
   29: optional i32 start_within_ms
   /** Expected service time at a target of usual speed, in microseconds. */
   25: optional i32 cost_us
+  /**
+   * The least that the receiver's clock showed when it was sent, as known from
+   * replies to keepalives.
+   */
+  30: optional i64 receiver_clock_ms
 }
 
 struct BodyChunk {
@@ -451,6 +456,8 @@
 
 struct KeepAlive {
   1: bool reply
+  /** In a reply: when it was sent, on a clock of the sender that never stops. */
+  2: optional i64 clock_ms
 }
 
 enum ClaimKind {
--- a/tests/test_full_links.py
+++ b/tests/test_full_links.py
@@ -4,8 +4,9 @@
 from collections.abc import Awaitable, Callable
 
 from testtools import TestCase
-from testtools.matchers import Equals, LessThan
+from testtools.matchers import Equals, IsInstance, LessThan
 
+from filbertdrift.age.transit import MAX_TRANSIT_S
 from filbertdrift.errors import RequestNotRun, RequestUnknown
 from standins.mesh_fleet import MeshFleet, config_document, target_scripts
 from tests.builders import run_virtual, small_fleet
@@ -126,6 +127,44 @@
         script = target_scripts(fleet, 'desk')[0]
         self.assertThat(script.deadlines_ms[-1], LessThan(720))
 
+    # GONE: as above, on a connection that opens over a full link, so that
+    # nothing ever was quick on it.
+    def test_deadline_on_a_new_connection_counts_the_time_between_nodes(
+        self,
+    ) -> None:
+        run_virtual(self._new_connection(0.25))
+
+    # GONE: as above, where the link is so full that the node must not be sent
+    # requests. It is asked at least, and its reply does not come.
+    def test_late_request_on_a_new_connection_is_not_run(self) -> None:
+        run_virtual(self._new_connection(0.9))
+
+    async def _new_connection(self, wait_s: float) -> None:
+        fleet = await self._ingress_and_target()
+        link = fleet.instances['a-0:7000'].node.links.ready('b-0:7000')
+        assert link is not None
+        link.close('reset')
+        filling = asyncio.ensure_future(
+            keep_link_full(fleet, 'b-0:7000', wait_s)
+        )
+        await asyncio.sleep(0.1)
+        script = target_scripts(fleet, 'desk')[0]
+        runs = len(script.deadlines_ms)
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + 1
+        outcome = await _outcome(
+            lambda: fleet.call('a-0:7000', '/read/new', timeout_s=1)
+        )
+        filling.cancel()
+        if wait_s > MAX_TRANSIT_S:
+            self.assertThat(outcome, IsInstance(RequestNotRun))
+            self.assertThat(script.deadlines_ms[runs:], Equals([]))
+            return
+        left_s = deadline - loop.time()
+        self.assertThat(
+            script.deadlines_ms[-1] / 1000, LessThan(left_s + script.work_s)
+        )
+
     # GONE: the same fault in the nodes with their own configuration files.
     def test_late_request_is_not_run_beside_announced_targets(self) -> None:
         run_virtual(self._late_beside_announced())
