Accept all connections that wait in a pass of the event loop

Callers saw: requests of callers that had left went on to targets, from a node that had stood still beside many callers, and from one that was only busy.

Cause: uvloop accepts one connection in a pass of its event loop. Those in the backlog waited for as many passes as were ahead of them: after a standstill until long after the others had been read, and in a busy node for seconds, although no pass of it was long. Their requests seemed new when they came to be read.

Evidence: test_stalls with uvloop: 53 requests sent on in place of 1 after a standstill of 1.2 s beside 60 callers; 15 of 60 connections accepted in 0.3 s by a node whose passes take 20 ms.

Change: when a connection is accepted, the rest of the backlog is taken in the next pass, as a node that stops does already. After a standstill a request waits for 12 passes, which it takes to accept a connection and to read its end.

--- a/filbertdrift/age/arrivals.py
+++ b/filbertdrift/age/arrivals.py
@@ -16,7 +16,7 @@
 MIN_STALL_S = 0.35
 # Passes of the event loop until all that arrived in a stall has been read: a
 # connection has to be accepted first, and its end follows its bytes.
-SETTLE_PASSES = 8
+SETTLE_PASSES = 12
 # Passes after which what had arrived at their beginning has been read.
 READ_PASSES = 2
 # How exactly it is known when the sockets were last read.
--- a/filbertdrift/callerport.py
+++ b/filbertdrift/callerport.py
@@ -180,6 +180,8 @@
         self._server: asyncio.Server | None = None
         self._connections: set[CallerConnection] = set()
         self._accepting: set[asyncio.Task[None]] = set()
+        # The backlog is looked at in the next pass of the event loop.
+        self._will_accept = False
 
     async def start(self, host: str, port: int) -> None:
         """Listen for callers.
@@ -212,7 +214,7 @@
         ]
         server.close()
         for sock in waiting:
-            self._accept_late(sock)
+            self._serve_accepted(sock)
 
     def close_idle(self) -> None:
         """Stop listening and close the connections between requests."""
@@ -240,12 +242,21 @@
         finally:
             self._connections.discard(conn)
 
-    def _accept_late(self, sock: socket.socket) -> None:
-        """Serve a connection that the socket's backlog held."""
+    def _serve_accepted(self, sock: socket.socket) -> None:
+        """Serve a connection that was taken from the backlog."""
         task = asyncio.ensure_future(self._connect_accepted(sock))
         self._accepting.add(task)
         task.add_done_callback(self._accepting.discard)
 
+    def _accept_backlog(self) -> None:
+        """Accept all that waits; uvloop accepts one connection in a pass."""
+        self._will_accept = False
+        if self._server is None:
+            return
+        for listening in self._server.sockets:
+            for sock in _accept_waiting(listening):
+                self._serve_accepted(sock)
+
     async def _connect_accepted(self, sock: socket.socket) -> None:
         loop = asyncio.get_running_loop()
         try:
@@ -262,6 +273,9 @@
         """Return the object that serves an accepted connection."""
 
     def _new_protocol(self) -> asyncio.Protocol:
+        if not self._will_accept:
+            self._will_accept = True
+            asyncio.get_running_loop().call_soon(self._accept_backlog)
         reader = TimedStream(self.arrivals, READ_BUFFER_BYTES)
         return CallerProtocol(reader, self.serve)
 
--- a/tests/test_stalls.py
+++ b/tests/test_stalls.py
@@ -29,6 +29,9 @@
 LEAVE_S = 0.5
 STALL_S = 1.2
 CALLERS = 5
+MANY_CALLERS = 60
+# How long the event loop of a busy node takes for a pass.
+PASS_S = 0.02
 MS_PER_S = 1000
 # The timeout of the policy of its route.
 LIBRARY_TIMEOUT_S = 3.0
@@ -70,6 +73,40 @@
             await settle()
             self.assertThat(_sent_on(mesh), Equals(1))
 
+    # GONE: as above with many callers: the event loop of a node accepted one
+    # connection in a pass, and the others seemed new when it came to them.
+    def test_many_callers_that_left_on_new_connections(self) -> None:
+        for run in EVENT_LOOPS:
+            run(self._many_connections())
+
+    async def _many_connections(self) -> None:
+        async with stalling_mesh() as mesh:
+            for _ in range(MANY_CALLERS):
+                leave(connect(mesh))
+            stand_still(STALL_S)
+            await settle()
+            self.assertThat(_sent_on(mesh), Equals(1))
+
+    # GONE: connections waited to be accepted by a busy node, one in each pass
+    # of its event loop, and their requests seemed new when they were.
+    def test_busy_node_accepts_all_that_wait(self) -> None:
+        for run in EVENT_LOOPS:
+            run(self._busy())
+
+    async def _busy(self) -> None:
+        async with stalling_mesh() as mesh:
+            working = asyncio.ensure_future(_keep_busy())
+            callers = [connect(mesh) for _ in range(MANY_CALLERS)]
+            for caller in callers:
+                caller.sendall(request())
+            await asyncio.sleep(0.3)
+            self.assertThat(
+                mesh.node.entry.counters.requests, Equals(1 + MANY_CALLERS)
+            )
+            working.cancel()
+            for caller in callers:
+                caller.close()
+
     # GONE: the end of the stream lay behind the body of an upload.
     def test_callers_that_left_after_a_body(self) -> None:
         for run in EVENT_LOOPS:
@@ -268,6 +305,12 @@
     return left_s
 
 
+async def _keep_busy() -> None:
+    while True:
+        stand_still(PASS_S)
+        await asyncio.sleep(0)
+
+
 def _sent_on(mesh: SocketMesh) -> int:
     """Return how many requests the ingress sent to the other node.
 
