Soak: nodes that stand still and links that are full beside callers that leave

Change: before the other faults, nodes stand still for 1 to 3 s, or the links between nodes are full for 1 to 2 s while all connections on them are new, beside 60 callers a second on connections of their own that leave after 0.05 to 0.6 s. At most three of their requests may reach a target over 0.5 s after they left, whatever stood still meanwhile. Node processes reach each other through proxies with the bandwidth of their links, by standins.narrow_daemon.

--- a/standins/cutting_proxy.py
+++ b/standins/cutting_proxy.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import time
 from dataclasses import dataclass
 from enum import Enum
 
@@ -37,6 +38,8 @@
     Args:
         listen: Host and port to listen on.
         target: Host and port to forward to.
+        bytes_per_s: Capacity of the link to it, which all connections share;
+            None for no limit.
 
     Attributes:
         delay_s: Delay of each chunk under `Fault.DELAY`.
@@ -46,8 +49,12 @@
         self,
         listen: tuple[str, int],
         target: tuple[str, int],
+        bytes_per_s: float | None = None,
     ) -> None:
         self.delay_s = 0.2
+        self._bytes_per_s = bytes_per_s
+        # When the link has transmitted all that waits for it.
+        self._free_at = 0.0
         self._fault = Fault.NONE
         self._listen = listen
         self._target = target
@@ -70,6 +77,14 @@
         if fault in {Fault.RESET, Fault.DOWN}:
             self._reset_all()
 
+    def reset(self) -> None:
+        """Reset the open connections; new ones work."""
+        self._reset_all()
+
+    def fill(self, wait_s: float) -> None:
+        """Let what is sent to the server now wait for at least this long."""
+        self._free_at = max(self._free_at, time.monotonic() + wait_s)
+
     def close(self) -> None:
         """Stop listening and reset all connections."""
         if self._server:
@@ -118,6 +133,8 @@
             while chunk := await reader.read(CHUNK_BYTES):
                 if self._fault is Fault.DELAY:
                     await asyncio.sleep(self.delay_s)
+                if to_server:
+                    await self._wait_for_link(len(chunk))
                 is_dropped = to_server and self._fault is Fault.ONE_WAY
                 if not is_dropped and not conn.is_silent:
                     writer.write(chunk)
@@ -126,3 +143,11 @@
                 writer.close()
             return
         writer.transport.abort()
+
+    async def _wait_for_link(self, size_bytes: int) -> None:
+        """Wait until the link has transmitted a chunk."""
+        if self._bytes_per_s is None:
+            return
+        now = time.monotonic()
+        self._free_at = max(self._free_at, now) + size_bytes / self._bytes_per_s
+        await asyncio.sleep(self._free_at - now)
--- a/standins/soak.py
+++ b/standins/soak.py
@@ -24,6 +24,7 @@
 from standins.cutting_proxy import Fault, FaultProxy
 from standins.platform_store import Absence, PlatformStore
 from standins.platform_target import RunLog, response_body
+from standins.soak_age import AgeHistory, AgeLoad
 from standins.soak_client import ClientRequest, ClientResult, Ending, SoakClient
 from standins.soak_departures import EXTRA_SERVING_S, DepartureLoad
 from standins.soak_history import (
@@ -124,12 +125,15 @@
             for number in range(count)
         ]
 
-    async def run(self, seconds: float, stops_s: float) -> SoakResult:
+    async def run(
+        self, seconds: float, stops_s: float, ages_s: float = 0
+    ) -> SoakResult:
         """Inject faults, then check the recovery.
 
         Args:
             seconds: How long faults are injected.
             stops_s: How long nodes are stopped as planned before.
+            ages_s: How long nodes stand still and links are full before that.
 
         Returns:
             The result with all violations.
@@ -156,6 +160,14 @@
                 self._send_and_count,
                 self._publish_change,
             )
+            ages = AgeLoad(
+                random.Random(f'ages-{self.verdict.seed}'),
+                self.instances,
+                self._send_and_count,
+                self._disturbance,
+                self._history,
+            )
+            await ages.run(ages_s)
             await asyncio.gather(
                 stops.run(stops_s),
                 uploads.send(stops_s),
@@ -185,6 +197,7 @@
                 self._history,
                 self._stop_history,
                 self._cut_history,
+                AgeHistory(self._history),
             ):
                 for violation in history.violations(self.run_log):
                     self._add_violation(violation)
@@ -511,6 +524,7 @@
     per_s: float = 60,
     daemon: str = 'filbertdrift.platform.daemon',
     stops_s: float = 12,
+    ages_s: float = 0,
 ) -> SoakResult:
     """Run one soak test.
 
@@ -521,12 +535,14 @@
         per_s: Requests per second, over all instances.
         daemon: Module that runs a node and its arguments, comma-separated.
         stops_s: How long nodes are stopped as planned before the faults.
+        ages_s: How long nodes stand still and links are full before that; the
+            links take effect with standins.narrow_daemon.
 
     Returns:
         The result.
     """
     soak = Soak(seed, count, per_s, ['-m', *daemon.split(',')])
-    return asyncio.run(soak.run(seconds, stops_s))
+    return asyncio.run(soak.run(seconds, stops_s, ages_s))
 
 
 def soak(
@@ -537,6 +553,7 @@
     per_s: float = 60,
     daemon: str = 'filbertdrift.platform.daemon',
     stops_s: float = 12,
+    ages_s: float = 0,
 ) -> None:
     """Run soak tests with consecutive seeds and print the result of each.
 
@@ -548,13 +565,16 @@
         per_s: Requests per second, over all instances.
         daemon: Module that runs a node and its arguments, comma-separated.
         stops_s: How long nodes are stopped as planned before the faults.
+        ages_s: How long nodes stand still and links are full before that.
 
     Raises:
         SystemExit: A guarantee was broken.
     """
     is_broken = False
     for number in range(seed, seed + seeds):
-        verdict = run_soak(number, seconds, count, per_s, daemon, stops_s)
+        verdict = run_soak(
+            number, seconds, count, per_s, daemon, stops_s, ages_s
+        )
         outcomes = dict(verdict.outcomes)
         state = 'BROKEN' if verdict.violations else 'held'
         sys.stdout.write(
--- a/standins/soak_instance.py
+++ b/standins/soak_instance.py
@@ -9,6 +9,7 @@
 from pathlib import Path
 
 from standins.cutting_proxy import Fault, FaultProxy
+from standins.narrow_daemon import LINK_PORT_OFFSET
 from standins.platform_target import PlatformTarget, RunLog
 from standins.soak_client import SoakClient
 
@@ -23,6 +24,8 @@
 GRACE_S = 6.0
 # Narrow enough for nodes to pace the bodies of uploads.
 LINK_MBPS = 6
+# Bytes per second of a megabit per second.
+BYTES_PER_S = 125_000
 LIMITS_PER_S = (0.5, 2, 6, 20)
 LIMIT_DURATION_S = (4, 8)
 
@@ -33,7 +36,7 @@
 
 
 class SoakInstance:
-    """One instance: a node process, its target and two fault proxies.
+    """One instance: a node process, its target and three fault proxies.
 
     The node reaches its target and the store through the proxies.
 
@@ -62,6 +65,12 @@
             (self.ip, TARGET_PORT),
         )
         self.store_proxy = FaultProxy((self.ip, STORE_PROXY_PORT), store)
+        # The link from the other nodes, if their daemon uses it.
+        self.link_proxy = FaultProxy(
+            (self.ip, PEER_PORT + LINK_PORT_OFFSET),
+            (self.ip, PEER_PORT),
+            LINK_MBPS * BYTES_PER_S,
+        )
         self.target = PlatformTarget(
             (self.ip, TARGET_PORT),
             f'{self.ip}:{TARGET_PROXY_PORT}',
@@ -81,6 +90,7 @@
         self._settings.write_text(self._settings_text(), 'utf-8')
         await self.target_proxy.start()
         await self.store_proxy.start()
+        await self.link_proxy.start()
         await self.target.start()
         await self.start_node()
 
@@ -159,6 +169,7 @@
         self.target.crash()
         self.target_proxy.close()
         self.store_proxy.close()
+        self.link_proxy.close()
 
     def _settings_text(self) -> str:
         return f"""
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -34,6 +34,9 @@
 STOPS_S = 8
 STOP_INSTANCES = 6
 INSTANCES = 3
+OLD_SEED = 49001
+OLD_S = 12
+OLD_PER_S = 20
 MIN_SERVED = 100
 
 
@@ -55,6 +58,28 @@
             self.assertThat(verdict.outcomes['200'], GreaterThan(MIN_SERVED))
 
 
+class OldRequestsTest(TestCase):
+    """Little work reaches targets for callers that have left.
+
+    Nodes stand still for 1 to 3 s, and links are full when connections open.
+    """
+
+    # GONE: 75 requests reached targets up to 1.60 s after their callers had
+    # left; each of both kinds alone did so as well.
+    def test_standstills_and_full_links(self) -> None:
+        verdict = run_soak(
+            OLD_SEED,
+            0,
+            STOP_INSTANCES,
+            OLD_PER_S,
+            'standins.narrow_daemon',
+            stops_s=0,
+            ages_s=OLD_S,
+        )
+        self.assertThat(verdict.violations, Equals([]))
+        self.assertThat(verdict.outcomes['left'], GreaterThan(MIN_SERVED))
+
+
 class RestartTest(TestCase):
     """Faults that end the same process restart it once."""
 
