Read replies that lie in the socket before a connection counts as silent

Callers saw: requests broken off by a node that had stood still for over 2.5 s.

Cause: after a standstill the timer that closes silent connections was due before the sockets were read, where the replies to their keepalives lay.

Change: the timer waits until all that arrived in the standstill has been read.

--- a/filbertdrift/link.py
+++ b/filbertdrift/link.py
@@ -342,6 +342,8 @@
         loop = asyncio.get_running_loop()
         while True:
             await asyncio.sleep(TICK_S)
+            # Replies may lie unread if this process stood still.
+            await self.settle()
             for peer, link in list(self._links.items()):
                 with contextlib.suppress(PeerUnavailable):
                     link.keep_alive(loop.time(), keeps_silent=self.keeps_silent)
--- a/tests/stalled_mesh.py
+++ b/tests/stalled_mesh.py
@@ -14,7 +14,7 @@
 
 
 @asynccontextmanager
-async def stalling_mesh() -> AsyncIterator[SocketMesh]:
+async def stalling_mesh(work_s: float = 0.01) -> AsyncIterator[SocketMesh]:
     """Start two nodes of one process; the target is beside the other one.
 
     The connection between the nodes is open.
@@ -23,7 +23,7 @@
         read={'timeout_s': TIMEOUT_S}, write={'timeout_s': TIMEOUT_S}
     )
     async with socket_mesh(
-        document=document, work_s=0.01, target_elsewhere=True
+        document=document, work_s=work_s, target_elsewhere=True
     ) as mesh:
         await mesh.send(request())
         mesh.received.clear()
--- a/tests/test_stalls.py
+++ b/tests/test_stalls.py
@@ -12,7 +12,7 @@
 from filbertdrift.callstream import CallStream
 from filbertdrift.errors import PeerUnavailable, RequestNotRun
 from filbertdrift.gen import ttypes
-from filbertdrift.link import PeerLink
+from filbertdrift.link import KEEPALIVE_TIMEOUT_S, PeerLink
 from filbertdrift.request import IngressRequest, Response
 from filbertdrift.target import Exchange
 from tests.socket_mesh import SocketMesh, request
@@ -172,6 +172,22 @@
             left_ms = _deadline_ms(mesh.received[0])
             self.assertThat(left_ms, GreaterThan(1600))
 
+    # GONE: the deadline of a request counted from when the one before it on its
+    # connection had ended.
+    def test_deadline_counts_the_wait_behind_another_request(self) -> None:
+        for run in EVENT_LOOPS:
+            run(self._pipelined())
+
+    async def _pipelined(self) -> None:
+        async with stalling_mesh(work_s=STALL_S) as mesh:
+            caller = connect(mesh)
+            caller.sendall(2 * request(keep=True))
+            await asyncio.sleep(STALL_S + 0.4)
+            caller.close()
+            first_ms, second_ms = map(_deadline_ms, mesh.received)
+            self.assertThat(second_ms, LessThan(2000 - STALL_S * MS_PER_S + 50))
+            self.assertThat(first_ms, GreaterThan(1600))
+
 
 class LibraryPortTest(TestCase):
     """The port of a node with its own configuration files does so as well."""
@@ -253,6 +269,25 @@
             self.assertThat(opened, Equals([]))
 
 
+class LinkTest(TestCase):
+    """A node that stood still reads before it gives up connections."""
+
+    # LOST: the connections on which a keepalive was under way were closed for
+    # silence after a standstill, with the requests on them.
+    def test_answered_connections_stay(self) -> None:
+        for run in EVENT_LOOPS:
+            run(self._answered())
+
+    async def _answered(self) -> None:
+        async with stalling_mesh() as mesh:
+            link = await mesh.node.links.connect(mesh.serving.network.address)
+            # A keepalive that is due now.
+            link.keep_alive(asyncio.get_running_loop().time() + 5)
+            stand_still(2 * KEEPALIVE_TIMEOUT_S + 5)
+            await settle()
+            self.assertThat(link.is_open, Equals(True))
+
+
 class _TargetWithGate(Protocol):
     """A target and its gate."""
 
