--- a/tests/test_full_links.py
+++ b/tests/test_full_links.py
@@ -165,6 +165,31 @@
             script.deadlines_ms[-1] / 1000, LessThan(left_s + script.work_s)
         )
 
+    # GONE: an upload was offered and asked for in time; its body was late, and
+    # the caller had left.
+    def test_late_body_of_a_caller_that_left_is_not_run(self) -> None:
+        run_virtual(self._late_body())
+
+    async def _late_body(self) -> None:
+        fleet = await self._ingress_and_target()
+        write = {'timeout_s': 10.0, 'target_latency_s': 5.0}
+        await fleet.publish(config_document(2, write=write))
+        await fleet.wait_until_in_force(2, 5)
+        script = target_scripts(fleet, 'desk')[0]
+        runs = script.runs.total()
+        call = asyncio.ensure_future(
+            fleet.call('a-0:7000', '/write/up', timeout_s=9, body=b'u' * 20_000)
+        )
+        # The offer has arrived, and the credit is on its way back.
+        await asyncio.sleep(0.0008)
+        fleet.simulator.occupy_link('b-0:7000', int(0.8 * LINK_BYTES_PER_S))
+        await asyncio.sleep(0.05)
+        # What other nodes send delays the cancellation further.
+        fleet.simulator.occupy_link('b-0:7000', LINK_BYTES_PER_S)
+        call.cancel()
+        await asyncio.sleep(3)
+        self.assertThat(script.runs.total() - runs, Equals(0))
+
     # GONE: the same fault in the nodes with their own configuration files.
     def test_late_request_is_not_run_beside_announced_targets(self) -> None:
         run_virtual(self._late_beside_announced())
