Emulator: the pattern of callers that leave while messages are late

Change: bench compare leaving-callers plays nodes that are suspended for 1 to 3 s and narrow links that are full while the connections on them are new, beside callers that leave; it counts whose work reaches a target over 0.5 s after that.

--- a/filbertdrift/cli.py
+++ b/filbertdrift/cli.py
@@ -88,8 +88,9 @@
     ) -> None:
         """Compare two versions or policies under a load pattern.
 
-        PATTERN is returning-callers or stale-loads. TREE is the source tree of
-        the first variant, by default the same as that of the second. FIRST and
+        PATTERN is returning-callers, stale-loads or leaving-callers. TREE is
+        the source tree of the first variant, by default the same as that of the
+        second. FIRST and
         SECOND set constants, such as --second=dispatch.MAX_SEARCHES=0.
         --plot=FILE.png writes a plot.
         """
--- a/standins/experiment.py
+++ b/standins/experiment.py
@@ -290,6 +290,11 @@
     return _summarize(load, seed, [patterns.stale_loads(load, seed)])
 
 
+def _play_leaving_callers(load: float, seed: int) -> Sample:
+    patterns = import_module('standins.age_patterns')
+    return _summarize(load, seed, [patterns.leaving_callers(load, seed)])
+
+
 def _summarize(load: float, seed: int, tallies: Sequence[Any]) -> Sample:
     sent = sum(tally.sent for tally in tallies)
     latencies = sorted(
@@ -308,4 +313,5 @@
 _PATTERNS: Mapping[str, Callable[[float, int], Sample]] = {
     'returning-callers': _play_returning_callers,
     'stale-loads': _play_stale_loads,
+    'leaving-callers': _play_leaving_callers,
 }
--- a/standins/mesh_fleet.py
+++ b/standins/mesh_fleet.py
@@ -165,6 +165,7 @@
         link_mbps: Link capacity in the settings of nodes started from now on.
         rollouts: Their settings of roll-outs.
         revoke_s: Limit of strict revocation in those settings, None if off.
+        calls: Number of requests sent.
         balances_by_cost: Whether those nodes balance by cost.
     """
 
@@ -181,7 +182,7 @@
         self.limits = limits or RetryLimits(ratio=0.2, extra=60)
         self.rollouts: RolloutSettings | None = None
         self._generation = 1_000
-        self._calls = 0
+        self.calls = 0
 
     async def add(
         self,
@@ -300,9 +301,9 @@
         assert route is not None
         keys = [(HEADERS.api_key, key.encode())] if key else []
         permission = node.authenticate(keys, route)
-        self._calls += 1
+        self.calls += 1
         now = asyncio.get_running_loop().time()
-        request_id = f'request-{self._calls}'
+        request_id = f'request-{self.calls}'
         req = IngressRequest(
             request_id=request_id,
             method='POST' if body else 'GET',
