Tell a busy event loop from a standstill, and settle it in less time

Cause: the time of the last read was noted once in two passes of the event loop, so a node whose passes take 60 to 90 ms seemed to stand still, and its requests waited for twelve such passes.

Change: each pass notes what was read before it; after seven passes, those to spare are left out where they take long. The list of keepalives without a reply has a bound.

--- a/filbertdrift/age/arrivals.py
+++ b/filbertdrift/age/arrivals.py
@@ -15,8 +15,11 @@
 # to a tick.
 MIN_STALL_S = 0.35
 # Passes of the event loop until all that arrived in a stall has been read: a
-# connection has to be accepted first, and its end follows its bytes.
+# connection has to be accepted first, and its end follows its bytes. A node
+# whose passes are long does not wait for the spare ones.
 SETTLE_PASSES = 12
+LEAST_SETTLE_PASSES = 7
+SETTLE_S = 0.1
 # Passes after which what had arrived at their beginning has been read.
 READ_PASSES = 2
 # How exactly it is known when the sockets were last read.
@@ -57,9 +60,12 @@
         # All that had arrived by then has been read; on a clock that includes
         # suspensions, as the next.
         self._read_until: float | None = None
-        # The present round of passes, None between rounds.
-        self._round_at: float | None = None
+        # The present round of passes: how many follow, and when the last two
+        # began; the first one is preceded by the beginning of the round.
         self._passes_left = 0
+        self._last_pass_at = 0.0
+        self._earlier_pass_at: float | None = None
+        self._noticed_at = 0.0
         self._stalled_since: float | None = None
         self._settled = asyncio.Event()
         self._cpu_s = time.process_time()
@@ -93,20 +99,19 @@
 
     def _observe(self) -> float:
         """Note the time, and a stall before it."""
-        now = asyncio.get_running_loop().time() + self._suspended_s()
+        now = self._now()
         if self._read_until is None:
             self._read_until = now
         if self._stalled_since is None:
             if now - self._read_until > MIN_STALL_S:
                 self._begin_stall(self._read_until, now)
-            elif (
-                self._round_at is None and now - self._read_until > PRECISION_S
-            ):
+            elif not self._passes_left and now - self._read_until > PRECISION_S:
                 self._begin_round(now, READ_PASSES)
         return now
 
     def _begin_stall(self, since: float, now: float) -> None:
         self._stalled_since = since
+        self._noticed_at = now
         self._settled.clear()
         self.counters.stalls += 1
         stalled_ms = int((now - since) * MS_PER_S)
@@ -120,23 +125,38 @@
         self._begin_round(now, SETTLE_PASSES)
 
     def _begin_round(self, now: float, passes: int) -> None:
-        is_running = self._round_at is not None
-        self._round_at = now
-        self._passes_left = passes
-        if not is_running:
+        if not self._passes_left:
+            self._earlier_pass_at = None
+            self._last_pass_at = now
             asyncio.get_running_loop().call_soon(self._pass)
+        self._passes_left = passes
 
     def _pass(self) -> None:
+        now = self._now()
+        if self._earlier_pass_at is not None:
+            self._read_until = self._earlier_pass_at
+        self._earlier_pass_at = self._last_pass_at
+        self._last_pass_at = now
         self._passes_left -= 1
-        if self._passes_left >= 0:
+        if self._stalled_since is not None and self._is_settled(now):
+            self._passes_left = 0
+        if self._passes_left:
             asyncio.get_running_loop().call_soon(self._pass)
             return
-        self._read_until = self._round_at
-        self._round_at = None
         self._stalled_since = None
         self._cpu_s = time.process_time()
         self._settled.set()
 
+    def _is_settled(self, now: float) -> bool:
+        """Return whether the rest of a round after a stall can be spared."""
+        passes = SETTLE_PASSES - self._passes_left
+        is_slow = now - self._noticed_at > SETTLE_S
+        return passes >= LEAST_SETTLE_PASSES and is_slow
+
+    def _now(self) -> float:
+        """Return the time on a clock that includes suspensions."""
+        return asyncio.get_running_loop().time() + self._suspended_s()
+
 
 async def settle_at_once() -> None:
     """Return at once, as if there were no stalls."""
--- a/filbertdrift/age/peerclock.py
+++ b/filbertdrift/age/peerclock.py
@@ -16,6 +16,8 @@
 # A round trip within a region takes a few milliseconds. After a longer one, the
 # next may tell more.
 GOOD_ROUND_TRIP_S = 0.05
+# A connection without replies is closed long before it has sent as many.
+MAX_ASKED = 64
 
 
 class PeerClock:
@@ -26,16 +28,11 @@
 
     def __init__(self) -> None:
         """Start without statements."""
-        self._asked_at: deque[float] = deque()
+        self._asked_at: deque[float] = deque(maxlen=MAX_ASKED)
         self._offset_ms = 0.0
         self._round_trip_s = 0.0
         self._stated_at: float | None = None
 
-    @property
-    def is_known(self) -> bool:
-        """Return whether the other end has stated its clock."""
-        return self._stated_at is not None
-
     def asked(self, now: float) -> None:
         """Note that the other end was sent a keepalive."""
         self._asked_at.append(now)
