Take back the refusal of uploads whose body was late

Callers saw: on narrow links about a quarter of the uploads refused after their bodies had been sent, and sent again.

Cause: counts the time from when the first chunk of a body is sent to when it has arrived, which on a narrow link is above all its own transfer and that of others beside it, not a delay that says that the caller may have left.

--- a/filbertdrift/callstream.py
+++ b/filbertdrift/callstream.py
@@ -87,15 +87,12 @@
         if self._failure is None:
             self._conn.send_nowait(self.call_id, body)
 
-    async def send_chunk(
-        self, chunk: bytes, *, end: bool, is_first: bool = False
-    ) -> None:
+    async def send_chunk(self, chunk: bytes, *, end: bool) -> None:
         """Send a part of a body, waiting for credit as needed.
 
         Args:
             chunk: The bytes, of any length.
             end: True if the body ends with this chunk.
-            is_first: The receiver waits for it before it runs the request.
 
         Raises:
             PeerUnavailable: The connection is broken.
@@ -108,9 +105,7 @@
                 await self.wait_for_credit()
             self._window_bytes -= len(part)
             is_last = end and not remaining
-            clock_ms = self.peer_clock_ms() if is_first else None
-            is_first = False
-            await self.send(ttypes.BodyChunk(bytes(part), is_last, clock_ms))
+            await self.send(ttypes.BodyChunk(bytes(part), is_last))
             if not remaining:
                 return
 
--- a/filbertdrift/gen/ttypes.py
+++ b/filbertdrift/gen/ttypes.py
@@ -4662,22 +4662,18 @@
     Attributes:
      - body
      - end
-     - receiver_clock_ms: As in RequestOpen, with the first chunk of a body that was asked for; the
-    request may run once that has arrived.
 
     """
 
     __slots__ = (
         'body',
         'end',
-        'receiver_clock_ms',
     )
 
 
-    def __init__(self, body=None, end=None, receiver_clock_ms=None,):
+    def __init__(self, body=None, end=None,):
         self.body = body
         self.end = end
-        self.receiver_clock_ms = receiver_clock_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4698,11 +4694,6 @@
                     self.end = iprot.readBool()
                 else:
                     iprot.skip(ftype)
-            elif fid == 3:
-                if ftype == TType.I64:
-                    self.receiver_clock_ms = iprot.readI64()
-                else:
-                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4721,10 +4712,6 @@
             oprot.writeFieldBegin('end', TType.BOOL, 2)
             oprot.writeBool(self.end)
             oprot.writeFieldEnd()
-        if self.receiver_clock_ms is not None:
-            oprot.writeFieldBegin('receiver_clock_ms', TType.I64, 3)
-            oprot.writeI64(self.receiver_clock_ms)
-            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -6514,7 +6501,6 @@
     None,  # 0
     (1, TType.STRING, 'body', 'BINARY', None, ),  # 1
     (2, TType.BOOL, 'end', None, None, ),  # 2
-    (3, TType.I64, 'receiver_clock_ms', None, None, ),  # 3
 )
 all_structs.append(Credit)
 Credit.thrift_spec = (
--- a/filbertdrift/offeredbody.py
+++ b/filbertdrift/offeredbody.py
@@ -2,7 +2,6 @@
 
 import asyncio
 
-from filbertdrift.age.transit import check_transit, measure_transit_s
 from filbertdrift.callstream import CallStream
 from filbertdrift.errors import RequestNotRun
 from filbertdrift.gen import ttypes
@@ -22,8 +21,7 @@
     """Fetch the body that the ingress withheld when it offered the request.
 
     Raises:
-        RequestNotRun: The body did not arrive in time, or was late between the
-            nodes.
+        RequestNotRun: The body did not arrive in time.
         MalformedMessage: The peer sent another message.
     """
     await call.grant_credit(FIRST_CREDIT_BYTES)
@@ -38,8 +36,5 @@
             step='fetch request',
             peer=call.peer,
         ) from exc
-    if body.receiver_clock_ms is not None:
-        transit_s = measure_transit_s(body.receiver_clock_ms, call.clock_s())
-        check_transit(transit_s, call.peer)
     req.body = body.body
     req.end = body.end
--- a/filbertdrift/target_attempt.py
+++ b/filbertdrift/target_attempt.py
@@ -426,7 +426,7 @@
         self._req.may_have_run = True
         call.keepalive_timeout_s = self._keepalive_timeout_s
         req = self._req
-        await call.send_chunk(req.first_chunk, end=req.is_whole, is_first=True)
+        await call.send_chunk(req.first_chunk, end=req.is_whole)
         return req.is_whole
 
     def _opening(self, call: CallStream) -> ttypes.RequestOpen:
--- a/idl/filbertdrift.thrift
+++ b/idl/filbertdrift.thrift
@@ -390,11 +390,6 @@
 struct BodyChunk {
   1: binary body
   2: bool end
-  /**
-   * As in RequestOpen, with the first chunk of a body that was asked for; the
-   * request may run once that has arrived.
-   */
-  3: optional i64 receiver_clock_ms
 }
 
 struct Credit {
