--- a/filbertdrift/cli.py
+++ b/filbertdrift/cli.py
@@ -90,9 +90,8 @@
 
         PATTERN is returning-callers, stale-loads or leaving-callers. TREE is
         the source tree of the first variant, by default the same as that of the
-        second. FIRST and
-        SECOND set constants, such as --second=dispatch.MAX_SEARCHES=0.
-        --plot=FILE.png writes a plot.
+        second. FIRST and SECOND set constants, such as
+        --second=dispatch.MAX_SEARCHES=0. --plot=FILE.png writes a plot.
         """
         report = porcelain_bench.compare(
             pattern,
