--- a/review/standins_2/mesh.py
+++ b/review/standins_2/mesh.py
@@ -9,6 +9,7 @@
 import contextlib
 import os
 import shlex
+import shutil
 import signal
 import tempfile
 import time
@@ -164,6 +165,7 @@
         """Remove a machine as planned: its target ends, then its node."""
         await machine.target.leave()
         await asyncio.sleep(DRAIN_S)
+        await machine.target.leave_unannounced()
         machine.target.crash()
         if machine.process is not None:
             machine.process.terminate()
@@ -223,6 +225,7 @@
             machine.target.crash()
         await asyncio.gather(*map(_wait, self._started))
         self.store.close()
+        shutil.rmtree(self.folder, ignore_errors=True)
 
     def send(self, machine: Machine, request: Request) -> None:
         """Send a request to a node, as a client on its machine."""
