A reset ends no response, also if a write learns of it first

Callers saw a 200 with a part of a body as a complete answer: the target had answered an upload at once without a length, sent a part and reset the connection while the upload was being written.

Cause: libuv reports a reset that comes with the last bytes as the end of the stream. The connection then asked its socket, when the end was read. A write of the upload that failed in the same pass of the event loop had taken the error off the socket by then, and the read said "closed".

Evidence: a trial that printed both saw, for the failing cases, "transport closing True, read says reset False" before "connection_lost ConnectionResetError".

Change: how a connection ended is decided once, by the first that learns of it. The protocol reads the socket when the end is reported, before anything is written; a failed write before that ends the stream with its error. Reads raise that error after the bytes before it, so ResponseReader needs no question of its own, and an end by close stands although a write fails later. A close by this side is no end of a response either.

--- a/filbertdrift/http1.py
+++ b/filbertdrift/http1.py
@@ -343,24 +343,16 @@
 
 
 class ResponseReader(_Reader):
-    """Reads the responses of a connection in order."""
+    """Reads the responses of a connection in order.
 
-    def __init__(
-        self,
-        reader: asyncio.StreamReader,
-        peer: str,
-        was_reset: Callable[[], bool] | None = None,
-    ) -> None:
-        """Wrap a stream.
+    The end of the stream ends a response without a length, so a stream whose
+    connection broke has to raise an OSError, as a ResponseStream does.
+    """
 
-        Args:
-            reader: The stream.
-            peer: Address of the peer.
-            was_reset: Returns, at the end of the stream, whether it was reset.
-        """
+    def __init__(self, reader: asyncio.StreamReader, peer: str) -> None:
+        """Wrap a stream."""
         super().__init__(reader, peer)
         self.parser = httptools.HttpResponseParser(self)
-        self._was_reset = was_reset
         self._is_close_delimited = False
 
     def on_headers_complete(self) -> None:
@@ -399,8 +391,7 @@
                 return part
 
     def _handle_eof(self) -> _Part:
-        was_reset = self._was_reset is not None and self._was_reset()
-        if self._is_close_delimited and not was_reset:
+        if self._is_close_delimited:
             # The end of the stream ends one message only.
             self._is_close_delimited = False
             return _END
--- a/filbertdrift/target.py
+++ b/filbertdrift/target.py
@@ -9,11 +9,8 @@
 from filbertdrift import http1
 from filbertdrift.errors import MalformedMessage, PeerUnavailable
 from filbertdrift.network import split_address
-from filbertdrift.target_connection import (
-    TargetConnection,
-    TargetProtocol,
-    TargetStream,
-)
+from filbertdrift.responsestream import ResponseProtocol
+from filbertdrift.target_connection import TargetConnection, TargetStream
 
 CONNECT_TIMEOUT_S = 1.0
 PROBE_TIMEOUT_S = 1.0
@@ -373,7 +370,7 @@
         loop = asyncio.get_running_loop()
         reader = TargetStream()
         transport, protocol = await loop.create_connection(
-            lambda: TargetProtocol(reader),
+            lambda: ResponseProtocol(reader),
             host,
             port,
         )
--- a/filbertdrift/target_connection.py
+++ b/filbertdrift/target_connection.py
@@ -1,48 +1,28 @@
 """A connection to a target, and what it received beside the responses."""
 
 import asyncio
-import contextlib
-import os
-import socket
 from collections.abc import Callable, Iterable
 from typing import SupportsIndex
 
 from loguru import logger
 
 from filbertdrift import http1
-from filbertdrift.bytestream import ByteStream, has_unread_in_socket
+from filbertdrift.bytestream import has_unread_in_socket
 from filbertdrift.errors import PeerUnavailable
+from filbertdrift.responsestream import ResponseStream
 
-# Unread bytes that an ended connection may have.
-MAX_SALVAGED_BYTES = 65_536
 
-
-class TargetStream(ByteStream):
+class TargetStream(ResponseStream):
     """The bytes that a target sends on a connection.
 
     Attributes:
         on_stray_bytes: Called when bytes arrive; set between two exchanges.
-        has_ended: The target has sent the end of the stream.
     """
 
     def __init__(self) -> None:
         """Create the empty stream of a connection that is in use."""
         super().__init__()
         self.on_stray_bytes: Callable[[], None] | None = None
-        self.has_ended = False
-        self._end: Exception | None = None
-
-    def feed_eof(self) -> None:
-        """End the stream, after the bytes that have arrived."""
-        self.has_ended = True
-        super().feed_eof()
-
-    def set_exception(self, exc: Exception) -> None:
-        """End the stream with an error, after the bytes that have arrived."""
-        if self.unread_bytes:
-            self._end = exc
-        else:
-            super().set_exception(exc)
 
     def feed_data(self, data: Iterable[SupportsIndex]) -> None:
         """Receive bytes."""
@@ -50,51 +30,6 @@
         if self.on_stray_bytes:
             self.on_stray_bytes()
 
-    async def read(self, limit_bytes: int = -1) -> bytes:
-        """Return bytes up to a limit, none at the end of the stream."""
-        raw = await super().read(limit_bytes)
-        if self._end and not self.unread_bytes:
-            self.set_exception(self._end)
-        return raw
-
-
-class TargetProtocol(asyncio.StreamReaderProtocol):
-    """Takes what has arrived when a connection to a target breaks.
-
-    Args:
-        stream: Receives the bytes.
-    """
-
-    def __init__(self, stream: TargetStream) -> None:
-        """Create the protocol of a connection."""
-        super().__init__(stream)
-        self._stream = stream
-        self._connection: asyncio.BaseTransport | None = None
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Keep the connection, whose socket is read when it breaks."""
-        super().connection_made(transport)
-        self._connection = transport
-
-    def connection_lost(self, exc: Exception | None) -> None:
-        """End the stream, after what the socket still has.
-
-        A write that fails closes the connection before its last bytes, such as
-        an early response, have been read.
-        """
-        if exc is not None and not self._stream.has_ended and self._connection:
-            self._salvage(self._connection.get_extra_info('socket'))
-        super().connection_lost(exc)
-
-    def _salvage(self, sock: socket.socket | None) -> None:
-        left_bytes = MAX_SALVAGED_BYTES - self._stream.unread_bytes
-        if sock is None or sock.fileno() < 0 or left_bytes <= 0:
-            return
-        with contextlib.suppress(OSError):
-            raw = os.read(sock.fileno(), left_bytes)
-            if raw:
-                self._stream.feed_data(raw)
-
 
 class TargetConnection:
     """A connection to the target.
@@ -114,7 +49,7 @@
         peer: str,
     ) -> None:
         """Wrap a stream pair."""
-        self.messages = http1.ResponseReader(reader, peer, self._was_reset)
+        self.messages = http1.ResponseReader(reader, peer)
         self.idle_since = 0.0
         self.reuse_until = 0.0
         self.exchanges = 0
@@ -177,17 +112,3 @@
             'the target sent bytes that are no response',
         )
         self.close()
-
-    def _was_reset(self) -> bool:
-        """Return whether the stream ended with a reset, not with a close.
-
-        libuv reports both as the end of the stream if they arrive together
-        with the last bytes; another read from the socket distinguishes them.
-        """
-        sock = self._writer.get_extra_info('socket')
-        if sock is None or sock.fileno() < 0:
-            return True
-        try:
-            return bool(os.read(sock.fileno(), 1))
-        except OSError:
-            return True
--- a/tests/test_cut_responses.py
+++ b/tests/test_cut_responses.py
@@ -22,6 +22,7 @@
 from filbertdrift.platform.documents import parse_config
 from filbertdrift.platform.headers import HEADERS
 from filbertdrift.profile import PROFILES
+from filbertdrift.responsestream import ResponseStream
 from filbertdrift.retrybudget import RetryLimits
 from filbertdrift.target import HttpTarget
 from tests.socket_mesh import SocketMesh, socket_mesh
@@ -64,10 +65,13 @@
         raw: All bytes of its connection.
         is_reset: The connection ended with a reset.
     """
-    stream = asyncio.StreamReader()
+    stream = ResponseStream()
     stream.feed_data(raw)
-    stream.feed_eof()
-    responses = http1.ResponseReader(stream, 'peer', lambda: is_reset)
+    if is_reset:
+        stream.set_exception(ConnectionResetError())
+    else:
+        stream.feed_eof()
+    responses = http1.ResponseReader(stream, 'peer')
     body = b''
     try:
         head = await responses.head()
--- a/tests/test_endless_responses.py
+++ b/tests/test_endless_responses.py
@@ -90,9 +90,7 @@
 
     async def _next_response(self) -> None:
         stream = ScriptedStream(OK_HEAD + b'\r\nbody')
-        responses = http1.ResponseReader(
-            stream, 'target', was_reset=lambda: False
-        )
+        responses = http1.ResponseReader(stream, 'target')
         await responses.head()
         self.assertThat((await responses.part()).chunk, Equals(b'body'))
         self.assertThat((await responses.part()).end, Equals(True))
