A response whose status is not 100 to 599 is none

Callers waited for their whole deadline, and got 504, when a target answered 000, 001 or 099; what the target sent meanwhile was read on. 600, 700 and 999 reached them as answers, with the seal of the target.

Cause: the reader took each status below 200 for that of an interim response and each other one for final; the parser only counts three digits.

Change: the reader of responses judges the status, for all that read with it: targets, health checks, the store. RFC 9110, section 15, calls a status outside 100 to 599 invalid and lets a client treat it as a failure of the server. The users' pages count bytes that are no answer in the protocol as MIXED, so a 6xx to 9xx is not passed on unchanged either: the caller gets 502 at once, without a seal, and nothing that the head says counts (also not that the request was not run).

Tests, before the change: through the node beside the target, from another node and through the library's port: 504 in place of 502; a health check took its whole time limit; an append to the store took it as well, and a status from 600 on passed for a refusal, after which the record may have been stored. With and without an upload, asyncio and uvloop. Held: no status, one, two and four digits, signs, letters; interim responses; unusual statuses up to 599, which are passed on with their seal.

--- a/filbertdrift/http1.py
+++ b/filbertdrift/http1.py
@@ -31,6 +31,8 @@
 )
 _NO_BODY_STATUSES = frozenset((204, 304))
 _FIRST_FINAL_STATUS = 200
+# RFC 9110, section 15: any other status is invalid.
+_STATUSES = range(100, 600)
 _REASON_PHRASES = {
     100: b'Continue',
     200: b'OK',
@@ -381,12 +383,18 @@
 
         Raises:
             MessageTruncated: The connection ended before the head.
-            MalformedMessage: The bytes are not HTTP.
+            MalformedMessage: The bytes are not HTTP, or the status is none.
         """
         while True:
             part = await self._next_part()
             if not isinstance(part, ResponseHead):
                 continue
+            if part.status not in _STATUSES:
+                raise MalformedMessage(
+                    f'status {part.status:03} is invalid',
+                    step='read head',
+                    peer=self.peer,
+                )
             if part.status >= _FIRST_FINAL_STATUS:
                 return part
 
--- a/standins/broken_target.py
+++ b/standins/broken_target.py
@@ -118,17 +118,21 @@
 
     def _serve(self, conn: socket.socket) -> None:
         try:
-            head = self._read_head(conn)
-            while b'/whole' in head:
-                conn.sendall(_address(WHOLE, head))
-                head = self._read_head(conn)
-            for step in self.script:
-                self._take(step, conn, head)
+            while conn.fileno() >= 0:
+                self._answer(conn, self._read_head(conn))
         except OSError:
             """The other side has closed the connection."""
         finally:
             self.has_ended.set()
 
+    def _answer(self, conn: socket.socket, head: bytes) -> None:
+        if b'/whole' in head:
+            conn.sendall(_address(WHOLE, head))
+            return
+        for step in self.script:
+            self._take(step, conn, head)
+        self.has_ended.set()
+
     def _read_head(self, conn: socket.socket) -> bytes:
         raw = b''
         while _END_OF_HEAD not in raw:
--- a/tests/test_broken_responses.py
+++ b/tests/test_broken_responses.py
@@ -1,16 +1,32 @@
 """Broken responses of a target do not reach callers as answers."""
 
 import asyncio
+import time
 from collections.abc import Callable
 from contextlib import AbstractAsyncContextManager
 from dataclasses import dataclass
 
 from testtools import TestCase
-from testtools.matchers import Equals
-
-from standins.broken_target import HEAD, Action, BrokenTarget, Step
+from testtools.matchers import Contains, Equals, LessThan
+from testtools.testcase import ExpectedException
+
+from filbertdrift import target as target_module
+from filbertdrift.errors import LogAnswerLost
+from filbertdrift.keyedlog import KeyedRecord
+from filbertdrift.platform import store as store_module
+from filbertdrift.platform.store import StoreLog
+from filbertdrift.target import HttpTarget
+from standins.broken_target import (
+    HEAD,
+    WHOLE,
+    Action,
+    BrokenTarget,
+    Endless,
+    Step,
+)
 from tests.broken_mesh import (
     RUNNERS,
+    UPLOAD,
     Answer,
     call,
     let_arrive,
@@ -24,6 +40,9 @@
 Place = Callable[[BrokenTarget], AbstractAsyncContextManager[int]]
 # Above what a node reads of a response before it forwards any of it.
 LONG = bytes(2_000_000)
+# Before any deadline or time limit.
+PROMPT_S = 2.5
+LATE_S = 30.0
 OPEN = HEAD + b'\r\n'
 
 
@@ -90,3 +109,137 @@
                     self.assertThat(answer, Equals(wanted), repr(case))
                 elif answer:
                     self.assertThat(answer.status, Equals(502), repr(case))
+
+
+NO_STATUSES = (b'000', b'001', b'099', b'600', b'700', b'999')
+NO_DIGITS = (b'', b'2', b'20', b'2000', b'+20', b'-20', b'2x0', b'0x2', b' 200')
+ENDLESS = Endless(bytes(100_000))
+
+
+def with_status(status: bytes) -> bytes:
+    """Return the head of a response, up to its length."""
+    return HEAD.replace(b'200', status)
+
+
+class StatusTest(TestCase):
+    """A status outside 100 to 599 makes a response none."""
+
+    # Statuses up to 099 were skipped like interim responses, until the
+    # deadline; those from 600 on were passed on.
+    def test_target_beside_the_node(self) -> None:
+        self._check_all(node_beside)
+
+    def test_target_elsewhere(self) -> None:
+        self._check_all(node_elsewhere)
+
+    def test_library_port(self) -> None:
+        self._check_all(library_port, '/desk/x')
+
+    def _check_all(self, place: Place, path: str = '/write/x') -> None:
+        for runner in RUNNERS:
+            for upload in (b'', UPLOAD):
+                runner(self._check(place, path, upload))
+
+    async def _check(self, place: Place, path: str, upload: bytes) -> None:
+        target = BrokenTarget()
+        whole = path.replace('/x', '/whole')
+        async with place(target) as port:
+            for status in (*NO_STATUSES, *NO_DIGITS):
+                head = with_status(status)
+                for script in (
+                    (head + b'content-length: 2\r\n\r\nno',),
+                    (head + b'\r\n', ENDLESS),
+                ):
+                    await call(port, whole, b'')
+                    target.play(*script)
+                    started_at = time.monotonic()
+                    answer = await call(port, path, upload)
+                    elapsed_s = time.monotonic() - started_at
+                    self.assertThat(answer.status, Equals(502), repr(script))
+                    self.assertThat(elapsed_s, LessThan(PROMPT_S), repr(script))
+
+    # Held before: statuses that are none of ours, and interim responses.
+    def test_unusual_statuses(self) -> None:
+        for runner in RUNNERS:
+            runner(self._unusual())
+
+    async def _unusual(self) -> None:
+        target = BrokenTarget()
+        async with node_beside(target) as port:
+            for status in (201, 299, 306, 418, 499, 599):
+                head = with_status(b'%d' % status)
+                target.play(head + b'content-length: 2\r\n\r\nno')
+                answer = await call(port, upload=b'')
+                self.assertThat(answer, Equals(Answer(status, b'no')))
+                self.assertThat(answer.head, Contains(b'server-seal: s'))
+            for interim in (b'100', b'102', b'103', b'199'):
+                target.play(with_status(interim) + b'\r\n', 0.01, WHOLE)
+                answer = await call(port, upload=b'')
+                self.assertThat(answer, Equals(Answer(200, b'ok')))
+
+
+class HealthCheckTest(TestCase):
+    """A health check that gets no response has failed."""
+
+    def setUp(self) -> None:
+        """Let the time limit of a check be late."""
+        super().setUp()
+        self.patch(target_module, 'PROBE_TIMEOUT_S', LATE_S)
+
+    def test_status(self) -> None:
+        for runner in RUNNERS:
+            for status in (*NO_STATUSES, *NO_DIGITS):
+                head = with_status(status)
+                script = (head + b'content-length: 2\r\n\r\nno',)
+                runner(self._check(script, is_healthy=False))
+
+    # Held before.
+    def test_whole_response(self) -> None:
+        for runner in RUNNERS:
+            runner(self._check((WHOLE,), is_healthy=True))
+
+    async def _check(
+        self, script: tuple[Step, ...], *, is_healthy: bool
+    ) -> None:
+        broken = BrokenTarget(script)
+        target = HttpTarget(broken.start(), 1)
+        started_at = time.monotonic()
+        try:
+            found = await target.check_health('/health')
+        finally:
+            target.close()
+            broken.close()
+        elapsed_s = time.monotonic() - started_at
+        self.assertThat(found, Equals(is_healthy), repr(script))
+        self.assertThat(elapsed_s, LessThan(PROMPT_S), repr(script))
+
+
+class StoreTest(TestCase):
+    """An append whose response is broken may have been applied."""
+
+    def setUp(self) -> None:
+        """Let the time limits of a call be late."""
+        super().setUp()
+        self.patch(store_module, 'RESPONSE_TIMEOUT_S', LATE_S)
+        self.patch(store_module, 'SILENCE_TIMEOUT_S', LATE_S)
+
+    # Statuses from 600 on were taken for a refusal, those up to 099 skipped.
+    def test_status(self) -> None:
+        for runner in RUNNERS:
+            for status in (*NO_STATUSES, *NO_DIGITS):
+                head = with_status(status)
+                script = (head + b'content-length: 2\r\n\r\n{}',)
+                runner(self._check(script))
+
+    async def _check(self, script: tuple[Step, ...]) -> None:
+        broken = BrokenTarget(script)
+        store = StoreLog(broken.start())
+        started_at = time.monotonic()
+        try:
+            with ExpectedException(LogAnswerLost):
+                await store.append('keyed.op', KeyedRecord('key', b'record'))
+        finally:
+            await store.close()
+            broken.close()
+        elapsed_s = time.monotonic() - started_at
+        self.assertThat(elapsed_s, LessThan(PROMPT_S), repr(script))
