A reset ends no response of the store

An append, or another call to the store, counted as answered when its response had no length and the connection was reset with the last bytes of it.

Cause: as at targets, libuv reports such a reset as the end of the stream, and the connection to the store never asked its socket.

Change: it reads through the stream that finds out how a connection ended. Its count of unread bytes is that of the stream.

Tests, before the change: test_reset failed, an append returned (uvloop); a response without a length that ends with a close held.

--- a/filbertdrift/platform/store.py
+++ b/filbertdrift/platform/store.py
@@ -33,6 +33,7 @@
     KeyedRecord,
 )
 from filbertdrift.network import split_address
+from filbertdrift.responsestream import ResponseProtocol, ResponseStream
 
 CONNECT_TIMEOUT_S = 1.0
 # Limit on the wait for the first byte of a response, beyond the requested wait.
@@ -120,24 +121,19 @@
     """A message stopped on its way or took too long."""
 
 
-class _ResponseStream(asyncio.StreamReader):
+class _LimitedStream(ResponseStream):
     """The receiving half of a connection, with limits for each response.
 
     Args:
         peer: The address of the store.
-
-    Attributes:
-        unread_bytes: How many bytes have arrived and were not read.
     """
 
     def __init__(self, peer: str) -> None:
         """Create a stream that expects no response yet."""
-        loop = asyncio.get_running_loop()
-        super().__init__(http1.READ_BYTES, loop)
-        self.unread_bytes = 0
+        super().__init__(http1.READ_BYTES)
         self._peer = peer
         # When the next bytes are due, and the end of the response.
-        self._due_at = loop.time()
+        self._due_at = asyncio.get_running_loop().time()
         self._end_at: float | None = None
         self._bytes_left = 0
 
@@ -152,11 +148,6 @@
         self._end_at = None
         self._bytes_left = max_bytes
 
-    def feed_data(self, data: Any) -> None:
-        """Take bytes that have arrived."""
-        self.unread_bytes += len(data)
-        super().feed_data(data)
-
     async def read(self, size: int = -1) -> bytes:
         """Read up to a number of bytes within the limits.
 
@@ -183,7 +174,6 @@
         if self._end_at is None:
             self._end_at = now + TRANSFER_TIMEOUT_S
         self._due_at = min(now + SILENCE_TIMEOUT_S, self._end_at)
-        self.unread_bytes -= len(raw)
         self._bytes_left -= len(raw)
         if self._bytes_left < 0:
             raise MalformedMessage(
@@ -213,7 +203,7 @@
 
     def __init__(
         self,
-        reader: _ResponseStream,
+        reader: _LimitedStream,
         writer: asyncio.StreamWriter,
         peer: str,
     ) -> None:
@@ -497,8 +487,8 @@
 
 async def _connect(address: str) -> _StoreConnection:
     loop = asyncio.get_running_loop()
-    reader = _ResponseStream(address)
-    protocol = asyncio.StreamReaderProtocol(reader, loop=loop)
+    reader = _LimitedStream(address)
+    protocol = ResponseProtocol(reader)
     transport, _ = await loop.create_connection(
         lambda: protocol,
         *split_address(address),
--- a/tests/test_broken_responses.py
+++ b/tests/test_broken_responses.py
@@ -228,16 +228,39 @@
         for runner in RUNNERS:
             for status in (*NO_STATUSES, *NO_DIGITS):
                 head = with_status(status)
-                script = (head + b'content-length: 2\r\n\r\n{}',)
+                script = (HOLD, head + b'content-length: 2\r\n\r\n{}')
                 runner(self._check(script))
 
+    # A reset that came with the last bytes passed for the end of the response.
+    def test_reset(self) -> None:
+        for runner in RUNNERS:
+            for script in (
+                (HOLD, OPEN + b'{}', RESET),
+                (OPEN, HOLD, b'{}', RESET),
+                (OPEN, HOLD, RESET),
+                (OPEN + b'{}', HOLD, RESET),
+            ):
+                runner(self._check(script))
+
+    # Held before: the end of the connection ends such a response.
+    def test_close(self) -> None:
+        for runner in RUNNERS:
+            runner(self._append((HOLD, OPEN + b'{}', CLOSE)))
+
     async def _check(self, script: tuple[Step, ...]) -> None:
+        with ExpectedException(LogAnswerLost):
+            await self._append(script)
+
+    async def _append(self, script: tuple[Step, ...]) -> None:
         broken = BrokenTarget(script)
         store = StoreLog(broken.start())
+        broken.may_go_on.clear()
+        record = KeyedRecord('key', b'record')
         started_at = time.monotonic()
         try:
-            with ExpectedException(LogAnswerLost):
-                await store.append('keyed.op', KeyedRecord('key', b'record'))
+            appending = asyncio.create_task(store.append('keyed.op', record))
+            await let_arrive(broken)
+            await appending
         finally:
             await store.close()
             broken.close()
