Limits of time and size for responses of the log

A log that sent a body without end kept the process that had called it busy until its memory ran out; one that sent a byte now and then held the call for ever. Only nodes with files of their own read this log; the platform's store has had such limits.

Cause: the client kept all of a response, its time limit began anew with each byte, and a body with a content encoding was decoded, whatever its size then.

Change: a call has a limit of time for the whole response (10 s and the wait asked for, as at the store) and of its size (64 MiB, well below the 256 MB that a node may take for control); the client asks for no encoding and takes none.

Tests, before the change: test_endless_page, test_slow_response and test_encoded_page failed: no end within 8 s, and a page of 1 MB of a few KB. Held: heads, chunk extensions and trailers without end. Targets, health checks and the store held, see test_endless_responses.

--- a/filbertdrift/log.py
+++ b/filbertdrift/log.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import base64
+import contextlib
 import copy
 from abc import ABC, abstractmethod
 from collections.abc import Mapping, Sequence
@@ -21,8 +22,12 @@
 READ_LIMIT_RECORDS = 500
 HTTP_TIMEOUT_S = 3.0
 LONG_POLL_S = 5.0
+# Limits of a whole response: its time, beyond the requested wait, and its size.
+TRANSFER_TIMEOUT_S = 10.0
+MAX_RESPONSE_BYTES = 67_108_864
 ERA_HEADER = 'store-era'
 
+_NO_ENCODING = 'identity'
 _STATUS_CREATED = 201
 _STATUS_OK = 200
 _STATUS_GONE = 410
@@ -159,6 +164,7 @@
             base_url=url,
             timeout=httpx.Timeout(HTTP_TIMEOUT_S),
             trust_env=False,
+            headers={'accept-encoding': _NO_ENCODING},
         )
 
     async def close(self) -> None:
@@ -168,8 +174,10 @@
     async def _append(self, stream: str, payload: bytes) -> int:
         step = f'append {stream}'
         try:
-            resp = await self._client.post(
-                f'/streams/{stream}', content=payload
+            resp = await self._call(
+                self._client.build_request(
+                    'POST', f'/streams/{stream}', content=payload
+                )
             )
         except httpx.ConnectError as exc:
             raise LogUnavailable(repr(exc), step=step, peer=self._url) from exc
@@ -183,10 +191,14 @@
     async def _read(self, stream: str, offset: int, wait_s: float) -> LogPage:
         step = f'read {stream}'
         try:
-            resp = await self._client.get(
-                f'/streams/{stream}',
-                params={'offset': offset, 'wait_ms': int(wait_s * 1000)},
-                timeout=HTTP_TIMEOUT_S + wait_s,
+            resp = await self._call(
+                self._client.build_request(
+                    'GET',
+                    f'/streams/{stream}',
+                    params={'offset': offset, 'wait_ms': int(wait_s * 1000)},
+                    timeout=HTTP_TIMEOUT_S + wait_s,
+                ),
+                wait_s,
             )
         except httpx.HTTPError as exc:
             raise LogUnavailable(repr(exc), step=step, peer=self._url) from exc
@@ -196,6 +208,22 @@
             raise self._to_error(resp, step)
         return _page_from_json(resp.json(), _era_of(resp))
 
+    async def _call(
+        self, req: httpx.Request, wait_s: float = 0
+    ) -> httpx.Response:
+        """Return the response to a request, read whole within the limits.
+
+        Raises:
+            httpx.HTTPError: There is none.
+        """
+        try:
+            async with asyncio.timeout(TRANSFER_TIMEOUT_S + wait_s):
+                resp = await self._client.send(req, stream=True)
+                async with contextlib.aclosing(resp):
+                    return await _read_whole(resp)
+        except TimeoutError as exc:
+            raise httpx.ReadTimeout('the response is too slow') from exc
+
     def _to_error(self, resp: httpx.Response, step: str) -> LogUnavailable:
         reason = f'status {resp.status_code}'
         if resp.status_code == _STATUS_SERVER_ERROR:
@@ -362,6 +390,22 @@
     return HttpLog(url)
 
 
+async def _read_whole(resp: httpx.Response) -> httpx.Response:
+    # A small encoded body can be a very large one.
+    if resp.headers.get('content-encoding', _NO_ENCODING) != _NO_ENCODING:
+        raise httpx.DecodingError('the response is encoded')
+    chunks: list[bytes] = []
+    size_bytes = 0
+    async for chunk in resp.aiter_raw():
+        chunks.append(chunk)
+        size_bytes += len(chunk)
+        if size_bytes > MAX_RESPONSE_BYTES:
+            raise httpx.ReadError('the response is too large')
+    return httpx.Response(
+        resp.status_code, headers=resp.headers, content=b''.join(chunks)
+    )
+
+
 def _era_of(resp: httpx.Response) -> int:
     return int(resp.headers.get(ERA_HEADER, NO_ERA))
 
--- a/tests/test_broken_responses.py
+++ b/tests/test_broken_responses.py
@@ -1,6 +1,7 @@
 """Broken responses of a target do not reach callers as answers."""
 
 import asyncio
+import gzip
 import time
 from collections.abc import Callable
 from contextlib import AbstractAsyncContextManager
@@ -10,9 +11,11 @@
 from testtools.matchers import Contains, Equals, LessThan
 from testtools.testcase import ExpectedException
 
+from filbertdrift import log as log_module
 from filbertdrift import target as target_module
-from filbertdrift.errors import LogAnswerLost
+from filbertdrift.errors import LogAnswerLost, LogUnavailable
 from filbertdrift.keyedlog import KeyedRecord
+from filbertdrift.log import HttpLog
 from filbertdrift.platform import store as store_module
 from filbertdrift.platform.store import StoreLog
 from filbertdrift.target import HttpTarget
@@ -43,6 +46,8 @@
 # Before any deadline or time limit.
 PROMPT_S = 2.5
 LATE_S = 30.0
+# Limit on the time in which the largest page arrives.
+MAX_PAGE_S = 8.0
 OPEN = HEAD + b'\r\n'
 
 
@@ -266,3 +271,79 @@
             broken.close()
         elapsed_s = time.monotonic() - started_at
         self.assertThat(elapsed_s, LessThan(PROMPT_S), repr(script))
+
+
+INTERIM = b'HTTP/1.1 102 Processing\r\n\r\n'
+PAGE = b'{"records": [], "first_offset": 0, "next_offset": 0}'
+# Spaces after a page do not change it.
+ENCODED_PAGE = gzip.compress(PAGE + b' ' * 1_000_000)
+CHUNK = b'186a0\r\n%s\r\n' % bytes(100_000)
+CHUNKED = HEAD + b'transfer-encoding: chunked\r\n\r\n'
+# About 100 MB a second at most.
+FAST = Endless(bytes(100_000), 0.001)
+ENDLESS_PAGES: tuple[tuple[Step, ...], ...] = (
+    (OPEN, FAST),
+    (CHUNKED, Endless(CHUNK, 0.001)),
+    (HEAD + b'content-length: 1000000000000000\r\n\r\n', FAST),
+)
+ENDLESS_HEADS: tuple[tuple[Step, ...], ...] = (
+    (FAST,),
+    (b'HTTP/1.1 200 ', FAST),
+    (HEAD, Endless(b'a' * 100_000, 0.001)),
+    (HEAD, Endless(b'a: b\r\n' * 10_000, 0.001)),
+    (CHUNKED + b'2;', Endless(b'a' * 100_000, 0.001)),
+    (CHUNKED + b'0\r\n', Endless(b'a: b\r\n' * 10_000, 0.001)),
+)
+SLOW_RESPONSES: tuple[tuple[Step, ...], ...] = (
+    (OPEN, Endless(b'a', 0.01)),
+    (Endless(INTERIM, 0.01),),
+    (OPEN, Endless(bytes(1000), 0.01)),
+)
+
+
+class HttpLogTest(TestCase):
+    """What the log sends is kept within limits of size and time."""
+
+    # All that the log sent was kept, without an end.
+    def test_endless_page(self) -> None:
+        for runner in RUNNERS:
+            for script in ENDLESS_PAGES:
+                runner(self._check(script))
+
+    # Held before.
+    def test_endless_head(self) -> None:
+        for runner in RUNNERS:
+            for script in ENDLESS_HEADS:
+                runner(self._check(script))
+
+    # The body was decoded, whatever its size then.
+    def test_encoded_page(self) -> None:
+        head = HEAD + b'content-encoding: gzip\r\n\r\n'
+        for runner in RUNNERS:
+            runner(self._check((head + ENCODED_PAGE, CLOSE)))
+
+    # Held before.
+    def test_page(self) -> None:
+        for runner in RUNNERS:
+            runner(self._read((OPEN + PAGE, CLOSE)))
+
+    # The limit of time began anew with each byte.
+    def test_slow_response(self) -> None:
+        self.patch(log_module, 'TRANSFER_TIMEOUT_S', 0.5)
+        for runner in RUNNERS:
+            for script in SLOW_RESPONSES:
+                runner(self._check(script))
+
+    async def _check(self, script: tuple[Step, ...]) -> None:
+        with ExpectedException(LogUnavailable):
+            await self._read(script)
+
+    async def _read(self, script: tuple[Step, ...]) -> None:
+        broken = BrokenTarget(script)
+        log = HttpLog(f'http://{broken.start()}')
+        try:
+            async with asyncio.timeout(MAX_PAGE_S):
+                await log.read('config', 0)
+        finally:
+            await log.close()
+            broken.close()
