A malformed response of the log is a failed call

A page of the log that broke off, or was another document, ended the task that read it with a ValueError in place of a failed call that is tried again, as did an era that is no number. An append that was answered with a status of 600 or more counted as certainly not stored.

Cause: the client decoded what it got outside of the handling of errors, and took each status but 201 and 500 for a refusal.

Change: the status is judged as at targets (http1.STATUSES); what can't be decoded is a lost answer.

Tests, before the change: test_status, test_no_page and test_era of HttpLogContentTest failed.

--- a/filbertdrift/http1.py
+++ b/filbertdrift/http1.py
@@ -14,6 +14,8 @@
 MAX_HEAD_BYTES = 65_536
 LAST_CHUNK = b'0\r\n\r\n'
 MAX_COUNT_DIGITS = 9
+# RFC 9110, section 15: any other status is invalid.
+STATUSES = range(100, 600)
 
 Headers = list[tuple[bytes, bytes]]
 
@@ -31,8 +33,6 @@
 )
 _NO_BODY_STATUSES = frozenset((204, 304))
 _FIRST_FINAL_STATUS = 200
-# RFC 9110, section 15: any other status is invalid.
-_STATUSES = range(100, 600)
 _REASON_PHRASES = {
     100: b'Continue',
     200: b'OK',
@@ -389,7 +389,7 @@
             part = await self._next_part()
             if not isinstance(part, ResponseHead):
                 continue
-            if part.status not in _STATUSES:
+            if part.status not in STATUSES:
                 raise MalformedMessage(
                     f'status {part.status:03} is invalid',
                     step='read head',
--- a/filbertdrift/log.py
+++ b/filbertdrift/log.py
@@ -5,12 +5,14 @@
 import contextlib
 import copy
 from abc import ABC, abstractmethod
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass, field
+from typing import Any, TypeVar
 
 import httpx
 
 from filbertdrift.errors import LogAnswerLost, LogUnavailable
+from filbertdrift.http1 import STATUSES
 from filbertdrift.keyedlog import NO_ERA
 
 CONFIG_STREAM = 'config'
@@ -27,6 +29,9 @@
 MAX_RESPONSE_BYTES = 67_108_864
 ERA_HEADER = 'store-era'
 
+# What decoding bytes that are not a response raises.
+_PARSE_ERRORS = (ValueError, LookupError, TypeError, RecursionError)
+_Parsed = TypeVar('_Parsed')
 _NO_ENCODING = 'identity'
 _STATUS_CREATED = 201
 _STATUS_OK = 200
@@ -174,48 +179,40 @@
     async def _append(self, stream: str, payload: bytes) -> int:
         step = f'append {stream}'
         try:
-            resp = await self._call(
-                self._client.build_request(
-                    'POST', f'/streams/{stream}', content=payload
-                )
-            )
+            resp = await self._call('POST', stream, content=payload)
         except httpx.ConnectError as exc:
             raise LogUnavailable(repr(exc), step=step, peer=self._url) from exc
         except httpx.HTTPError as exc:
             raise LogAnswerLost(repr(exc), step=step, peer=self._url) from exc
         if resp.status_code != _STATUS_CREATED:
             raise self._to_error(resp, step)
-        self.era = max(self.era, _era_of(resp))
-        return int(resp.json()['offset'])
+        offset, era = self._decode(resp, _parse_offset, step)
+        self.era = max(self.era, era)
+        return offset
 
     async def _read(self, stream: str, offset: int, wait_s: float) -> LogPage:
         step = f'read {stream}'
         try:
-            resp = await self._call(
-                self._client.build_request(
-                    'GET',
-                    f'/streams/{stream}',
-                    params={'offset': offset, 'wait_ms': int(wait_s * 1000)},
-                    timeout=HTTP_TIMEOUT_S + wait_s,
-                ),
-                wait_s,
-            )
+            query = {'offset': offset, 'wait_ms': int(wait_s * 1000)}
+            resp = await self._call('GET', stream, wait_s, params=query)
         except httpx.HTTPError as exc:
             raise LogUnavailable(repr(exc), step=step, peer=self._url) from exc
-        if resp.status_code == _STATUS_GONE:
-            return LogPage((), 0, 0, _era_of(resp))
-        if resp.status_code != _STATUS_OK:
+        if resp.status_code not in {_STATUS_OK, _STATUS_GONE}:
             raise self._to_error(resp, step)
-        return _page_from_json(resp.json(), _era_of(resp))
+        return self._decode(resp, _parse_page, step)
 
     async def _call(
-        self, req: httpx.Request, wait_s: float = 0
+        self, method: str, stream: str, wait_s: float = 0, **options: Any
     ) -> httpx.Response:
         """Return the response to a request, read whole within the limits.
 
         Raises:
             httpx.HTTPError: There is none.
         """
+        url, timeout_s = f'/streams/{stream}', HTTP_TIMEOUT_S + wait_s
+        req = self._client.build_request(
+            method, url, timeout=timeout_s, **options
+        )
         try:
             async with asyncio.timeout(TRANSFER_TIMEOUT_S + wait_s):
                 resp = await self._client.send(req, stream=True)
@@ -224,6 +221,23 @@
         except TimeoutError as exc:
             raise httpx.ReadTimeout('the response is too slow') from exc
 
+    def _decode(
+        self,
+        resp: httpx.Response,
+        parse: Callable[[httpx.Response], _Parsed],
+        step: str,
+    ) -> _Parsed:
+        """Return what a response says.
+
+        Raises:
+            LogAnswerLost: It says nothing.
+        """
+        try:
+            return parse(resp)
+        except _PARSE_ERRORS as exc:
+            reason = f'malformed response: {exc!r}'
+            raise LogAnswerLost(reason, step=step, peer=self._url) from exc
+
     def _to_error(self, resp: httpx.Response, step: str) -> LogUnavailable:
         reason = f'status {resp.status_code}'
         if resp.status_code == _STATUS_SERVER_ERROR:
@@ -391,6 +405,8 @@
 
 
 async def _read_whole(resp: httpx.Response) -> httpx.Response:
+    if resp.status_code not in STATUSES:
+        raise httpx.RemoteProtocolError(f'invalid status {resp.status_code}')
     # A small encoded body can be a very large one.
     if resp.headers.get('content-encoding', _NO_ENCODING) != _NO_ENCODING:
         raise httpx.DecodingError('the response is encoded')
@@ -410,14 +426,24 @@
     return int(resp.headers.get(ERA_HEADER, NO_ERA))
 
 
-def _page_from_json(body: dict[str, object], era: int) -> LogPage:
+def _parse_offset(resp: httpx.Response) -> tuple[int, int]:
+    """Decode the offset of a record and the era; may raise _PARSE_ERRORS."""
+    return int(resp.json()['offset']), _era_of(resp)
+
+
+def _parse_page(resp: httpx.Response) -> LogPage:
+    """Decode a page of records; may raise any of _PARSE_ERRORS."""
+    era = _era_of(resp)
+    if resp.status_code == _STATUS_GONE:
+        return LogPage((), 0, 0, era)
+    body = resp.json()
     records = body['records']
     return LogPage(
         records=tuple(
             LogRecord(item['offset'], base64.b64decode(item['payload']))
-            for item in records  # type: ignore[attr-defined]
+            for item in records
         ),
-        first_offset=int(body['first_offset']),  # type: ignore[call-overload]
-        next_offset=int(body['next_offset']),  # type: ignore[call-overload]
+        first_offset=int(body['first_offset']),
+        next_offset=int(body['next_offset']),
         era=era,
     )
--- a/tests/test_broken_responses.py
+++ b/tests/test_broken_responses.py
@@ -3,12 +3,12 @@
 import asyncio
 import gzip
 import time
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from contextlib import AbstractAsyncContextManager
 from dataclasses import dataclass
 
 from testtools import TestCase
-from testtools.matchers import Contains, Equals, LessThan
+from testtools.matchers import Contains, Equals, IsInstance, LessThan
 from testtools.testcase import ExpectedException
 
 from filbertdrift import log as log_module
@@ -347,3 +347,51 @@
         finally:
             await log.close()
             broken.close()
+
+
+async def find_error(call_to_log: Awaitable[object]) -> Exception | None:
+    """Return the error with which a call to the log ends."""
+    try:
+        await call_to_log
+    except LogUnavailable as exc:
+        return exc
+    return None
+
+
+class HttpLogContentTest(TestCase):
+    """A response of the log that is none tells nothing of the call."""
+
+    # Statuses from 600 on were taken for a refusal.
+    def test_status(self) -> None:
+        for status in (*NO_STATUSES, *NO_DIGITS):
+            head = with_status(status)
+            script = (head + b'content-length: 2\r\n\r\n{}', HALF_CLOSE)
+            asyncio.run(self._check(script))
+
+    # A page that broke off, or was another document, ended the task.
+    def test_no_page(self) -> None:
+        for body in (PAGE[:-1], b'', b'[]', b'{}', b'7', b'\xff', b'{"a": 1}'):
+            for status in (b'200', b'201'):
+                script = (with_status(status) + b'\r\n' + body, HALF_CLOSE)
+                asyncio.run(self._check(script, is_lost=status == b'201'))
+
+    def test_era(self) -> None:
+        for era in (b'x', b'1.5', b''):
+            fields = HEAD.replace(b'200', b'201') + b'store-era: ' + era
+            script = (fields + b'\r\n\r\n{"offset": 1}', HALF_CLOSE)
+            asyncio.run(self._check(script))
+
+    async def _check(
+        self, script: tuple[Step, ...], *, is_lost: bool = True
+    ) -> None:
+        broken = BrokenTarget(script)
+        log = HttpLog(f'http://{broken.start()}')
+        try:
+            appended = await find_error(log.append('config', b'record'))
+            read = await find_error(log.read('config', 0))
+        finally:
+            await log.close()
+            broken.close()
+        wanted = LogAnswerLost if is_lost else LogUnavailable
+        self.assertThat(type(appended), Equals(wanted), repr(script))
+        self.assertThat(read, IsInstance(LogUnavailable), repr(script))
