--- a/tests/broken_mesh.py
+++ b/tests/broken_mesh.py
@@ -3,7 +3,7 @@
 import asyncio
 import contextlib
 from collections.abc import AsyncIterator, Callable, Coroutine
-from contextlib import asynccontextmanager
+from contextlib import AbstractAsyncContextManager, asynccontextmanager
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -16,6 +16,7 @@
 from tests.sockets import running_node
 from tests.test_cut_responses import other_node
 
+Place = Callable[[BrokenTarget], AbstractAsyncContextManager[int]]
 Run = Callable[[Coroutine[Any, Any, None]], None]
 RUNNERS: tuple[Run, ...] = (asyncio.run, uvloop.run)
 UPLOAD = bytes(8_000_000)
--- a/tests/test_broken_responses.py
+++ b/tests/test_broken_responses.py
@@ -3,8 +3,7 @@
 import asyncio
 import gzip
 import time
-from collections.abc import Awaitable, Callable
-from contextlib import AbstractAsyncContextManager
+from collections.abc import Awaitable
 from dataclasses import dataclass
 
 from testtools import TestCase
@@ -31,6 +30,7 @@
     RUNNERS,
     UPLOAD,
     Answer,
+    Place,
     call,
     let_arrive,
     library_port,
@@ -40,7 +40,6 @@
 
 HOLD, RESET = Action.HOLD, Action.RESET
 CLOSE, HALF_CLOSE = Action.CLOSE, Action.HALF_CLOSE
-Place = Callable[[BrokenTarget], AbstractAsyncContextManager[int]]
 # Above what a node reads of a response before it forwards any of it.
 LONG = bytes(2_000_000)
 # Before any deadline or time limit.
