A response in another transfer coding than chunks is none

A caller got the body of a response with "transfer-encoding: gzip, chunked" as it lay in its chunks, with the seal and without the field that names the coding: a body that is not the target's.

Cause: the parser takes chunks apart wherever that coding is the last. The field concerns one connection only and is not passed on, so what was still coded had lost its name.

Change: the head is judged in one function, its status and its coding. No request asks for a coding ("te" is not passed on), so any but chunks alone makes a response malformed: 502 at once.

Tests, before the change: test_unknown_coding got 200 for "gzip, chunked". Codings whose last is not chunked ended in 502 before as well, at the end of the connection. Other spellings of chunked held.

--- a/filbertdrift/http1.py
+++ b/filbertdrift/http1.py
@@ -383,18 +383,16 @@
 
         Raises:
             MessageTruncated: The connection ended before the head.
-            MalformedMessage: The bytes are not HTTP, or the status is none.
+            MalformedMessage: The bytes are not HTTP, or the status or the
+                coding of the body is invalid.
         """
         while True:
             part = await self._next_part()
             if not isinstance(part, ResponseHead):
                 continue
-            if part.status not in STATUSES:
-                raise MalformedMessage(
-                    f'status {part.status:03} is invalid',
-                    step='read head',
-                    peer=self.peer,
-                )
+            fault = _find_fault(part)
+            if fault:
+                raise MalformedMessage(fault, step='read head', peer=self.peer)
             if part.status >= _FIRST_FINAL_STATUS:
                 return part
 
@@ -406,6 +404,23 @@
         return super()._handle_eof()
 
 
+def _find_fault(head: ResponseHead) -> str:
+    """Return why a head is not that of a response, empty if it is one.
+
+    No request asks for a transfer coding. The parser only takes chunks apart.
+    """
+    if head.status not in STATUSES:
+        return f'status {head.status:03} is invalid'
+    codings = [
+        content.strip().lower()
+        for name, content in head.headers
+        if name == b'transfer-encoding'
+    ]
+    if codings and codings != [b'chunked']:
+        return 'the transfer coding is not chunked'
+    return ''
+
+
 def end_to_end_headers(headers: Iterable[tuple[bytes, bytes]]) -> Headers:
     """Return the headers without the hop-by-hop ones."""
     connection_tokens: set[bytes] = set()
--- a/tests/test_broken_responses.py
+++ b/tests/test_broken_responses.py
@@ -182,6 +182,51 @@
                 self.assertThat(answer, Equals(Answer(200, b'ok')))
 
 
+CODINGS = (
+    b'gzip, chunked',
+    b'gzip\r\ntransfer-encoding: chunked',
+    b'chunked, chunked',
+    b'chunked, gzip',
+    b'gzip',
+    b'identity',
+    b'',
+)
+
+
+class TransferCodingTest(TestCase):
+    """A body in a coding that nobody asked for is not passed on."""
+
+    # The chunks were taken apart, and the caller got what was still coded.
+    def test_unknown_coding(self) -> None:
+        for place, path in (
+            (node_beside, '/write/x'),
+            (node_elsewhere, '/write/x'),
+            (library_port, '/desk/x'),
+        ):
+            for runner in RUNNERS:
+                runner(self._check(place, path, CODINGS, 502))
+
+    # Held before.
+    def test_chunks(self) -> None:
+        codings = (b'chunked', b'Chunked', b'  chunked')
+        for runner in RUNNERS:
+            runner(self._check(node_beside, '/write/x', codings, 200))
+
+    async def _check(
+        self, place: Place, path: str, codings: tuple[bytes, ...], status: int
+    ) -> None:
+        target = BrokenTarget()
+        whole = path.replace('/x', '/whole')
+        async with place(target) as port:
+            for coding in codings:
+                await call(port, whole, b'')
+                head = HEAD + b'transfer-encoding: ' + coding
+                body = b'\r\n\r\n2\r\nok\r\n0\r\n\r\n'
+                target.play(head + body, HALF_CLOSE)
+                answer = await call(port, path, b'')
+                self.assertThat(answer and answer.status, Equals(status), head)
+
+
 class HealthCheckTest(TestCase):
     """A health check that gets no response has failed."""
 
