Tests: routes that end no request of a broken target before its deadline

Cause: the routes of the tests had a timeout of 1 s. A body without end could have stopped there in place of at a caller that reads nothing, and a busy machine could have answered an upload with 504.

Change: 10 s for the routes, as for the deadline; the buffers have to be full within 4 s.

--- a/tests/broken_mesh.py
+++ b/tests/broken_mesh.py
@@ -13,6 +13,7 @@
 from filbertdrift.incarnation import Heartbeat
 from filbertdrift.registration import Announcement
 from standins.broken_target import BrokenTarget
+from standins.mesh_fleet import config_document
 from tests.socket_mesh import HOST, socket_mesh
 from tests.sockets import running_node
 from tests.test_cut_responses import other_node
@@ -22,7 +23,9 @@
 RUNNERS: tuple[Run, ...] = (asyncio.run, uvloop.run)
 UPLOAD = bytes(8_000_000)
 PART_BYTES = 100_000
-DEADLINE_S = 5
+DEADLINE_S = 10.0
+# No route ends a request before its deadline.
+UNHURRIED = config_document(write={'timeout_s': DEADLINE_S})
 # By then an upload fills the buffers up to the target.
 FILLED_S = 0.05
 SETTLE_S = 0.1
@@ -72,7 +75,7 @@
     reader, writer = await asyncio.open_connection(HOST, port)
     head = (
         f'POST {path} HTTP/1.1\r\nhost: desk.example\r\nattempt-id: r1\r\n'
-        f'deadline-ms: {DEADLINE_S * 1000}\r\n'
+        f'deadline-ms: {int(DEADLINE_S * 1000)}\r\n'
         f'content-length: {len(upload)}\r\n\r\n'
     )
     sending = asyncio.create_task(_send(writer, head.encode(), upload))
@@ -97,7 +100,7 @@
     """Run a node beside a target; yield its port for callers."""
     address = target.start()
     try:
-        async with socket_mesh() as mesh:
+        async with socket_mesh(document=UNHURRIED) as mesh:
             mesh.node.lifecycle.record_heartbeat(
                 Heartbeat('i-2', 2, 1, 'desk', address, 4, False, 0),
             )
@@ -112,7 +115,10 @@
     """Run a node beside a target and another; yield the port of the latter."""
     address = target.start()
     try:
-        async with socket_mesh() as mesh, other_node(mesh) as port:
+        async with (
+            socket_mesh(document=UNHURRIED) as mesh,
+            other_node(mesh) as port,
+        ):
             mesh.node.lifecycle.record_heartbeat(
                 Heartbeat('i-2', 2, 1, 'desk', address, 4, False, 0),
             )
--- a/tests/test_broken_responses.py
+++ b/tests/test_broken_responses.py
@@ -9,7 +9,6 @@
 
 from standins.broken_target import HEAD, WHOLE, BrokenTarget, Endless, Step
 from tests.broken_mesh import (
-    DEADLINE_S,
     RUNNERS,
     UPLOAD,
     Answer,
@@ -37,6 +36,8 @@
 LONG = bytes(2_000_000)
 # Before any deadline or time limit.
 PROMPT_S = 2.5
+# By then the buffers are full. Later, the deadlines end the response anyhow.
+FILLED_S = 4.0
 # A target that can send nothing for so long is not read.
 QUIET_S = 0.2
 
@@ -238,8 +239,7 @@
     ) -> None:
         async with unread_call(port, path, upload):
             sent_bytes = -1
-            # At the deadline, the response ends anyhow.
-            async with asyncio.timeout(DEADLINE_S / 2):
+            async with asyncio.timeout(FILLED_S):
                 while target.sent_bytes > sent_bytes:
                     sent_bytes = target.sent_bytes
                     await asyncio.sleep(QUIET_S)
