--- a/tests/test_broken_calls.py
+++ b/tests/test_broken_calls.py
@@ -65,6 +65,7 @@
         super().setUp()
         self.patch(target_module, 'PROBE_TIMEOUT_S', LATE_S)
 
+    # Statuses up to 099 were skipped, which took the whole time limit.
     def test_status(self) -> None:
         for runner in RUNNERS:
             for status in (*NO_STATUSES, *NO_DIGITS):
@@ -175,6 +176,7 @@
             for script in ENDLESS_PAGES:
                 runner(self._check(script))
 
+    # A page had no limit of size.
     def test_large_page(self) -> None:
         self.patch(log_module, 'MAX_RESPONSE_BYTES', len(PAGE))
         asyncio.run(self._read((OPEN + PAGE, CLOSE)))
@@ -236,6 +238,7 @@
                 script = (with_status(status) + b'\r\n' + body, HALF_CLOSE)
                 asyncio.run(self._check(script, is_lost=status == b'201'))
 
+    # An era that is no number ended the task.
     def test_era(self) -> None:
         for era in (b'x', b'1.5', b''):
             fields = HEAD.replace(b'200', b'201') + b'store-era: ' + era
--- a/tests/test_broken_responses.py
+++ b/tests/test_broken_responses.py
@@ -79,9 +79,11 @@
     def test_target_beside_the_node(self) -> None:
         self._check_all(node_beside)
 
+    # MIXED: as above, from the node of another target.
     def test_target_elsewhere(self) -> None:
         self._check_all(node_elsewhere)
 
+    # Held before.
     def test_library_port(self) -> None:
         self._check_all(library_port, '/desk/x')
 
@@ -118,9 +120,11 @@
     def test_target_beside_the_node(self) -> None:
         self._check_all(node_beside)
 
+    # As above, from the node of another target.
     def test_target_elsewhere(self) -> None:
         self._check_all(node_elsewhere)
 
+    # As above, for callers of the library's port.
     def test_library_port(self) -> None:
         self._check_all(library_port, '/desk/x')
 
--- a/tests/test_odd_heads.py
+++ b/tests/test_odd_heads.py
@@ -91,6 +91,7 @@
             for line in odd_lines(bytes((odd,))):
                 self._check(line)
 
+    # Held before.
     def test_other_lines(self) -> None:
         for line in (*OTHER_LINES, *FOLDED_LINES):
             self._check(line)
@@ -108,9 +109,11 @@
     def test_target_beside_the_node(self) -> None:
         self._check_all(node_beside)
 
+    # Held before.
     def test_target_elsewhere(self) -> None:
         self._check_all(node_elsewhere)
 
+    # Held before.
     def test_library_port(self) -> None:
         self._check_all(library_port, '/desk/x')
 
