Limits of time and size for responses that the command line reads

A command whose node sent a body without end kept all of it and did not end; one whose node sent a byte now and then did not end either. What could not be decoded ended it with a traceback. Found by looking for bytes without end wherever responses are read.

Cause: the calls to a node read a whole response without a limit of size, their limit of time began anew with each read, httpx decoded any content encoding, and documents were taken apart outside of the handling of errors.

Change: wholeresponse reads responses with httpx within limits, and judges their status and coding, for the log's client, which had this code, and for the command line: 60 s and 64 MiB.

Held: statuses that are none, heads without end.

--- a/filbertdrift/log.py
+++ b/filbertdrift/log.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import base64
-import contextlib
 import copy
 from abc import ABC, abstractmethod
 from collections.abc import Callable, Mapping, Sequence
@@ -12,8 +11,8 @@
 import httpx
 
 from filbertdrift.errors import LogAnswerLost, LogUnavailable
-from filbertdrift.http1 import STATUSES
 from filbertdrift.keyedlog import NO_ERA
+from filbertdrift.wholeresponse import NO_ENCODING, PARSE_ERRORS, fetch
 
 CONFIG_STREAM = 'config'
 CHECKPOINT_STREAM = 'checkpoints'
@@ -29,10 +28,7 @@
 MAX_RESPONSE_BYTES = 67_108_864
 ERA_HEADER = 'store-era'
 
-# What decoding bytes that are not a response raises.
-_PARSE_ERRORS = (ValueError, LookupError, TypeError, RecursionError)
 _Parsed = TypeVar('_Parsed')
-_NO_ENCODING = 'identity'
 _STATUS_CREATED = 201
 _STATUS_OK = 200
 _STATUS_GONE = 410
@@ -169,7 +165,7 @@
             base_url=url,
             timeout=httpx.Timeout(HTTP_TIMEOUT_S),
             trust_env=False,
-            headers={'accept-encoding': _NO_ENCODING},
+            headers=NO_ENCODING,
         )
 
     async def close(self) -> None:
@@ -213,13 +209,12 @@
         req = self._client.build_request(
             method, url, timeout=timeout_s, **options
         )
-        try:
-            async with asyncio.timeout(TRANSFER_TIMEOUT_S + wait_s):
-                resp = await self._client.send(req, stream=True)
-                async with contextlib.aclosing(resp):
-                    return await _read_whole(resp)
-        except TimeoutError as exc:
-            raise httpx.ReadTimeout('the response is too slow') from exc
+        return await fetch(
+            self._client,
+            req,
+            TRANSFER_TIMEOUT_S + wait_s,
+            MAX_RESPONSE_BYTES,
+        )
 
     def _decode(
         self,
@@ -234,7 +229,7 @@
         """
         try:
             return parse(resp)
-        except _PARSE_ERRORS as exc:
+        except PARSE_ERRORS as exc:
             reason = f'malformed response: {exc!r}'
             raise LogAnswerLost(reason, step=step, peer=self._url) from exc
 
@@ -404,35 +399,17 @@
     return HttpLog(url)
 
 
-async def _read_whole(resp: httpx.Response) -> httpx.Response:
-    if resp.status_code not in STATUSES:
-        raise httpx.RemoteProtocolError(f'invalid status {resp.status_code}')
-    # A small encoded body can be a very large one.
-    if resp.headers.get('content-encoding', _NO_ENCODING) != _NO_ENCODING:
-        raise httpx.DecodingError('the response is encoded')
-    chunks: list[bytes] = []
-    size_bytes = 0
-    async for chunk in resp.aiter_raw():
-        chunks.append(chunk)
-        size_bytes += len(chunk)
-        if size_bytes > MAX_RESPONSE_BYTES:
-            raise httpx.ReadError('the response is too large')
-    return httpx.Response(
-        resp.status_code, headers=resp.headers, content=b''.join(chunks)
-    )
-
-
 def _era_of(resp: httpx.Response) -> int:
     return int(resp.headers.get(ERA_HEADER, NO_ERA))
 
 
 def _parse_offset(resp: httpx.Response) -> tuple[int, int]:
-    """Decode the offset of a record and the era; may raise _PARSE_ERRORS."""
+    """Decode the offset of a record and the era; may raise PARSE_ERRORS."""
     return int(resp.json()['offset']), _era_of(resp)
 
 
 def _parse_page(resp: httpx.Response) -> LogPage:
-    """Decode a page of records; may raise any of _PARSE_ERRORS."""
+    """Decode a page of records; may raise any of PARSE_ERRORS."""
     era = _era_of(resp)
     if resp.status_code == _STATUS_GONE:
         return LogPage((), 0, 0, era)
--- a/filbertdrift/porcelain.py
+++ b/filbertdrift/porcelain.py
@@ -1,13 +1,15 @@
 """The operations behind the command line, as plain functions."""
 
+import asyncio
 import time
 import uuid
-from collections.abc import Iterator, Mapping, Sequence
+from collections.abc import Callable, Iterator, Mapping, Sequence
 from dataclasses import dataclass
 from pathlib import Path
-from typing import Any
+from typing import Any, TypeVar
 
 import httpx
+from pydantic import TypeAdapter
 
 from filbertdrift import configfile
 from filbertdrift.daemon import run_node
@@ -33,14 +35,19 @@
     read_events,
     request_timeline,
 )
+from filbertdrift.wholeresponse import NO_ENCODING, PARSE_ERRORS, fetch
 
 HTTP_TIMEOUT_S = 30.0
+# Limits of a whole response of a node: its time and its size.
+TRANSFER_TIMEOUT_S = 60.0
+MAX_RESPONSE_BYTES = 67_108_864
 WATCH_INTERVAL_S = 0.5
 WAIT_INTERVAL_S = 0.2
 DEFAULT_ADMIN = '127.0.0.1:7003'
 FILE_SUFFIX = '.ini'
 
 _UNAVAILABLE = 503
+_Parsed = TypeVar('_Parsed')
 
 
 @dataclass(frozen=True, slots=True)
@@ -195,9 +202,10 @@
         ],
         'raise_rules': raise_rules,
     }
-    published = _call_admin(admin, 'POST', '/publish', json=body)
-    verdict = VerdictReport.model_validate(published['verdict'])
-    if not published['accepted']:
+    is_accepted, verdict = _call_admin(
+        admin, 'POST', '/publish', _parse_publication, json=body
+    )
+    if not is_accepted:
         raise ChangeRefused(
             f'{verdict.verdict} at offset {verdict.offset}: {verdict.reason}',
             step='publish',
@@ -285,12 +293,12 @@
 
 def files(admin: str = DEFAULT_ADMIN) -> dict[str, str]:
     """Return the contents of the files in force on a node, by name."""
-    return dict(_call_admin(admin, 'GET', '/files')['files'])
+    return _call_admin(admin, 'GET', '/files', _parse_files)
 
 
 def status(admin: str = DEFAULT_ADMIN) -> StatusReport:
     """Return the state of a node."""
-    return StatusReport.model_validate(_call_admin(admin, 'GET', '/status'))
+    return _call_admin(admin, 'GET', '/status', StatusReport.model_validate)
 
 
 def fleet(admin: str = DEFAULT_ADMIN, offset: int | None = None) -> FleetReport:
@@ -301,34 +309,34 @@
         offset: The offset to compare with; the queried node's own if None.
     """
     wanted = status(admin).offset if offset is None else offset
-    found = _call_admin(admin, 'GET', f'/fleet?offset={wanted}')
-    return FleetReport.model_validate(found)
+    path = f'/fleet?offset={wanted}'
+    return _call_admin(admin, 'GET', path, FleetReport.model_validate)
 
 
 def verdicts(admin: str = DEFAULT_ADMIN) -> list[VerdictReport]:
     """Return the verdicts on the last changes, newest first."""
-    found = _call_admin(admin, 'GET', '/verdicts')
-    return [VerdictReport.model_validate(item) for item in found]
+    parse = TypeAdapter(list[VerdictReport]).validate_python
+    return _call_admin(admin, 'GET', '/verdicts', parse)
 
 
 def targets(
     admin: str = DEFAULT_ADMIN, service: str = ''
 ) -> list[TargetReport]:
     """Return whether and why a node sends requests to each target."""
-    found = _call_admin(admin, 'GET', f'/targets?service={service}')
-    return [TargetReport.model_validate(item) for item in found]
+    parse = TypeAdapter(list[TargetReport]).validate_python
+    return _call_admin(admin, 'GET', f'/targets?service={service}', parse)
 
 
 def crashes(admin: str = DEFAULT_ADMIN) -> list[CrashReport]:
     """Return fingerprints of requests that ran while targets crashed."""
-    found = _call_admin(admin, 'GET', '/crashes')
-    return [CrashReport.model_validate(item) for item in found]
+    parse = TypeAdapter(list[CrashReport]).validate_python
+    return _call_admin(admin, 'GET', '/crashes', parse)
 
 
 def request(request_id: str, admin: str = DEFAULT_ADMIN) -> RequestReport:
     """Return the outcome of a request, from its ingress node."""
-    found = _call_admin(admin, 'GET', f'/requests/{request_id}')
-    return RequestReport.model_validate(found)
+    path = f'/requests/{request_id}'
+    return _call_admin(admin, 'GET', path, RequestReport.model_validate)
 
 
 def trace(
@@ -366,23 +374,45 @@
     admin: str,
     method: str,
     path: str,
+    parse: Callable[[Any], _Parsed],
     json: object = None,
-) -> Any:
+) -> _Parsed:
+    """Call a node and return what parse makes of the document it sends.
+
+    Raises:
+        PeerUnavailable: There is no such document.
+    """
     url = f'http://{admin}{path}'
     try:
-        resp = httpx.request(
-            method,
-            url,
-            json=json,
-            timeout=HTTP_TIMEOUT_S,
-            trust_env=False,
-        )
+        resp = asyncio.run(_send(method, url, json))
     except httpx.HTTPError as exc:
         raise PeerUnavailable(repr(exc), step=method, peer=url) from exc
-    if resp.status_code >= httpx.codes.BAD_REQUEST:
+    if not resp.is_success:
         reason = f'status {resp.status_code}: {_error_detail(resp)}'
         raise PeerUnavailable(reason, step=method, peer=url)
-    return resp.json()
+    try:
+        return parse(resp.json())
+    except PARSE_ERRORS as exc:
+        reason = f'malformed response: {exc!r}'
+        raise PeerUnavailable(reason, step=method, peer=url) from exc
+
+
+async def _send(method: str, url: str, json: object) -> httpx.Response:
+    async with httpx.AsyncClient(
+        timeout=HTTP_TIMEOUT_S, trust_env=False, headers=NO_ENCODING
+    ) as client:
+        req = client.build_request(method, url, json=json)
+        return await fetch(client, req, TRANSFER_TIMEOUT_S, MAX_RESPONSE_BYTES)
+
+
+def _parse_files(found: Any) -> dict[str, str]:
+    return TypeAdapter(dict[str, str]).validate_python(found['files'])
+
+
+def _parse_publication(published: Any) -> tuple[bool, VerdictReport]:
+    """Return whether a change was accepted, and the verdict on it."""
+    verdict = VerdictReport.model_validate(published['verdict'])
+    return bool(published['accepted']), verdict
 
 
 def _error_detail(resp: httpx.Response) -> str:
--- a/tests/test_broken_calls.py
+++ b/tests/test_broken_calls.py
@@ -2,13 +2,20 @@
 
 import asyncio
 import gzip
+import threading
 import time
 
 from testtools import TestCase
-from testtools.matchers import Equals, IsInstance, LessThan
+from testtools.matchers import (
+    Equals,
+    IsInstance,
+    LessThan,
+    MatchesListwise,
+)
 from testtools.testcase import ExpectedException
 
 from filbertdrift import log as log_module
+from filbertdrift import porcelain
 from filbertdrift import target as target_module
 from filbertdrift.errors import (
     LogAnswerLost,
@@ -261,6 +268,63 @@
         self.assertThat(read, IsInstance(LogUnavailable), repr(script))
 
 
+class CommandLineTest(TestCase):
+    """A command whose node sends no proper response fails in time."""
+
+    # Held before: statuses from 600 on had failed as well.
+    def test_status(self) -> None:
+        for status in (*NO_STATUSES, *NO_DIGITS):
+            head = with_status(status)
+            self._check((head + b'content-length: 2\r\n\r\n{}', HALF_CLOSE))
+
+    # What could not be decoded ended the command with a traceback.
+    def test_no_document(self) -> None:
+        for body in (b'', b'{', b'[]', b'7', b'\xff', b'{"node": 1}'):
+            self._check((OPEN + body, HALF_CLOSE))
+
+    # All that the node sent was kept, without an end.
+    def test_endless_document(self) -> None:
+        for script in ENDLESS_PAGES:
+            self._check(script)
+
+    # Held before.
+    def test_endless_head(self) -> None:
+        for script in ENDLESS_HEADS:
+            self._check(script)
+
+    # The limit of time began anew with each byte.
+    def test_slow_response(self) -> None:
+        self.patch(porcelain, 'TRANSFER_TIMEOUT_S', 0.5)
+        for script in SLOW_RESPONSES:
+            self._check(script)
+
+    # The body was decoded, whatever its size then.
+    def test_encoded_document(self) -> None:
+        head = HEAD + b'content-encoding: gzip\r\n\r\n'
+        self._check((head + ENCODED_PAGE, CLOSE))
+
+    def _check(self, script: tuple[Step, ...]) -> None:
+        broken = BrokenTarget(script)
+        admin = broken.start()
+        ends: list[object] = []
+        calling = threading.Thread(
+            target=lambda: ends.append(_find_end(admin)), daemon=True
+        )
+        calling.start()
+        calling.join(MAX_CALL_S)
+        broken.close()
+        failed = MatchesListwise([IsInstance(PeerUnavailable)])
+        self.assertThat(ends, failed, repr(script))
+
+
+def _find_end(admin: str) -> object:
+    """Return what a command fails with, its result if it does not."""
+    try:
+        return porcelain.status(admin)
+    except Exception as exc:
+        return exc
+
+
 class PeerTest(TestCase):
     """A connection between nodes that ends or carries no frames has failed."""
 
