Nodes tell a restarted one of a departure later than what it announces

The two other nodes knew the later departure, but took the announcement for all that the node had to know: the older one replaced the later one, and nobody told it.

Change: what a node announces after a restart is compared with what is known. It is told of the known departure unless it announces the same or a later one, and the known one stays with requests to it until then.

--- a/filbertdrift/knowntargets.py
+++ b/filbertdrift/knowntargets.py
@@ -43,20 +43,18 @@
             left; None for nothing.
         """
         node = member.node
-        if member.departed_instance:
-            left = ttypes.TargetNotice(
-                member.departed_instance,
-                member.departed_born_ms,
-                self.find_limit(node),
-                is_leaving=True,
-            )
-            self._notices[node] = left
-            self._departures[node] = (member.generation, left)
-            return None
-        departure = self._departures.pop(node, None)
-        if departure is None or member.generation <= departure[0]:
-            return None
-        return departure[1]
+        generation, known = self._departures.pop(node, (0, None))
+        announced = self._read_departure(member)
+        is_unknown_there = (
+            known is not None
+            and member.generation > generation
+            and not _covers(announced, known)
+        )
+        if announced is not None:
+            self._departures[node] = (member.generation, announced)
+            if not is_unknown_there:
+                self._notices[node] = announced
+        return known if is_unknown_there else None
 
     def find(self, node: str) -> ttypes.TargetNotice | None:
         """Return the latest notice of a node's target, None for none."""
@@ -73,3 +71,28 @@
             self._notices.pop(node)
         for node in set(self._departures).difference(nodes):
             self._departures.pop(node)
+
+    def _read_departure(self, member: Member) -> ttypes.TargetNotice | None:
+        if not member.departed_instance:
+            return None
+        return ttypes.TargetNotice(
+            member.departed_instance,
+            member.departed_born_ms,
+            self.find_limit(member.node),
+            is_leaving=True,
+        )
+
+
+def _covers(
+    announced: ttypes.TargetNotice | None, known: ttypes.TargetNotice
+) -> bool:
+    """Return whether a node that announces a departure knows of another.
+
+    After a restart it may announce an older one, if the log came back from an
+    older copy.
+    """
+    if announced is None:
+        return False
+    if announced.instance == known.instance:
+        return announced.born_ms >= known.born_ms
+    return announced.born_ms > known.born_ms
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -278,6 +278,31 @@
         script = fleet.instances[NODE].script
         self.assertThat(len(script.run_times), Equals(0))
 
+    # DRAIN: the departure that the log still had replaced the later one at the
+    # other nodes, so nobody told the restarted node of it.
+    def test_log_comes_back_with_an_older_departure(self) -> None:
+        for born_ms in (None, 17):
+            run_virtual(self._older_departure(born_ms))
+
+    async def _older_departure(self, born_ms: int | None) -> None:
+        fleet = await silent_fleet(count=3)
+        beside = fleet.instances[NODE]
+        older = TargetBeside(beside, born_ms, 'older')
+        await older.beat()
+        await older.leave()
+        copy = fleet.log.snapshot()
+        target = TargetBeside(beside, born_ms and born_ms + 1, 'later')
+        await target.beat()
+        self.assertThat(await target.leave(), Equals(ACKNOWLEDGED))
+        await asyncio.sleep(0.5)
+        killed = await fleet.kill(NODE)
+        await fleet.drill(copy, away_s=0.7)
+        restarted = silence(await fleet.restart(killed))
+        await asyncio.sleep(1)
+        target = TargetBeside(restarted, born_ms and born_ms + 1, 'later')
+        await target.beat(sequence=2)
+        self.assertThat(target.is_offered, Is(False))
+
     def test_requests_of_its_own_callers(self) -> None:
         run_virtual(self._own_callers())
 
