Tests: a target in tests reads bodies in chunks of any size

The target in the test read a body in chunks with readuntil, which raises LimitOverrunError once more than 64 KiB have arrived, as they do with the head here.

Change: the target reads chunks without such a limit. What the test checks is the same.

--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -9,6 +9,7 @@
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
 
+from filbertdrift.http1 import LAST_CHUNK, READ_BYTES
 from filbertdrift.identity import Identity
 from filbertdrift.log import MemoryLog
 from filbertdrift.network import TcpNetwork
@@ -137,5 +138,16 @@
         if line.startswith(b'content-length:'):
             head += await reader.readexactly(int(line.split(b':')[1]))
         if line == b'transfer-encoding: chunked':
-            head += await reader.readuntil(b'0\r\n\r\n')
+            head += await _read_chunks(reader)
     return head
+
+
+async def _read_chunks(reader: asyncio.StreamReader) -> bytes:
+    """Return a body in chunks, which may exceed the limit of readuntil."""
+    body = b''
+    while LAST_CHUNK not in body:
+        raw = await reader.read(READ_BYTES)
+        if not raw:
+            raise asyncio.IncompleteReadError(body, None)
+        body += raw
+    return body
