Tests: invalid and contradicting lengths of a response

Not reproduced: the parser rejects lengths that are none or repeated, a length beside chunks, and sizes of chunks that are none. 12 and 6 kinds, in the reader, where all lengths are judged.

--- a/tests/test_odd_heads.py
+++ b/tests/test_odd_heads.py
@@ -1,4 +1,4 @@
-"""Responses in whose head a field has no valid name reach nobody."""
+"""Responses in whose head a name or a length is invalid reach nobody."""
 
 import asyncio
 import time
@@ -64,6 +64,29 @@
     b'x-note: a\r\n b\r\n',
     b'x-note: a\r\n\tcontent-length: 4\r\n',
 )
+CHUNKED = b'transfer-encoding: chunked\r\n'
+# Lengths that are none, and lengths that contradict each other.
+ODD_LENGTHS = (
+    LENGTH * 2,
+    b'%bcontent-length: 4\r\n' % LENGTH,
+    LENGTH + CHUNKED,
+    CHUNKED + LENGTH,
+    *(
+        b'content-length: %b\r\n' % content
+        for content in (
+            b'',
+            b'+2',
+            b'-2',
+            b'2, 2',
+            b'0x2',
+            b'2 0',
+            b'two',
+            # 2 in 64 bits.
+            b'18446744073709551618',
+        )
+    ),
+)
+ODD_CHUNK_SIZES = (b'', b'-2', b'0x2', b'2 ', b'10000000000000002', b'2\n')
 # One of each kind, for calls over sockets.
 SOME_LINES = (
     b'x note: 2\r\n',
@@ -83,7 +106,7 @@
 
 
 class ReaderTest(TestCase):
-    """The reader rejects each byte that no name may have."""
+    """The reader rejects each byte that no name may have, and odd lengths."""
 
     # Held before.
     def test_every_byte(self) -> None:
@@ -96,10 +119,20 @@
         for line in (*OTHER_LINES, *FOLDED_LINES):
             self._check(line)
 
+    # Held before.
+    def test_lengths(self) -> None:
+        for fields in ODD_LENGTHS:
+            self._check_raw(b'%b%b\r\nnono' % (HEAD, fields))
+        for size in ODD_CHUNK_SIZES:
+            chunk = b'%b\r\nno\r\n0\r\n\r\n' % size
+            self._check_raw(b'%b%b\r\n%b' % (HEAD, CHUNKED, chunk))
+
     def _check(self, line: bytes) -> None:
         for is_first in (False, True):
-            raw = with_line(line, is_first=is_first)
-            self.assertThat(asyncio.run(_read(raw)), Equals('malformed'), raw)
+            self._check_raw(with_line(line, is_first=is_first))
+
+    def _check_raw(self, raw: bytes) -> None:
+        self.assertThat(asyncio.run(_read(raw)), Equals('malformed'), raw)
 
 
 class OddHeadTest(TestCase):
@@ -182,8 +215,11 @@
     stream = asyncio.StreamReader()
     stream.feed_data(raw)
     stream.feed_eof()
+    responses = http1.ResponseReader(stream, 'target')
     try:
-        await http1.ResponseReader(stream, 'target').head()
+        await responses.head()
+        while not (await responses.part()).end:
+            """Read the body."""
     except MalformedMessage:
         return 'malformed'
     return 'read'
