--- a/filbertdrift/knowntargets.py
+++ b/filbertdrift/knowntargets.py
@@ -86,10 +86,10 @@
 def _covers(
     announced: ttypes.TargetNotice | None, known: ttypes.TargetNotice
 ) -> bool:
-    """Return whether a node that announces a departure knows of another.
+    """Return whether a node that announces a departure knows of a known one.
 
-    After a restart it may announce an older one, if the log came back from an
-    older copy.
+    A node that has restarted announces an older one if the log came back from
+    an older copy.
     """
     if announced is None:
         return False
--- a/standins/soak_history.py
+++ b/standins/soak_history.py
@@ -22,8 +22,8 @@
 LIMIT_WINDOW_S = 4.0
 LIMIT_FACTOR = 1.5
 LIMIT_EXTRA = 5
-# The process that forgot the departure has started since, beside a fault of the
-# store, which has the record.
+# The node has started again since the departure, and the store, which keeps the
+# record of it, had a fault meanwhile.
 FORGOTTEN_DEPARTURE = 'got work after a departure that its node had not read'
 
 
