--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -303,6 +303,34 @@
         await target.beat(sequence=2)
         self.assertThat(target.is_offered, Is(False))
 
+    # Known red: the older departure is announced in place of the later one.
+    def test_older_departure_is_read_after_a_later_one(self) -> None:
+        run_virtual(self._read_late())
+
+    async def _read_late(self) -> None:
+        fleet = await silent_fleet(count=3)
+        older = TargetBeside(fleet.instances[NODE], 17, 'older')
+        await older.beat()
+        await older.leave()
+        copy = fleet.log.snapshot()
+        killed = await fleet.kill(NODE)
+        fleet.log.is_down = True
+        restarted = silence(await fleet.restart(killed))
+        await restarted.node.membership.join([OTHER_NODE, 'a-2:7000'])
+        target = TargetBeside(restarted, 18, 'later')
+        leaving = asyncio.ensure_future(target.leave())
+        await asyncio.sleep(0.2)
+        fleet.log.is_down = False
+        self.assertThat(await leaving, Equals(ACKNOWLEDGED))
+        await asyncio.sleep(0.5)
+        killed = await fleet.kill(NODE)
+        await fleet.drill(copy, away_s=0.7)
+        restarted = silence(await fleet.restart(killed))
+        await asyncio.sleep(1)
+        target = TargetBeside(restarted, 18, 'later')
+        await target.beat(sequence=2)
+        self.assertThat(target.is_offered, Is(False))
+
     # Known red: the departure is lost with the log and all that heard of it.
     def test_log_and_all_nodes_lose_a_departure(self) -> None:
         run_virtual(self._lose_departure())
