--- a/review/standins_3/case.py
+++ b/review/standins_3/case.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import os
+import shutil
 import socket
 import sys
 import tempfile
@@ -108,9 +109,9 @@
         await asyncio.gather(*(machine.start() for machine in self.machines))
 
     async def end(self) -> None:
-        """Kill all processes that were started."""
-        for machine in self.machines:
-            await machine.kill()
+        """Kill all processes that were started, and remove their files."""
+        await self.kill_all()
+        shutil.rmtree(self.deployment.folder, ignore_errors=True)
 
 
 def run_case(build: Callable[[], Case], play: 'Play') -> int:
