--- a/review/12/play.py
+++ b/review/12/play.py
@@ -40,7 +40,8 @@
 async def _add_beside_outage(case: Case, fleet: Fleet) -> Sequence[Machine]:
     """Add the machines of the new version while the store is down."""
     _set_store(case, is_down=case.has_trouble)
-    added = await fleet.add(fleet.new, MACHINES)
+    added = await fleet.start_machines(MACHINES)
+    await fleet.start_servers(added, fleet.new)
     await asyncio.sleep(DOWN_S)
     _set_store(case, is_down=False)
     return added
--- a/review/standins_3/rollout.py
+++ b/review/standins_3/rollout.py
@@ -101,23 +101,31 @@
         self._servers: dict[str, list[Server]] = {old: [], new: []}
         self._tasks: set[asyncio.Task[None]] = set()
 
-    async def add(self, version: str, count: int) -> Sequence[Machine]:
-        """Start machines with servers of a version."""
+    async def start(self, version: str, count: int) -> None:
+        """Start machines, servers of a version beside them, and clients."""
+        machines = await self.start_machines(count)
+        await self._wait_until_ready(machines)
+        await self.start_servers(machines, version)
+        self._start_clients(machines)
+        await asyncio.sleep(SETTLE_S)
+
+    async def start_machines(self, count: int) -> Sequence[Machine]:
+        """Start the processes of machines without servers."""
         machines = [self._case.add_machine(SERVICE) for _ in range(count)]
-        bad_share = BAD_SHARE if version == self.new else 0
         for machine in machines:
             await machine.start()
+        return machines
+
+    async def start_servers(
+        self, machines: Sequence[Machine], version: str
+    ) -> None:
+        """Start servers of a version beside the nodes of machines."""
+        bad_share = BAD_SHARE if version == self.new else 0
+        for machine in machines:
             server = Server(machine, self._record_run, version, bad_share)
             await server.start()
             self._servers[version].append(server)
-            self._case.record.add(f'{server.instance} of {version} starts')
-        self._case.record.say(f'{count} servers of {version} start')
-        return machines
-
-    async def start(self, version: str, count: int) -> None:
-        """Start machines with servers of a version, and their clients."""
-        await self.serve(await self.add(version, count))
-        await asyncio.sleep(SETTLE_S)
+        self._case.record.say(f'{len(machines)} servers of {version} start')
 
     async def serve(self, machines: Sequence[Machine]) -> None:
         """Let clients use machines once their nodes are ready.
@@ -125,10 +133,8 @@
         Raises:
             NotRun: One is not ready in time.
         """
-        if not await wait_until_ready(machines, START_LIMIT_S):
-            raise NotRun('a node is not ready')
-        for machine in machines:
-            self.clients.start(machine, PER_S)
+        await self._wait_until_ready(machines)
+        self._start_clients(machines)
 
     async def lose_machines(self, count: int) -> None:
         """Lose machines of the old version for good, with their servers."""
@@ -160,6 +166,14 @@
         follow.cancel()
         return ordered_at
 
+    async def _wait_until_ready(self, machines: Sequence[Machine]) -> None:
+        if not await wait_until_ready(machines, START_LIMIT_S):
+            raise NotRun('a node is not ready')
+
+    def _start_clients(self, machines: Sequence[Machine]) -> None:
+        for machine in machines:
+            self.clients.start(machine, PER_S)
+
     async def _follow_status(self) -> None:
         """Do what the platform does at each status."""
         before = ''
