Let the stand-ins of the third review be slow under load

Cause: cases on a kill of all processes and on a slow version need them. Change: a server states what is wrong with a bad version (failures, or slow responses, under load or always), and when a bad response was sent on an open connection; a fleet can be killed and started again, and counts exposed requests from machines in touch alone.

--- a/review/standins_3/rollout.py
+++ b/review/standins_3/rollout.py
@@ -7,8 +7,9 @@
 from review.standins_3.case import Case, NotRun
 from review.standins_3.client import Clients, Sent
 from review.standins_3.node import Machine, wait_until_ready
-from review.standins_3.server import FAILED, OK, Run, Server
+from review.standins_3.server import OK, Fault, Run, Server
 
+STABILITY_WINDOW_S = 3.0
 EXPOSE_SHARE = 0.1
 BAD_VERSION_SLACK = 50
 ROLLBACK_S = 5.0
@@ -16,7 +17,7 @@
 GRACE_S = 6.0
 # As the sheet of the pre-order deployment states them.
 BOUNDS = (
-    'stability_window_s=3',
+    f'stability_window_s={STABILITY_WINDOW_S:g}',
     'ack_s=5',
     'catch_up_s=6',
     f'drain_s={DRAIN_S}',
@@ -64,8 +65,11 @@
         'idle_timeout_s': 15,
     },
 }
+# Share of the responses of a bad version that are bad.
 BAD_SHARE = 0.4
+FAILS = Fault(BAD_SHARE)
 PER_S = 15
+WORK_S = 0.02
 START_LIMIT_S = 20
 SETTLE_S = 5.0
 DURATION_S = 12.0
@@ -75,6 +79,7 @@
 POLL_S = 0.05
 LAST_S = 5.0
 LOSS_NOTICED_S = 8.0
+DOWN_S = 0.75
 
 
 class Fleet:
@@ -83,24 +88,41 @@
     Args:
         case: The run of the case.
         old: The old version.
-        new: The new version, of whose responses BAD_SHARE are failures.
+        new: The new version.
+        fault: What is wrong with the new version, None for nothing.
 
     Attributes:
+        work_s: How long the servers work on a request.
+        per_s: Requests a second that the clients of a machine send.
+        in_touch_at: Since when all machines are in touch, on the monotonic
+            clock. What was sent before does not count as exposed.
         runs: What the servers ran.
         sent: The requests that have ended, by id.
     """
 
-    def __init__(self, case: Case, old: str, new: str) -> None:
+    def __init__(
+        self, case: Case, old: str, new: str, fault: Fault | None = FAILS
+    ) -> None:
         """Start without machines."""
+        self.work_s = WORK_S
+        self.per_s: float = PER_S
+        self.in_touch_at = 0.0
         self.old = old
         self.new = new
         self.runs: list[Run] = []
         self.sent: dict[str, Sent] = {}
         self.clients = Clients(self._record_sent, '/pay/')
         self._case = case
+        self._fault = fault
         self._servers: dict[str, list[Server]] = {old: [], new: []}
         self._tasks: set[asyncio.Task[None]] = set()
 
+    async def start_both(self, count: int, calm_s: float) -> None:
+        """Start as many servers of each version, and wait."""
+        await self.start(self.old, count)
+        await self.start(self.new, count)
+        await asyncio.sleep(calm_s)
+
     async def start(self, version: str, count: int) -> None:
         """Start machines, servers of a version beside them, and clients."""
         machines = await self.start_machines(count)
@@ -120,9 +142,10 @@
         self, machines: Sequence[Machine], version: str
     ) -> None:
         """Start servers of a version beside the nodes of machines."""
-        bad_share = BAD_SHARE if version == self.new else 0
+        fault = self._fault if version == self.new else None
         for machine in machines:
-            server = Server(machine, self._record_run, version, bad_share)
+            server = Server(machine, self._record_run, version, fault)
+            server.work_s = self.work_s
             await server.start()
             self._servers[version].append(server)
         self._case.record.say(f'{len(machines)} servers of {version} start')
@@ -147,9 +170,24 @@
         # The others have noticed by then.
         await asyncio.sleep(LOSS_NOTICED_S)
 
-    async def roll_out(self) -> float:
+    async def kill_all(self) -> None:
+        """Kill all processes of the system at once."""
+        self._case.record.say('all processes of the system are killed')
+        await self._case.kill_all()
+
+    async def start_all(self) -> None:
+        """Start all processes again, DOWN_S later."""
+        await asyncio.sleep(DOWN_S)
+        await self._case.start_all()
+        self._case.record.say('all processes have been started again')
+        self.in_touch_at = time.monotonic() + STABILITY_WINDOW_S
+
+    async def roll_out(self, after_s: float) -> float:
         """Order the new version, and wait until after the deadline.
 
+        Args:
+            after_s: How long to wait after it.
+
         Returns:
             When it was ordered, on the monotonic clock.
         """
@@ -162,17 +200,22 @@
         self._case.record.say(f'order: {order}')
         ordered_at = time.monotonic()
         follow = asyncio.create_task(self._follow_status())
-        await asyncio.sleep(DURATION_S + AFTER_S)
+        await asyncio.sleep(DURATION_S + after_s)
         follow.cancel()
         return ordered_at
 
+    def find_sent_at(self, run: Run) -> float:
+        """Return when the request of a run was sent, as far as is known."""
+        sent = self.sent.get(run.request_id)
+        return sent.at if sent else run.at
+
     async def _wait_until_ready(self, machines: Sequence[Machine]) -> None:
         if not await wait_until_ready(machines, START_LIMIT_S):
             raise NotRun('a node is not ready')
 
     def _start_clients(self, machines: Sequence[Machine]) -> None:
         for machine in machines:
-            self.clients.start(machine, PER_S)
+            self.clients.start(machine, self.per_s)
 
     async def _follow_status(self) -> None:
         """Do what the platform does at each status."""
@@ -199,7 +242,9 @@
     def _record_run(self, run: Run) -> None:
         self.runs.append(run)
         self._case.record.add(
-            f'{run.request_id} runs at {run.version}: {run.status}', run.at
+            f'{run.request_id} runs at {run.version} for {run.work_s:.2f} s:'
+            f' {run.status}',
+            run.at,
         )
 
     def _record_sent(self, sent: Sent) -> None:
@@ -211,23 +256,31 @@
         )
 
 
-async def judge_exposure(case: Case, fleet: Fleet) -> bool:
+async def judge_exposure(
+    case: Case, fleet: Fleet, after_s: float = AFTER_S
+) -> bool:
     """Roll the new version out, and return whether EXPOSURE held.
 
     Args:
         case: The run of the case.
         fleet: The fleet, with the servers of both versions.
+        after_s: How long requests are sent after the deadline.
     """
     _describe_before(case, fleet)
-    ordered_at = await fleet.roll_out()
+    ordered_at = await fleet.roll_out(after_s)
     fleet.clients.stop()
     deadline = ordered_at + DURATION_S
     reached = [run for run in fleet.runs if ordered_at <= run.at <= deadline]
-    exposed = sum(run.version == fleet.new for run in reached)
+    exposed = sum(
+        run.version == fleet.new
+        and fleet.find_sent_at(run) >= fleet.in_touch_at
+        for run in reached
+    )
     allowed = EXPOSE_SHARE * len(reached) + BAD_VERSION_SLACK
     case.record.say(
         f'from the order to its deadline {len(reached)} requests reach the'
-        f' service, {exposed} of them {fleet.new}; allowed: {allowed:.0f}'
+        f' service, {exposed} of them {fleet.new}, from machines in touch;'
+        f' allowed: {allowed:.0f}'
     )
     late = _count_late(fleet)
     case.record.say(
@@ -245,7 +298,7 @@
 
 
 def _count_late(fleet: Fleet) -> int:
-    bad = sorted(run.at for run in fleet.runs if run.status == FAILED)
+    bad = sorted(run.bad_at for run in fleet.runs if run.bad_at is not None)
     if len(bad) < BAD_VERSION_SLACK:
         return 0
     until = bad[BAD_VERSION_SLACK - 1] + ROLLBACK_S
--- a/review/standins_3/server.py
+++ b/review/standins_3/server.py
@@ -22,7 +22,7 @@
 MS_PER_S = 1000
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Run:
     """A request that a server began to work on.
 
@@ -31,12 +31,34 @@
         version: The version of the server.
         at: When it began, on the monotonic clock.
         status: The status of the response.
+        work_s: How long the server works on it.
+        is_bad: The response is a failure, or comes several times slower.
+        bad_at: When such a response was sent, None if it was not.
     """
 
     request_id: str
     version: str
     at: float
     status: int
+    work_s: float
+    is_bad: bool = False
+    bad_at: float | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Fault:
+    """What is wrong with a bad version.
+
+    Args:
+        share: The share of its responses that are bad.
+        times_slower: How many times slower these are, 0 for failures.
+        above_running: It is bad only under load: while a server runs more
+            requests than this.
+    """
+
+    share: float
+    times_slower: float = 0
+    above_running: int = 0
 
 
 class Server:
@@ -46,7 +68,7 @@
         machine: Its machine.
         record: Called with each run.
         version: The version of its program.
-        bad_share: Share of its responses that are failures.
+        fault: What is wrong with it, None for nothing.
 
     Attributes:
         state: The state in its heartbeats.
@@ -58,7 +80,7 @@
         machine: Machine,
         record: Callable[[Run], None],
         version: str = 'v1',
-        bad_share: float = 0,
+        fault: Fault | None = None,
     ) -> None:
         """Create the server; it does not listen yet."""
         self.state = 'ready'
@@ -67,7 +89,7 @@
         self.machine = machine
         self.born = int(time.time() * MS_PER_S)
         self.instance = f'i-{machine.ip.replace(".", "-")}-{self.born:x}'
-        self._bad_share = bad_share
+        self._fault = fault
         self._record = record
         self._rng = random.Random(self.instance)  # noqa: S311
         self._sequence = 0
@@ -125,40 +147,61 @@
                 req = await read_message(reader)
                 if not req.is_whole:
                     break
-                writer.write(await self._answer(req))
+                answer, run = await self._answer(req)
+                writer.write(answer)
                 await writer.drain()
+                if run and run.is_bad and not writer.is_closing():
+                    run.bad_at = time.monotonic()
         self._writers.discard(writer)
         writer.close()
 
-    async def _answer(self, req: Message) -> bytes:
+    async def _answer(self, req: Message) -> tuple[bytes, Run | None]:
         request_id = req.headers.get('attempt-id', '')
         headers = {'Instance-Id': self.instance}
         if req.start.startswith('GET /health '):
             status = OK if self.state == 'ready' else UNAVAILABLE
-            return encode(f'HTTP/1.1 {status} Status', headers)
+            return encode(f'HTTP/1.1 {status} Status', headers), None
         if not request_id:
             headers['Not-Executed'] = '1'
-            return encode('HTTP/1.1 400 Bad Request', headers)
+            return encode('HTTP/1.1 400 Bad Request', headers), None
         headers['Attempt-Id'] = request_id
         if req.headers.get('expect-instance') not in {None, self.instance}:
-            return encode('HTTP/1.1 421 Misdirected Request', headers)
+            return encode('HTTP/1.1 421 Misdirected Request', headers), None
         if self._running >= SLOTS * (1 + QUEUE_PER_SLOT):
             headers['Not-Executed'] = '1'
-            return encode('HTTP/1.1 503 Service Unavailable', headers)
-        status = await self._run(request_id)
+            return encode('HTTP/1.1 503 Service Unavailable', headers), None
+        run = await self._run(request_id)
         headers['Server-Seal'] = 'seal'
-        return encode(f'HTTP/1.1 {status} Status', headers, BODY)
+        return encode(f'HTTP/1.1 {run.status} Status', headers, BODY), run
 
-    async def _run(self, request_id: str) -> int:
-        is_bad = self._rng.random() < self._bad_share
-        status = FAILED if is_bad else OK
-        self._record(Run(request_id, self.version, time.monotonic(), status))
+    async def _run(self, request_id: str) -> Run:
         self._running += 1
+        run = self._plan(request_id)
+        self._record(run)
         try:
-            await asyncio.sleep(self.work_s)
+            await asyncio.sleep(run.work_s)
         finally:
             self._running -= 1
-        return status
+        return run
+
+    def _plan(self, request_id: str) -> Run:
+        """Decide how a request that begins now ends."""
+        now = time.monotonic()
+        fault = self._fault
+        if fault is None or not self._is_bad(fault):
+            return Run(request_id, self.version, now, OK, self.work_s)
+        return Run(
+            request_id,
+            self.version,
+            now,
+            OK if fault.times_slower else FAILED,
+            self.work_s * (fault.times_slower or 1),
+            is_bad=True,
+        )
+
+    def _is_bad(self, fault: Fault) -> bool:
+        is_odd = self._rng.random() < fault.share
+        return is_odd and self._running > fault.above_running
 
 
 def build_heartbeat(server: Server, sequence: int) -> dict[str, object]:
