Arrange how the kills of two cases lie between heartbeats

Change: the order is written while all processes are down, and the kills lie so that processes start between two heartbeats, as far as their time to start tells.

--- a/review/11/play.py
+++ b/review/11/play.py
@@ -1,9 +1,8 @@
-"""A kill of all processes right after a roll-out has been ordered.
+"""A roll-out that is ordered while all processes of the system are down.
 
 Three machines with servers of v1 serve, and three with servers of v2 are
-started alongside. The operator orders the roll-out of v2, which is bad. Right
-after the store has acknowledged the order, all processes of the system are
-killed, and they start again 0.75 s later.
+started alongside. All processes of the system are killed, and start again
+0.75 s later. Meanwhile the operator orders the roll-out of v2, which is bad.
 """
 
 import asyncio
@@ -25,8 +24,7 @@
 MACHINES = 3
 PER_S = 25
 CALM_S = 4.0
-# From the acknowledgement of the order, which is given at once.
-KILL_AFTER_S = 0.02
+ORDER_AFTER_S = 0.4
 RECOVERY_S = 15.0
 
 
@@ -38,17 +36,19 @@
     await fleet.start_both(MACHINES, CALM_S)
     if not case.has_trouble:
         return await judge_exposure(case, fleet)
-    fault = asyncio.create_task(_kill_once_ordered(fleet))
-    is_kept = await judge_exposure(case, fleet)
-    await fault
-    _describe_recovery(case, fleet)
-    return is_kept
+    return await _order_while_down(case, fleet)
 
 
-async def _kill_once_ordered(fleet: Fleet) -> None:
-    await asyncio.sleep(KILL_AFTER_S)
+async def _order_while_down(case: Case, fleet: Fleet) -> bool:
+    """Kill all, and order the roll-out; return whether the rule held."""
+    await fleet.wait_to_kill()
     await fleet.kill_all()
-    await fleet.start_all()
+    restart = asyncio.create_task(fleet.start_all())
+    await asyncio.sleep(ORDER_AFTER_S)
+    is_kept = await judge_exposure(case, fleet)
+    await restart
+    _describe_recovery(case, fleet)
+    return is_kept
 
 
 def _describe_recovery(case: Case, fleet: Fleet) -> None:
--- a/review/standins_3/rollout.py
+++ b/review/standins_3/rollout.py
@@ -7,7 +7,7 @@
 from review.standins_3.case import Case, NotRun
 from review.standins_3.client import Clients, Sent
 from review.standins_3.node import Machine, wait_until_ready
-from review.standins_3.server import OK, Fault, Run, Server
+from review.standins_3.server import HEARTBEAT_S, OK, Fault, Run, Server
 
 STABILITY_WINDOW_S = 3.0
 EXPOSE_SHARE = 0.1
@@ -80,6 +80,10 @@
 LAST_S = 5.0
 LOSS_NOTICED_S = 8.0
 DOWN_S = 0.75
+# How long after a heartbeat of the old servers the new ones send theirs, and
+# processes that were killed are ready.
+NEW_BEAT_S = 0.9
+START_AFTER_BEAT_S = 0.4
 
 
 class Fleet:
@@ -116,9 +120,18 @@
         self._fault = fault
         self._servers: dict[str, list[Server]] = {old: [], new: []}
         self._tasks: set[asyncio.Task[None]] = set()
+        # When the old servers sent a heartbeat, and how long a process takes
+        # until it is ready.
+        self._beat_at = 0.0
+        self._startup_s = 0.0
 
     async def start_both(self, count: int, calm_s: float) -> None:
-        """Start as many servers of each version, and wait."""
+        """Start as many servers of each version, and wait.
+
+        Args:
+            count: How many.
+            calm_s: How long to wait at the end.
+        """
         await self.start(self.old, count)
         await self.start(self.new, count)
         await asyncio.sleep(calm_s)
@@ -127,6 +140,10 @@
         """Start machines, servers of a version beside them, and clients."""
         machines = await self.start_machines(count)
         await self._wait_until_ready(machines)
+        if version == self.old:
+            self._beat_at = time.monotonic()
+        else:
+            await self._wait_after_beat(NEW_BEAT_S)
         await self.start_servers(machines, version)
         self._start_clients(machines)
         await asyncio.sleep(SETTLE_S)
@@ -170,6 +187,15 @@
         # The others have noticed by then.
         await asyncio.sleep(LOSS_NOTICED_S)
 
+    async def wait_to_kill(self) -> None:
+        """Wait until processes that are killed now start after a heartbeat.
+
+        They will be ready START_AFTER_BEAT_S after one of the old servers, as
+        far as can be told.
+        """
+        delay_s = DOWN_S + self._startup_s
+        await self._wait_after_beat(START_AFTER_BEAT_S - delay_s)
+
     async def kill_all(self) -> None:
         """Kill all processes of the system at once."""
         self._case.record.say('all processes of the system are killed')
@@ -181,6 +207,7 @@
         await self._case.start_all()
         self._case.record.say('all processes have been started again')
         self.in_touch_at = time.monotonic() + STABILITY_WINDOW_S
+        await self._wait_until_ready(self._case.machines)
 
     async def roll_out(self, after_s: float) -> float:
         """Order the new version, and wait until after the deadline.
@@ -209,9 +236,16 @@
         sent = self.sent.get(run.request_id)
         return sent.at if sent else run.at
 
+    async def _wait_after_beat(self, after_s: float) -> None:
+        """Wait until a time after a heartbeat of the old servers."""
+        passed_s = time.monotonic() - self._beat_at
+        await asyncio.sleep((after_s - passed_s) % HEARTBEAT_S)
+
     async def _wait_until_ready(self, machines: Sequence[Machine]) -> None:
+        began_at = time.monotonic()
         if not await wait_until_ready(machines, START_LIMIT_S):
             raise NotRun('a node is not ready')
+        self._startup_s = time.monotonic() - began_at
 
     def _start_clients(self, machines: Sequence[Machine]) -> None:
         for machine in machines:
--- a/review/standins_3/server.py
+++ b/review/standins_3/server.py
@@ -134,9 +134,12 @@
         return await call_node(self.machine, 'PUT', self.instance, heartbeat)
 
     async def _send_beats(self) -> None:
+        loop = asyncio.get_running_loop()
+        due_at = loop.time()
         while True:
             await self.beat()
-            await asyncio.sleep(HEARTBEAT_S)
+            due_at += HEARTBEAT_S
+            await asyncio.sleep(max(due_at - loop.time(), 0))
 
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
