Refuse heartbeats of services that nobody names

Cause: a well-formed heartbeat with an id of its own and a later start replaces the target beside the node, whatever its service; the heartbeats of the real target are then those of an earlier start.

Change: a heartbeat whose service neither the settings of the node nor the configuration in force names gets 400, before anything changes. The service of the settings is known without a configuration, so a node that has just started decides the same.

Test: test_odd_entries.UnnamedServiceTest, 3 of 3 failed before (200 in place of 400, and the sound target replaced), pass now.

--- a/filbertdrift/mesh.py
+++ b/filbertdrift/mesh.py
@@ -419,6 +419,13 @@
             ),
         }
 
+    def knows_service(self, service: str) -> bool:
+        """Return whether the settings or the configuration name a service."""
+        if service == self.settings.caller_service:
+            return True
+        config = self.holder.config
+        return config is not None and service in config.services
+
     def match(self, host: str, path: str) -> PrefixRoute | None:
         """Return the route of a request, None if none matches."""
         return self.holder.table.match(host, path)
--- a/filbertdrift/platform/process.py
+++ b/filbertdrift/platform/process.py
@@ -127,7 +127,9 @@
 
 async def _run(settings: PlatformSettings, *, balances_by_cost: bool) -> None:
     node = build_node(settings, balances_by_cost=balances_by_cost)
-    target_calls = TargetCalls(node.lifecycle, node.departure_keeper)
+    target_calls = TargetCalls(
+        node.lifecycle, node.departure_keeper, node.knows_service
+    )
     metrics_calls = MetricsHandler(node)
     ready_check = ReadyCheck(lambda: node.is_ready)
     listeners = [
--- a/filbertdrift/platform/registry.py
+++ b/filbertdrift/platform/registry.py
@@ -23,6 +23,9 @@
 NOT_FOUND = HttpResponse(404, b'{}')
 BAD_REQUEST = HttpResponse(400, b'{}')
 
+# Returns whether a service is in use, as far as is known.
+KnowsService = Callable[[str], bool]
+
 
 class TargetCalls:
     """Handles heartbeats (PUT) and leave messages (DELETE) of the local target.
@@ -33,14 +36,19 @@
     Args:
         lifecycle: Tracks the state of the target.
         keeper: Keeps its departures on the log.
+        knows_service: Tells services that are in use from others.
     """
 
     def __init__(
-        self, lifecycle: TargetLifecycle, keeper: DepartureKeeper
+        self,
+        lifecycle: TargetLifecycle,
+        keeper: DepartureKeeper,
+        knows_service: KnowsService,
     ) -> None:
         """Store the parts that the calls are for."""
         self._lifecycle = lifecycle
         self._keeper = keeper
+        self._knows_service = knows_service
 
     async def serve(self, method: str, path: str, body: bytes) -> HttpResponse:
         """Apply one call and return its reply."""
@@ -75,6 +83,12 @@
         if method != 'PUT':
             raise MalformedMessage(f'{method} {instance}', step='serve target')
         heartbeat = parse_heartbeat(instance, body)
+        if not self._knows_service(heartbeat.service):
+            # It would take the place of the target that is here. One whose
+            # service the configuration is yet to name sends another.
+            raise MalformedMessage(
+                f'no service is named {heartbeat.service}', step='serve target'
+            )
         self._lifecycle.record_heartbeat(heartbeat)
         if not heartbeat.is_draining:
             return None
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -3,9 +3,10 @@
 import asyncio
 
 from filbertdrift.errors import RequestNotRun, RequestUnknown
+from filbertdrift.platform.registry import TargetCalls
 from filbertdrift.profile import Profile
 from standins.fleet import Fleet, config_record, run_virtual
-from standins.mesh_fleet import MeshFleet
+from standins.mesh_fleet import MeshFleet, MeshInstance
 
 __all__ = (
     'POLICIES',
@@ -16,6 +17,7 @@
     'service_file',
     'service_files',
     'small_fleet',
+    'target_calls',
 )
 
 POLICIES = """
@@ -98,3 +100,11 @@
         return 502
     response.close()
     return response.status
+
+
+def target_calls(instance: MeshInstance) -> TargetCalls:
+    """Return the handler of a target's calls to the node beside it."""
+    node = instance.node
+    return TargetCalls(
+        node.lifecycle, node.departure_keeper, node.knows_service
+    )
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -12,7 +12,6 @@
 from filbertdrift.directory import MAX_MISSED_READS, REJOIN_INTERVAL_S
 from filbertdrift.errors import RequestNotRun
 from filbertdrift.gen import ttypes
-from filbertdrift.platform.registry import TargetCalls
 from standins.mesh_fleet import (
     DEPARTURES_STREAM,
     MeshFleet,
@@ -20,7 +19,7 @@
     config_document,
     heartbeat,
 )
-from tests.builders import run_virtual
+from tests.builders import run_virtual, target_calls
 
 NODE = 'a-0:7000'
 OTHER_NODE = 'a-1:7000'
@@ -47,9 +46,7 @@
         self.name = name or instance.instance
         self._stated = heartbeat(instance)
         self._born = {} if born_ms is None else {'born': born_ms}
-        self._calls = TargetCalls(
-            instance.node.lifecycle, instance.node.departure_keeper
-        )
+        self._calls = target_calls(instance)
 
     async def beat(self, state: str = READY, sequence: int = 1) -> int:
         """Send a heartbeat; return the status of the reply."""
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -17,11 +17,10 @@
 from filbertdrift.keyedlog import KeyedRecord
 from filbertdrift.network import TcpNetwork
 from filbertdrift.platform.documents import parse_config, parse_order
-from filbertdrift.platform.registry import TargetCalls
 from filbertdrift.rollouts.steps import NO_STEP, Phase, Step, step_to_message
 from filbertdrift.wire import decode, encode
 from standins.mesh_fleet import MeshFleet, config_document
-from tests.builders import run_virtual
+from tests.builders import run_virtual, target_calls
 from tests.socket_mesh import request, socket_mesh
 
 NODE = 'a-0:7000'
@@ -103,7 +102,7 @@
         await asyncio.sleep(0.1)
         lifecycle = instance.node.lifecycle
         sound = lifecycle.current
-        calls = TargetCalls(lifecycle, instance.node.departure_keeper)
+        calls = target_calls(instance)
         for body in odd_bodies():
             for name in ('i-odd', instance.instance):
                 reply = await calls.serve('PUT', f'/instances/{name}', body)
@@ -119,9 +118,7 @@
         fleet = MeshFleet()
         instance = await fleet.add('a', 'desk')
         await asyncio.sleep(0.1)
-        calls = TargetCalls(
-            instance.node.lifecycle, instance.node.departure_keeper
-        )
+        calls = target_calls(instance)
         path = f'/instances/{instance.instance}'
         for odd in (-1, I64, 10**40, 'x', 0.5):
             body = json.dumps({'born': odd}).encode()
@@ -138,6 +135,74 @@
         self.assertThat(current.is_leaving, Is(False))
 
 
+class UnnamedServiceTest(TestCase):
+    """Well-formed heartbeats of another writer, with a service of none."""
+
+    def test_sound_target_stays(self) -> None:
+        """Guards against a service that is down until its targets restart."""
+        run_virtual(self._stays())
+
+    async def _stays(self) -> None:
+        fleet = MeshFleet()
+        await fleet.publish(config_document())
+        instance = await fleet.add('a', 'desk')
+        await fleet.wait_until_in_force(1, 5)
+        await asyncio.sleep(0.1)
+        lifecycle = instance.node.lifecycle
+        sound = lifecycle.current
+        calls = target_calls(instance)
+        for state in ('ready', 'draining'):
+            body = self._build(instance.born_ms + 1000, 'printer', state)
+            reply = await calls.serve('PUT', '/instances/i-other', body)
+            self.assertThat(reply.status, Equals(400))
+        self.assertThat(lifecycle.current, Is(sound))
+        response = await fleet.call(NODE)
+        response.close()
+
+    def test_node_that_starts_without_a_configuration(self) -> None:
+        """Guards against a foreign start that outdates the first heartbeat."""
+        run_virtual(self._starts())
+
+    async def _starts(self) -> None:
+        fleet = MeshFleet()
+        fleet.log.is_down = True
+        instance = await fleet.add('a', 'desk')
+        calls = target_calls(instance)
+        body = self._build(instance.born_ms + 1000, 'printer')
+        reply = await calls.serve('PUT', '/instances/i-other', body)
+        self.assertThat(reply.status, Equals(400))
+        body = self._build(instance.born_ms, 'desk')
+        path = f'/instances/{instance.instance}'
+        reply = await calls.serve('PUT', path, body)
+        self.assertThat(reply.status, Equals(200))
+        current = instance.node.lifecycle.current
+        assert current is not None
+        self.assertThat(current.heartbeat.service, Equals('desk'))
+
+    def test_service_of_the_configuration(self) -> None:
+        run_virtual(self._configured())
+
+    async def _configured(self) -> None:
+        fleet = MeshFleet()
+        await fleet.publish(config_document())
+        instance = await fleet.add('a', 'desk')
+        calls = target_calls(instance)
+        await fleet.wait_until_in_force(1, 5)
+        document = config_document(2)
+        document['services']['lab'] = {}
+        body = self._build(instance.born_ms + 1000, 'lab')
+        reply = await calls.serve('PUT', '/instances/i-lab', body)
+        self.assertThat(reply.status, Equals(400))
+        await fleet.publish(document)
+        await fleet.wait_until_in_force(2, 5)
+        reply = await calls.serve('PUT', '/instances/i-lab', body)
+        self.assertThat(reply.status, Equals(200))
+
+    def _build(self, born_ms: int, service: str, state: str = 'ready') -> bytes:
+        stated = {'service': service, 'born': born_ms, 'state': state}
+        return json.dumps({**SOUND, **stated}).encode()
+
+
 class AddressTest(TestCase):
     """Odd addresses in records of the log and in messages of other nodes."""
 
