Refuse heartbeats with missing fields

Cause: a heartbeat without seq, version, zone or cold_remaining_s got defaults and, with an id of its own and a later start, took the place of the sound target beside the node, like that of an unnamed service (same path, found while looking for the same cause).

test_version_in_heartbeat asserted that a missing version is read as an empty one.

Test: test_odd_entries.HeartbeatTest with each field of a sound heartbeat left out, failed before with 200 in place of 400.

--- a/filbertdrift/platform/documents.py
+++ b/filbertdrift/platform/documents.py
@@ -120,13 +120,13 @@
     address: str
     state: Literal['ready', 'draining']
     slots: Annotated[int, Meta(ge=1, le=MAX_SLOTS)]
-    cold_remaining_s: _Duration = 0
+    cold_remaining_s: _Duration
     # The sequence number of the heartbeat, counted from the target's start.
-    seq: _Whole = 0
+    seq: _Whole
+    version: _Text
+    zone: str
     # Unix time of the target's start in ms; not all targets send it.
     born: _Whole = 0
-    version: _Text = ''
-    zone: str = ''
 
     def __post_init__(self) -> None:
         """Check the address.
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -54,8 +54,11 @@
         fields = {
             'service': stated.service,
             'address': '127.0.0.1:8080',
+            'zone': 'a',
+            'version': stated.version,
             'slots': stated.slots,
             'state': state,
+            'cold_remaining_s': 0,
             'seq': sequence,
             **self._born,
         }
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -77,8 +77,13 @@
         for odd in odds
     ]
     sound = json.dumps(SOUND).encode()
+    incomplete = [
+        json.dumps({key: SOUND[key] for key in SOUND if key != name}).encode()
+        for name in SOUND
+    ]
     return [
         *bodies,
+        *incomplete,
         NESTED,
         NESTED[:DEPTH],
         sound[:-1] + b',"more":' + NESTED + b'}',
--- a/tests/test_rollouts_mesh.py
+++ b/tests/test_rollouts_mesh.py
@@ -263,11 +263,13 @@
     def test_version_in_heartbeat(self) -> None:
         raw = (
             b'{"service":"a","address":"127.0.0.1:1","state":"ready",'
-            b'"slots":1%s}'
+            b'"slots":1,"seq":1,"zone":"a","cold_remaining_s":0%s}'
         )
         stated = parse_heartbeat('i', raw % b',"version":"v3"')
         self.assertThat(stated.version, Equals('v3'))
-        self.assertThat(parse_heartbeat('i', raw % b'').version, Equals(''))
+        # An entry with a missing field names no target.
+        with ExpectedException(MalformedMessage):
+            parse_heartbeat('i', raw % b'')
 
     def test_conditional_append(self) -> None:
         run_virtual(self._append_twice())
