Record the versions that serve without an order

Cause: which versions serve without an order stood nowhere. Each node worked it out anew from the targets that it knew: the only version seen, or the one with most targets. A node that starts knows few, and a driver took the result for the old versions of its first step. Evidence: rollout_step of the driver in the new test has phase "trial" with no old versions, 0.1 s later "shift", "no other version serves".

Change: the first step of a service, "established", records these versions on the log. The driver writes it once it has read the log to its end and has known the service for 4 s; an order waits for it. Nodes that know no step ask the driver and other members, and refuse requests until one answers, for 2.5 s at most. Targets whose version nobody ordered are no longer released after 30 s: only when the versions on record have had no target for 10 s, by a step of the driver. Why this works: one fact, appended on condition, outlives all nodes, and what a node knows in its first second decides nothing.

Waiting for the shift in test_rollouts goes by the phase, since the number of its step has changed.

--- a/filbertdrift/mesh.py
+++ b/filbertdrift/mesh.py
@@ -190,7 +190,7 @@
         self.rollouts: RolloutControl | None = None
         if settings.rollouts is not None:
             self.rollouts = RolloutControl(
-                settings.rollouts, self.membership, log, self.freshness, rng
+                settings.rollouts, self.membership, log, rng
             )
             self.dispatcher.rollouts = self.rollouts
             self.watch.on_page = self.rollouts.on_page
--- a/filbertdrift/rollouts/control.py
+++ b/filbertdrift/rollouts/control.py
@@ -8,27 +8,22 @@
 from loguru import logger
 
 from filbertdrift.errors import MalformedMessage
-from filbertdrift.freshness import Freshness
 from filbertdrift.gen import ttypes
 from filbertdrift.keyedlog import KeyedLog, KeyedPage
-from filbertdrift.members import Member, MemberStatus
+from filbertdrift.members import Member
 from filbertdrift.membership import Membership
-from filbertdrift.rendezvous import rank
 from filbertdrift.rollouts.counts import OutcomeCounter
 from filbertdrift.rollouts.driver import Driver
 from filbertdrift.rollouts.filter import VersionFilter
 from filbertdrift.rollouts.plan import Bounds
+from filbertdrift.rollouts.ranking import DriverRanking
 from filbertdrift.rollouts.reports import (
     Reporter,
     RolloutCounters,
     parse_report,
 )
 from filbertdrift.rollouts.state import LONG_AGO, ServiceState
-from filbertdrift.rollouts.steplog import (
-    KEY_PREFIX,
-    RolloutFormats,
-    StepLog,
-)
+from filbertdrift.rollouts.steplog import RolloutFormats, StepLog
 from filbertdrift.rollouts.steps import (
     MS_PER_S,
     NO_STEP,
@@ -50,6 +45,9 @@
 OBSERVE_INTERVAL_S = 0.5
 # Nodes without the newest step are sent it this often by the driver.
 REPAIR_INTERVAL_S = 0.5
+# Members beside the driver that are asked for the newest step of a service by a
+# node that knows none.
+ASKED_MEMBERS = 2
 
 
 @dataclass(frozen=True, slots=True)
@@ -72,7 +70,6 @@
         settings: The settings.
         membership: The other nodes.
         log: The platform's log.
-        freshness: The age of the configuration.
         rng: Source of random choices.
 
     Attributes:
@@ -87,15 +84,12 @@
         settings: RolloutSettings,
         membership: Membership,
         log: KeyedLog,
-        freshness: Freshness,
         rng: random.Random,
     ) -> None:
         """Start without roll-outs."""
         self.counters = RolloutCounters()
         local = membership.local_member
-        self.filter = VersionFilter(
-            settings.bounds.expose_share, _now, freshness.age_s, rng, local.node
-        )
+        self.filter = VersionFilter(settings.bounds.expose_share, _now, rng)
         self.outcomes = OutcomeCounter(local.domain, self.filter.states.get)
         self.drivers: dict[str, Driver] = {}
         self.step_log = StepLog(log, settings.formats, self._on_log_step, rng)
@@ -113,8 +107,9 @@
         self._order_at: dict[str, float] = {}
         self._repair_at: dict[str, float] = {}
         self._observe_at = LONG_AGO
-        self._versions: dict[str, tuple[Sequence[Member], bool]] = {}
-        self._ranked: dict[str, tuple[object, str]] = {}
+        self._versions: dict[str, tuple[Sequence[Member], set[str]]] = {}
+        self._ranking = DriverRanking(membership)
+        self._rng = rng
 
     def count_running(self) -> int:
         """Return the number of roll-outs that go on, as far as known here."""
@@ -187,7 +182,7 @@
             self._observe()
         for service in self._active_services():
             state = self.filter.state(service)
-            is_driver = self._find_driver(service) == self._node
+            is_driver = self._ranking.find(service) == self._node
             if is_driver and self._is_to_drive(service, state):
                 self._start_driver(service)
             elif not is_driver:
@@ -195,7 +190,7 @@
             self._report(service, state, now)
             self._pass_order_on(service, state, now)
         for service, driver in list(self.drivers.items()):
-            if driver.is_done and not self._has_versions(service):
+            if driver.is_done and not self._is_unsettled(service):
                 self._stop_driver(service)
             else:
                 self._repair(service, driver, now)
@@ -214,33 +209,35 @@
             for service, state in self.filter.states.items()
             if state.order or (state.step and state.step.is_running)
         }
-        versions = {
+        unsettled = {
             service
             for service in self.filter.states
-            if self._has_versions(service)
+            if self._is_unsettled(service)
         }
-        return sorted(running | versions | set(self.drivers))
+        return sorted(running | unsettled | set(self.drivers))
 
-    def _has_versions(self, service: str) -> bool:
+    def _is_unsettled(self, service: str) -> bool:
+        """Return whether a service has targets that no step lets serve."""
         members = self._membership.table.of_service(service)
         known = self._versions.get(service)
         if known is None or known[0] is not members:
-            count = len({each.target_version for each in members})
-            known = members, count > 1
+            known = members, {each.target_version for each in members}
             self._versions[service] = known
-        return known[1]
+        step = self.filter.state(service).step
+        serving = set(step.versions_after) if step else set()
+        return len(known[1]) > 1 or not known[1] <= serving
 
     def _is_to_drive(self, service: str, state: ServiceState) -> bool:
         step = state.step
         is_running = step is not None and step.is_running
-        return bool(is_running or state.order or self._has_versions(service))
+        return bool(is_running or state.order or self._is_unsettled(service))
 
     def _report(self, service: str, state: ServiceState, now: float) -> None:
         step = state.step
         is_running = step is not None and step.is_running
-        if not is_running and not self._has_versions(service):
+        if not is_running and not self._is_unsettled(service):
             return
-        driver = self._find_driver(service)
+        driver = self._ranking.find(service)
         generation = self._membership.local_member.generation
         for report in self._reporter.take_due(service, now):
             self.counters.reports_sent += 1
@@ -248,12 +245,14 @@
                 self._on_report(self._node, generation, report)
             else:
                 self._membership.gossip(report, (driver,))
+            if step is None:
+                self._membership.gossip(report, self._sample_members(driver))
 
     def _pass_order_on(
         self, service: str, state: ServiceState, now: float
     ) -> None:
         """Send an order that no step answers to the driver."""
-        driver = self._find_driver(service)
+        driver = self._ranking.find(service)
         if state.order is None or driver == self._node:
             return
         if now < self._order_at.get(service, LONG_AGO):
@@ -278,29 +277,21 @@
         if nodes:
             self._membership.gossip(self._build_notice(service), nodes)
 
+    def _sample_members(self, driver: str) -> Sequence[str]:
+        """Return some other members than a driver."""
+        others = [
+            member.node
+            for member in self._membership.table.alive()
+            if member.node not in {driver, self._node}
+        ]
+        return self._rng.sample(others, min(ASKED_MEMBERS, len(others)))
+
     # Who drives
 
     @property
     def _node(self) -> str:
         return self._membership.local_member.node
 
-    def _find_driver(self, service: str) -> str:
-        """Return the member that ranks first for a service."""
-        unreachable = self._membership.unreachable_domains
-        key = (self._membership.table.digest, frozenset(unreachable))
-        ranked = self._ranked.get(service)
-        if ranked is None or ranked[0] != key:
-            nodes = [
-                member.node
-                for member in self._membership.table.alive()
-                if member.status < MemberStatus.LEAVING
-                and member.domain not in unreachable
-            ]
-            first = rank(KEY_PREFIX + service, nodes)[:1]
-            ranked = key, (first[0] if first else self._node)
-            self._ranked[service] = ranked
-        return ranked[1]
-
     def _start_driver(self, service: str) -> None:
         if service in self.drivers:
             return
@@ -312,6 +303,7 @@
             self._membership.table,
             self.step_log,
             self._settings.bounds,
+            lambda: self.filter.seen(service),
             self._on_written,
         )
         self.drivers[service] = driver
@@ -381,10 +373,11 @@
         driver = self.drivers.get(service)
         self.counters.reports_received += 1
         if driver is None:
-            if self._find_driver(service) == self._node:
+            if self._ranking.find(service) == self._node:
                 # The sender sees several versions, or a step, and this node
                 # does not yet.
                 self._start_driver(service)
+            self._tell_step(sender, report)
             return
         now = _now()
         self._learn_age(service, report, now)
@@ -392,7 +385,10 @@
             sender, generation, parse_report(report, now), report.trial_number
         )
         self.counters.reports_ignored += not is_newer
-        if not is_newer or not driver.is_current():
+        if not is_newer:
+            return
+        if not driver.is_current():
+            self._tell_step(sender, report)
             return
         notice = self._build_notice(service)
         notice.sequence = report.sequence
@@ -402,6 +398,12 @@
         else:
             self._membership.gossip(notice, (sender,))
 
+    def _tell_step(self, sender: str, report: ttypes.RolloutReport) -> None:
+        """Send the newest step known here to a node that is behind it."""
+        service = report.service_name or ''
+        if (report.step_number or NO_STEP) < self.filter.number(service):
+            self._membership.gossip(self._build_notice(service), (sender,))
+
     def _learn_age(
         self, service: str, report: ttypes.RolloutReport, now: float
     ) -> None:
--- a/filbertdrift/rollouts/driver.py
+++ b/filbertdrift/rollouts/driver.py
@@ -1,7 +1,7 @@
 """Drives the roll-out of one service: judges, decides and writes steps."""
 
 import asyncio
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 
 from loguru import logger
 
@@ -9,8 +9,10 @@
 from filbertdrift.keyedlog import NO_ERA
 from filbertdrift.members import Member, MemberStatus, MemberTable
 from filbertdrift.rollouts.counts import FleetCounts, NodeReport
+from filbertdrift.rollouts.established import find_established
 from filbertdrift.rollouts.judge import Judge
 from filbertdrift.rollouts.plan import (
+    HOLD_S,
     Bounds,
     Decision,
     FleetView,
@@ -20,7 +22,7 @@
 )
 from filbertdrift.rollouts.state import LONG_AGO, ServiceState
 from filbertdrift.rollouts.steplog import StepLog
-from filbertdrift.rollouts.steps import NO_STEP, Step
+from filbertdrift.rollouts.steps import NO_STEP, Phase, Step
 
 TICK_S = 0.1
 # After a failed call, so that a log in trouble gets few calls.
@@ -33,6 +35,10 @@
 # A driver that began to count this long after the order was read has seen all:
 # nodes begin to count when they adopt the trial step.
 WHOLE_COUNT_S = 2.0
+# Targets send a heartbeat every 1.5 s, one of which may be lost, and their
+# nodes tell the others. A node that has known a service for this long knows all
+# of its targets.
+SETTLE_S = 4.0
 # Judging all routes of a service takes a millisecond or more.
 JUDGE_INTERVAL_S = 0.3
 # One line of evidence a while for each roll-out that goes on.
@@ -49,6 +55,7 @@
         table: The members.
         step_log: Reads and appends steps.
         bounds: Limits on bad versions.
+        read_seen: Returns when each version of the service was seen first.
         on_written: Called with each step that this node has written.
 
     Attributes:
@@ -64,6 +71,7 @@
         table: MemberTable,
         step_log: StepLog,
         bounds: Bounds,
+        read_seen: Callable[[], Mapping[str, float]],
         on_written: Callable[[Step], None],
     ) -> None:
         """Start without reports."""
@@ -75,14 +83,17 @@
         self._table = table
         self._step_log = step_log
         self._bounds = bounds
+        self._read_seen = read_seen
         self._on_written = on_written
         self._step_number = NO_STEP
         self._step_at = LONG_AGO
         self._status_number = NO_STEP
         self._status_era = NO_ERA
         self._no_targets_at: float | None = None
+        self._unserved_at: float | None = None
         self._log_evidence_at = LONG_AGO
         self._judged_at = LONG_AGO
+        self._began_at = asyncio.get_running_loop().time()
 
     @property
     def is_done(self) -> bool:
@@ -90,9 +101,10 @@
         step = self._state.step
         if self._state.order is not None:
             return False
-        return step is None or (
-            not step.is_running and self._status_number == step.number
-        )
+        if step is None:
+            return True
+        has_status = self._status_number == step.number or not step.has_status
+        return has_status and not step.is_running
 
     def is_current(self) -> bool:
         """Return whether the newest step is known here, by the log."""
@@ -157,6 +169,9 @@
         order = state.order
         is_new_order = order is not None and order.is_same(step.order)
         since = state.order_read_at if is_new_order else state.ordered_at
+        if before is None:
+            # The first step belongs to no order.
+            since = now
         try:
             is_written = await self._step_log.append(
                 step, now - since, lambda: state.step is before
@@ -186,7 +201,7 @@
 
     async def _write_status(self, step: Step | None) -> bool:
         """Write the status if it is not known to stand; return if it does."""
-        if step is None:
+        if step is None or not step.has_status:
             return True
         era = self._step_log.era
         if self._status_number == step.number and self._status_era == era:
@@ -248,42 +263,49 @@
     def _decide(self) -> Decision | None:
         state = self._state
         now = asyncio.get_running_loop().time()
-        view = self._view(now)
-        if view.new_targets:
-            self._no_targets_at = None
-        elif self._no_targets_at is None:
-            self._no_targets_at = now
-        times = Times(now, state.ordered_at, self._step_at, self._no_targets_at)
-        return decide(state.step, state.order, view, times, self._bounds)
-
-    def _view(self, now: float) -> FleetView:
-        state = self._state
-        order = state.step.order if state.step else state.order
-        target = order.target_version if order else ''
-        alive = self._table.alive()
         targets = [
             member
-            for member in alive
+            for member in self._table.alive()
             if member.service == self._service
             and member.status <= MemberStatus.SERVING
         ]
-        old = [
-            member.target_version
-            for member in targets
-            if member.target_version != target
-        ]
+        view = self._view(now, targets)
+        self._no_targets_at = _since(
+            self._no_targets_at, now, is_so=not view.new_targets
+        )
+        self._unserved_at = _since(
+            self._unserved_at, now, is_so=not self._has_serving(targets)
+        )
+        times = Times(
+            now,
+            state.ordered_at,
+            self._step_at,
+            self._no_targets_at,
+            self._unserved_at,
+        )
+        return decide(state.step, state.order, view, times, self._bounds)
+
+    def _has_serving(self, targets: Sequence[Member]) -> bool:
+        """Return whether the versions that serve without the order have any."""
+        step = self._state.step
+        if step is None:
+            return True
+        versions = step.old_versions if step.is_running else step.versions_after
+        return any(member.target_version in versions for member in targets)
+
+    def _view(self, now: float, targets: Sequence[Member]) -> FleetView:
+        state = self._state
+        target = state.step.order.target_version if state.step else ''
+        alive = self._table.alive()
         new_targets = sum(
             member.target_version == target
             and member.status == MemberStatus.SERVING
             for member in targets
         )
-        serving = set(old)
-        if state.established is not None:
-            # Others are held back here, since nobody ordered them.
-            serving &= state.established
         return FleetView(
-            old_versions=tuple(sorted(serving)),
-            old_targets=len(old),
+            service=self._service,
+            established=self._find_established(now, targets),
+            successors=self._find_successors(now, targets),
             new_targets=new_targets,
             silent=sum(
                 not self._has_reported(member, now, NO_STEP) for member in alive
@@ -303,6 +325,33 @@
             doubt=self.judge.doubt,
         )
 
+    def _find_established(
+        self, now: float, targets: Sequence[Member]
+    ) -> tuple[str, ...] | None:
+        """Return the versions that served before any step, None if unsure."""
+        seen = self._read_seen()
+        if now - min(seen.values(), default=self._began_at) < SETTLE_S:
+            return None
+        order = self._state.order
+        ordered = (order.target_version,) if order else ()
+        return find_established(seen, targets, ordered)
+
+    def _find_successors(
+        self, now: float, targets: Sequence[Member]
+    ) -> tuple[str, ...]:
+        """Return the versions that may follow those on record."""
+        held = {
+            version: at
+            for version, at in self._read_seen().items()
+            if now - at >= HOLD_S
+        }
+        step = self._state.step
+        is_rolled_back = step is not None and step.phase == Phase.ROLLED_BACK
+        excluded = (
+            (step.order.target_version,) if step and is_rolled_back else ()
+        )
+        return find_established(held, targets, excluded)
+
     def _count_old_in_progress(self, alive: Sequence[Member]) -> int:
         reports = self.counts.reports
         found = [reports.get((each.node, each.generation)) for each in alive]
@@ -314,3 +363,10 @@
             return False
         is_recent = now - report.received_at <= SILENT_AFTER_S
         return is_recent and report.step_number >= number
+
+
+def _since(before: float | None, now: float, *, is_so: bool) -> float | None:
+    """Return since when something is so, None if it is not."""
+    if not is_so:
+        return None
+    return now if before is None else before
--- a/filbertdrift/rollouts/filter.py
+++ b/filbertdrift/rollouts/filter.py
@@ -1,12 +1,15 @@
 """The ingress side of a roll-out: which targets a request may use."""
 
 import random
-from collections.abc import Callable, Collection, Sequence
+from collections.abc import Callable, Collection, Mapping, Sequence
 from dataclasses import dataclass
 
+from loguru import logger
+
 from filbertdrift.members import Member
 from filbertdrift.rendezvous import rank
-from filbertdrift.rollouts.state import LONG_AGO, ServiceState, new_state
+from filbertdrift.rollouts.established import find_established
+from filbertdrift.rollouts.state import ServiceState, new_state
 from filbertdrift.rollouts.steps import Phase
 
 # Part of the allowed share that a trial uses. The rest is for the shift, which
@@ -17,15 +20,9 @@
 PERMISSION_S = 2.0
 # Targets are slow for 3 s after their start, so a trial leaves them out.
 WARM_UP_S = 4.0
-# A node that sees two versions and knows no step refuses requests until the
-# driver replies, or this time has passed.
+# A node that knows no step of a service refuses its requests until the step, or
+# the driver's reply that there is none, has come, or this time has passed.
 UNKNOWN_STEP_WAIT_S = 2.5
-# A node that starts knows its own target before the others. A version is not
-# taken for the established one before the table of members has come.
-JOIN_WAIT_S = 1.0
-# A version that nobody ordered is used after this time, if the configuration
-# is known to be the newest then. Orders follow the start of targets sooner.
-HOLD_S = 30.0
 # Views depend on the time that targets have been there.
 VIEW_LIFE_S = 0.5
 
@@ -58,10 +55,7 @@
         expose_share: The largest share of requests for a version that is not
             known to be good.
         clock: Returns the time on the loop's clock.
-        config_age_s: Returns the age of the evidence that the configuration
-            is the newest.
         rng: Source of random choices.
-        node: The address of this node.
 
     Attributes:
         states: What is known of each service.
@@ -74,23 +68,21 @@
         self,
         expose_share: float,
         clock: Callable[[], float],
-        config_age_s: Callable[[], float],
         rng: random.Random,
-        node: str = '',
     ) -> None:
         """Start without steps."""
-        self._node = node
         self.states: dict[str, ServiceState] = {}
         self.unreachable_domains: Collection[str] = ()
         self.answered_at: dict[str, float] = {}
         self._trial_share = expose_share * TRIAL_PART
         self._clock = clock
-        self._config_age_s = config_age_s
         self._rng = rng
         self._views: dict[str, _View] = {}
         # When each version of a service was first seen, and each target.
         self._seen: dict[str, dict[str, float]] = {}
         self._targets_seen: dict[tuple[str, str], float] = {}
+        # Services whose versions this node had to assume.
+        self._assumed: set[str] = set()
 
     def state(self, service: str) -> ServiceState:
         """Return the state of a service."""
@@ -123,8 +115,13 @@
 
     def observe(self, service: str, members: Sequence[Member]) -> None:
         """Learn which versions a service has, before any request to it."""
+        self.state(service)
         self._view(service, members)
 
+    def seen(self, service: str) -> Mapping[str, float]:
+        """Return when each version of a service was seen first."""
+        return self._seen.get(service, {})
+
     def number(self, service: str) -> int:
         """Return the number of the newest step of a service."""
         state = self.states.get(service)
@@ -219,51 +216,22 @@
         self, service: str, members: Sequence[Member], now: float
     ) -> _View:
         seen = self._seen[service]
-        known = self._find_established(service, members)
-        if known is None:
-            first_at = min(seen.values(), default=now)
-            if now - first_at < UNKNOWN_STEP_WAIT_S:
-                return _View(members, 0, (), expires_at=now)
-            known = {_largest_version(members)} if members else set()
-        present = {member.target_version for member in members}
-        if present <= known:
-            is_lasting = self.state(service).established is not None
-            expires_at = float('inf') if is_lasting else now + VIEW_LIFE_S
-            return _View(members, 0, members, expires_at=expires_at)
-        answered_at = self.answered_at.get(service, LONG_AGO)
-        confirmed_at = min(now - self._config_age_s(), answered_at)
-        known |= {
-            version
-            for version in present
-            if confirmed_at > seen[version] + HOLD_S
-        }
-        serving = _of_versions(members, known)
-        return _View(members, 0, serving, expires_at=now + VIEW_LIFE_S)
-
-    def _find_established(
-        self, service: str, members: Sequence[Member]
-    ) -> set[str] | None:
-        """Return the versions that serve without an order.
-
-        Returns:
-            None if this node cannot tell yet: it sees several, and the driver
-            has not replied whether it knows a step.
-        """
-        state = self.state(service)
-        if state.established is not None or not members:
-            return state.established
-        present = {member.target_version for member in members}
+        waited_s = now - min(seen.values(), default=now)
         is_answered = service in self.answered_at
-        if len(present) > 1:
-            if is_answered:
-                state.established = {_largest_version(members)}
-            return state.established
-        age_s = self._clock() - min(self._seen[service].values())
-        has_joined = any(member.node != self._node for member in members)
-        wait_s = JOIN_WAIT_S if has_joined else UNKNOWN_STEP_WAIT_S
-        if is_answered or age_s >= wait_s:
-            state.established = present
-        return present if has_joined else state.established
+        if not is_answered and waited_s < UNKNOWN_STEP_WAIT_S:
+            return _View(members, 0, (), expires_at=now)
+        versions = find_established(seen, members)
+        if not is_answered and versions and service not in self._assumed:
+            self._assumed.add(service)
+            logger.bind(
+                event='rollout_versions_assumed',
+                service=service,
+                versions=versions,
+                present=sorted(seen),
+                waited_s=round(waited_s, 3),
+            ).warning('nobody has told which versions of {} serve', service)
+        serving = _of_versions(members, versions)
+        return _View(members, 0, serving, expires_at=now + VIEW_LIFE_S)
 
     def _select_trial(
         self,
@@ -295,9 +263,3 @@
 ) -> Sequence[Member]:
     found = [member for member in members if member.target_version in versions]
     return members if len(found) == len(members) else found
-
-
-def _largest_version(members: Sequence[Member]) -> str:
-    """Return the version with most targets, the lowest of several."""
-    versions = [member.target_version for member in members]
-    return min(set(versions), key=lambda text: (-versions.count(text), text))
--- a/filbertdrift/rollouts/plan.py
+++ b/filbertdrift/rollouts/plan.py
@@ -4,7 +4,13 @@
 
 from filbertdrift.rollouts.filter import TRIAL_PART
 from filbertdrift.rollouts.judge import DOUBT, Verdict
-from filbertdrift.rollouts.steps import NO_STEP, Order, Phase, Step
+from filbertdrift.rollouts.steps import (
+    NO_STEP,
+    Order,
+    Phase,
+    Step,
+    no_order,
+)
 
 # The rate of requests may rise by this much in the shift: callers come in
 # waves of up to 1.55 times the mean, which take longer than a shift to rise.
@@ -22,6 +28,12 @@
 # Targets may leave the table and return with a restarted node, so a version
 # without targets counts as gone only after this time.
 NO_TARGETS_S = 2.0
+# The versions on record have lost their targets if none has been there for this
+# time: a node that starts again, and the heartbeat of its target, take less.
+GONE_S = 10.0
+# A version that changes in place, without an order, is used after this time.
+# Orders follow the start of targets sooner.
+HOLD_S = 30.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -46,9 +58,11 @@
     """What the driver knows of the fleet.
 
     Args:
-        old_versions: Versions of the service's targets, the ordered one left
-            out.
-        old_targets: How many targets the old versions have.
+        service: The service.
+        established: The versions that serve without an order by what the
+            driver sees, None while it may not have seen all targets.
+        successors: The same of the versions that have been there for HOLD_S,
+            without one that was rolled back.
         new_targets: How many targets the ordered version has.
         silent: Members that have not reported lately.
         behind: Members that have not reported the newest step.
@@ -61,8 +75,9 @@
         doubt: The evidence that it is, see judge.DOUBT.
     """
 
-    old_versions: tuple[str, ...]
-    old_targets: int = 0
+    service: str
+    established: tuple[str, ...] | None = None
+    successors: tuple[str, ...] = ()
     new_targets: int = 0
     silent: int = 0
     behind: int = 0
@@ -84,12 +99,15 @@
         ordered_at: When the order was read first.
         step_at: When the newest step was adopted.
         no_targets_at: Since when the version has no targets, None if it has.
+        unserved_at: Since when the versions that serve without the order have
+            none, None if they have.
     """
 
     now: float
     ordered_at: float
     step_at: float
     no_targets_at: float | None = None
+    unserved_at: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -125,15 +143,13 @@
         times: When things happened.
         bounds: Limits on bad versions.
     """
-    if order is not None and (step is None or order.is_newer(step.order)):
-        return _decide_order(step, order, view)
-    if step is None or not step.is_running:
-        return None
-    if view.verdict is not None:
-        return _follow(step, Phase.ROLLED_BACK, view.verdict.reason)
-    if step.is_trial:
-        return _decide_trial(step, view, times, bounds)
-    return _decide_shift(step, view, times)
+    if step is None:
+        return _record_established(view)
+    if order is not None and order.is_newer(step.order):
+        return _decide_order(step, order)
+    if step.is_running:
+        return _decide_running(step, view, times, bounds)
+    return _decide_successors(step, view, times)
 
 
 def number_after(step: Step | None, decision: Decision, writer: str) -> Step:
@@ -178,10 +194,29 @@
     return max(min(window_s, MAX_SHIFT_S), 0)
 
 
-def _decide_order(step: Step | None, order: Order, view: FleetView) -> Decision:
+def _record_established(view: FleetView) -> Decision | None:
+    """Return the first step of a service, before any order is followed."""
+    if view.established is None:
+        return None
+    order = no_order(view.service)
+    reason = 'no step is on record'
+    return Decision(Phase.ESTABLISHED, order, view.established, reason)
+
+
+def _decide_successors(
+    step: Step, view: FleetView, times: Times
+) -> Decision | None:
+    """Return the step by which a version that changed in place is used."""
+    if not view.successors or not _has_passed(times.unserved_at, GONE_S, times):
+        return None
+    reason = 'the versions on record have no targets'
+    return Decision(Phase.ESTABLISHED, step.order, view.successors, reason)
+
+
+def _decide_order(step: Step, order: Order) -> Decision:
     """Return the step that begins to follow a new order."""
-    versions = step.versions_after if step else view.old_versions
-    if step is not None and step.is_running:
+    versions = step.versions_after
+    if step.is_running:
         if order.target_version != step.order.target_version:
             return _follow(step, Phase.ROLLED_BACK, 'replaced by an order')
         versions = step.old_versions
@@ -191,17 +226,28 @@
     return Decision(Phase.TRIAL, order, old_versions, 'ordered')
 
 
+def _decide_running(
+    step: Step, view: FleetView, times: Times, bounds: Bounds
+) -> Decision | None:
+    if view.verdict is not None:
+        return _follow(step, Phase.ROLLED_BACK, view.verdict.reason)
+    if step.is_trial:
+        return _decide_trial(step, view, times, bounds)
+    return _decide_shift(step, view, times)
+
+
 def _decide_trial(
     step: Step, view: FleetView, times: Times, bounds: Bounds
 ) -> Decision | None:
     deadline = times.ordered_at + step.order.duration_s
     is_over = times.now >= deadline
     if not view.new_targets:
-        if is_over and _has_no_targets(times):
+        if is_over and _has_passed(times.no_targets_at, NO_TARGETS_S, times):
             reason = 'the version has no targets at the deadline'
             return _follow(step, Phase.ROLLED_BACK, reason)
         return None
-    if not step.old_versions:
+    is_unserved = _has_passed(times.unserved_at, GONE_S, times)
+    if is_unserved or not step.old_versions:
         return _follow(step, Phase.SHIFT, 'no other version serves')
     is_due = times.now >= deadline - _window_s(view, times, step, bounds)
     is_ready = not view.silent and not view.behind and view.doubt < DOUBT
@@ -212,7 +258,7 @@
 
 def _decide_shift(step: Step, view: FleetView, times: Times) -> Decision | None:
     if not view.new_targets:
-        if _has_no_targets(times):
+        if _has_passed(times.no_targets_at, NO_TARGETS_S, times):
             reason = 'the version lost all its targets'
             return _follow(step, Phase.ROLLED_BACK, reason)
         return None
@@ -223,9 +269,8 @@
     return None
 
 
-def _has_no_targets(times: Times) -> bool:
-    since = times.no_targets_at
-    return since is not None and times.now - since >= NO_TARGETS_S
+def _has_passed(since: float | None, wait_s: float, times: Times) -> bool:
+    return since is not None and times.now - since >= wait_s
 
 
 def _follow(step: Step, phase: Phase, reason: str) -> Decision:
--- a/filbertdrift/rollouts/state.py
+++ b/filbertdrift/rollouts/state.py
@@ -26,8 +26,6 @@
         in_progress: Attempts that have not ended, by version of the target.
         order: The newest order known, if no step answers it yet.
         order_read_at: When that order was read.
-        established: The versions that serve without an order, None while that
-            is not known.
     """
 
     credit: float
@@ -40,7 +38,6 @@
     in_progress: dict[str, int] = field(default_factory=dict)
     order: Order | None = None
     order_read_at: float = LONG_AGO
-    established: set[str] | None = None
 
     @property
     def number(self) -> int:
--- a/filbertdrift/rollouts/steps.py
+++ b/filbertdrift/rollouts/steps.py
@@ -22,6 +22,8 @@
     SHIFT = 2
     COMPLETED = 3
     ROLLED_BACK = 4
+    # Records the versions that serve without an order.
+    ESTABLISHED = 5
 
 
 RUNNING_PHASES = frozenset((Phase.TRIAL, Phase.SHIFT))
@@ -33,7 +35,8 @@
 
     Args:
         service: The service.
-        target_version: The version that its traffic moves to.
+        target_version: The version that its traffic moves to, empty before the
+            first order.
         duration_s: Time from the order to its deadline.
         digest: Hash of the record.
         era: Era of the log that it was read in.
@@ -97,6 +100,11 @@
         """Return whether the version gets only a part of the requests."""
         return self.phase == Phase.TRIAL
 
+    @property
+    def has_status(self) -> bool:
+        """Return whether it leads to a status that the operator reads."""
+        return self.phase != Phase.ESTABLISHED
+
     @property
     def versions_after(self) -> tuple[str, ...]:
         """Return the versions that serve if nothing else is ordered."""
@@ -105,6 +113,11 @@
         return self.old_versions
 
 
+def no_order(service: str) -> Order:
+    """Return what stands for the order of a service that has had none."""
+    return Order(service, '', 0, 0)
+
+
 def hash_record(payload: bytes) -> int:
     """Return a 63-bit hash of an order's record."""
     raw = hashlib.blake2b(payload, digest_size=_HASH_BYTES).digest()
@@ -138,7 +151,7 @@
     try:
         return Order(
             service=_required(message.service_name),
-            target_version=_required(message.target_version),
+            target_version=_stated(message.target_version),
             duration_s=message.duration_ms / MS_PER_S,
             digest=int(message.digest),
             era=int(message.era),
@@ -190,3 +203,9 @@
     if not text:
         raise ValueError('empty name')
     return text
+
+
+def _stated(text: str | None) -> str:
+    if text is None:
+        raise ValueError('missing name')
+    return text
--- a/standins/rollout_fleet.py
+++ b/standins/rollout_fleet.py
@@ -94,14 +94,6 @@
             self._fleet.send(self.local_member.node, node, body)
 
 
-class FakeFreshness:
-    """Evidence that is always new."""
-
-    def age_s(self) -> float:
-        """Return the age of the evidence."""
-        return 1.0
-
-
 @dataclass
 class RolloutNode:
     """One node."""
@@ -299,12 +291,10 @@
     def _add(self, member: Member) -> None:
         log = PartitionableLog(self.log)
         membership: Any = FakeMembership(self, member)
-        freshness: Any = FakeFreshness()
         control = RolloutControl(
             RolloutSettings(ROLLOUT_FORMATS, self.bounds),
             membership,
             log,
-            freshness,
             random.Random(self.rng.getrandbits(64)),
         )
         loop = asyncio.get_running_loop()
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -6,6 +6,7 @@
 from testtools import TestCase
 from testtools.matchers import Equals, GreaterThan, LessThan
 
+from filbertdrift.rollouts.steps import Phase
 from standins.rollout_fleet import (
     Behaviour,
     RolloutFleet,
@@ -20,7 +21,6 @@
 # A completed status may take some tenths of a second more than its deadline
 # where a fault of the log or of a node delays it.
 LIMIT_S = 30.0
-SHIFT_NUMBER = 2
 
 Fault = Callable[[RolloutFleet], Awaitable[None]]
 
@@ -267,8 +267,8 @@
 async def _wait_for_shift(fleet: RolloutFleet) -> str:
     await asyncio.sleep(10)
     driver = fleet.driver()
-    versions = fleet.nodes[driver].control.filter
-    while versions.number('desk') < SHIFT_NUMBER:
+    state = fleet.nodes[driver].control.filter.state('desk')
+    while state.step is None or state.step.phase != Phase.SHIFT:
         await asyncio.sleep(0.02)
     return driver
 
--- a/tests/test_rollouts_mesh.py
+++ b/tests/test_rollouts_mesh.py
@@ -100,6 +100,16 @@
             at for instance in instances for at in instance.script.arrival_times
         ]
 
+    async def kill_all(self) -> None:
+        """Kill all nodes; their targets keep running."""
+        for address in list(self.fleet.instances):
+            await self.fleet.kill(address)
+
+    async def restart(self, instances: list[MeshInstance]) -> None:
+        """Start killed nodes beside their targets again."""
+        for number, instance in enumerate(instances):
+            instances[number] = await self.fleet.restart(instance)
+
     def stop(self) -> None:
         """Stop the callers."""
         for task in self._tasks:
@@ -242,6 +252,79 @@
         self.assertThat(len(new), LessThan(limit))
 
 
+class EstablishedVersionTest(TestCase):
+    """Which version serves without an order, after kills and losses."""
+
+    def test_new_targets_known_first_after_a_kill_of_all_nodes(self) -> None:
+        """Guards against requests to a version that nobody has ordered."""
+        run_virtual(self._killed())
+
+    async def _killed(self) -> None:
+        driver = RolloutFleetDriver(6)
+        await driver.start()
+        await asyncio.sleep(3)
+        await driver.start_new(has_callers=True)
+        for _ in range(3):
+            await asyncio.sleep(4)
+            await driver.kill_all()
+            await driver.restart(driver.new)
+            await asyncio.sleep(1.2)
+            await driver.restart(driver.old)
+        await asyncio.sleep(4)
+        driver.stop()
+        self.assertThat(driver.arrivals(driver.new), Equals([]))
+        self.assertThat(driver.outcomes['200'], GreaterThan(1000))
+
+    def test_order_while_all_nodes_are_down(self) -> None:
+        """Guards against a roll-out without an old version to return to."""
+        run_virtual(self._ordered_while_down())
+
+    async def _ordered_while_down(self) -> None:
+        driver = RolloutFleetDriver(7)
+        await driver.start()
+        await asyncio.sleep(3)
+        await driver.start_new(failure_share=0.4, has_callers=True)
+        await asyncio.sleep(4)
+        await driver.kill_all()
+        await driver.order()
+        await driver.restart(driver.new)
+        await asyncio.sleep(1.2)
+        await driver.restart(driver.old)
+        await self._check_rolled_back(driver)
+
+    def test_more_new_targets_than_old_ones(self) -> None:
+        """Guards against a majority of targets that decides what serves."""
+        run_virtual(self._outnumbered())
+
+    async def _outnumbered(self) -> None:
+        driver = RolloutFleetDriver(8)
+        await driver.start()
+        await asyncio.sleep(3)
+        for lost in driver.old[:3]:
+            await driver.fleet.kill(lost.identity.address)
+        await asyncio.sleep(8)
+        await driver.start_new(failure_share=0.4, has_callers=True)
+        await asyncio.sleep(5)
+        self.assertThat(driver.arrivals(driver.new), Equals([]))
+        await driver.order()
+        await self._check_rolled_back(driver)
+
+    async def _check_rolled_back(self, driver: RolloutFleetDriver) -> None:
+        """Assert the bound on a bad version, and that the old one serves."""
+        await driver.wait_for('rolled_back', DURATION_S)
+        await asyncio.sleep(2)
+        exposed = len(driver.arrivals(driver.new))
+        total = exposed + len(driver.arrivals(driver.old))
+        bounds = Bounds()
+        limit = total * bounds.expose_share + bounds.slack
+        self.assertThat(exposed, LessThan(limit))
+        served = driver.outcomes['200']
+        await asyncio.sleep(3)
+        driver.stop()
+        self.assertThat(len(driver.arrivals(driver.new)), Equals(exposed))
+        self.assertThat(driver.outcomes['200'] - served, GreaterThan(500))
+
+
 class FormatTest(TestCase):
     """The platform's records."""
 
--- a/tests/test_rollouts_units.py
+++ b/tests/test_rollouts_units.py
@@ -16,21 +16,39 @@
     RouteCounts,
     bucket_of,
 )
+from filbertdrift.rollouts.established import FIRST_SIGHT_S
 from filbertdrift.rollouts.filter import (
-    HOLD_S,
-    JOIN_WAIT_S,
     PERMISSION_S,
     UNKNOWN_STEP_WAIT_S,
     WARM_UP_S,
     VersionFilter,
 )
 from filbertdrift.rollouts.judge import Judge
+from filbertdrift.rollouts.plan import (
+    GONE_S,
+    HOLD_S,
+    Bounds,
+    Decision,
+    FleetView,
+    Times,
+    decide,
+    number_after,
+)
 from filbertdrift.rollouts.reports import Reporter
-from filbertdrift.rollouts.steps import Order, Phase, Step, step_to_message
+from filbertdrift.rollouts.state import ServiceState, new_state
+from filbertdrift.rollouts.steps import (
+    Order,
+    Phase,
+    Step,
+    no_order,
+    step_from_message,
+    step_to_message,
+)
 from standins.rollout_fleet import Behaviour, good, slow
 
 ORDER = Order('desk', 'v2', 30, 1, 1, 5)
-TRIAL = Step(1, Phase.TRIAL, ORDER, ('v1',), 1)
+TRIAL = Step(2, Phase.TRIAL, ORDER, ('v1',), 2)
+ESTABLISHED = Step(1, Phase.ESTABLISHED, no_order('desk'), ('v1',), 1)
 
 
 def members(old: int = 4, new: int = 4) -> list[Member]:
@@ -53,13 +71,7 @@
     def setUp(self) -> None:
         super().setUp()
         self.now = 100.0
-        self.config_age_s = 1.0
-        self.filter = VersionFilter(
-            0.1,
-            lambda: self.now,
-            lambda: self.config_age_s,
-            random.Random(1),
-        )
+        self.filter = VersionFilter(0.1, lambda: self.now, random.Random(1))
         self.members = members()
 
     def versions(self) -> set[str]:
@@ -87,6 +99,7 @@
     def test_one_version_returns_the_same_object(self) -> None:
         """Guards the chooser's cache, which compares by identity."""
         old = members(4, 0)
+        self.filter.answered_at['desk'] = self.now
         self.assertThat(self.filter.assign('desk', old), Is(old))
         self.begin_trial()
         first = self.filter.assign('desk', self.members)
@@ -112,7 +125,7 @@
     def test_request_of_the_trial_after_a_rollback(self) -> None:
         self.begin_trial()
         trial = [each for each in self.members if each.target_version == 'v2']
-        rolled_back = replace(TRIAL, number=2, phase=Phase.ROLLED_BACK)
+        rolled_back = replace(TRIAL, number=3, phase=Phase.ROLLED_BACK)
         self.filter.state('desk').adopt(rolled_back, self.now)
         renewed = self.filter.renew('desk', self.members, trial)
         found = {member.target_version for member in renewed}
@@ -133,30 +146,102 @@
     def test_own_target_before_the_others_are_known(self) -> None:
         """Guards against requests to a new target at a node that starts."""
         alone = members(0, 1)
-        versions = VersionFilter(
-            0.1, lambda: self.now, lambda: 1.0, random.Random(1), alone[0].node
-        )
-        self.assertThat(list(versions.assign('desk', alone)), Equals([]))
-        versions.answered_at['desk'] = self.now
-        assigned = versions.assign('desk', members())
-        found = {member.target_version for member in assigned}
-        self.assertThat(found, Equals({'v1'}))
+        self.assertThat(list(self.filter.assign('desk', alone)), Equals([]))
+        self.filter.answered_at['desk'] = self.now
+        self.assertThat(self.versions(), Equals({'v1'}))
+
+    def test_new_targets_are_known_before_the_old_ones(self) -> None:
+        """Guards against a version that nobody ordered, after a restart."""
+        new = [each for each in self.members if each.target_version == 'v2']
+        self.assertThat(list(self.filter.assign('desk', new)), Equals([]))
+        self.now += UNKNOWN_STEP_WAIT_S / 2
+        self.assertThat(list(self.filter.assign('desk', new)), Equals([]))
+        self.filter.state('desk').adopt(ESTABLISHED, self.now)
+        self.assertThat(list(self.filter.assign('desk', new)), Equals([]))
+        self.assertThat(self.versions(), Equals({'v1'}))
+
+    def test_more_new_targets_than_old_ones(self) -> None:
+        """Guards against taking the version with most targets."""
+        self.members = members(2, 4)
+        self.filter.state('desk').adopt(ESTABLISHED, self.now)
+        self.assertThat(self.versions(), Equals({'v1'}))
+
+    def test_without_a_record_versions_that_came_later_wait(self) -> None:
+        self.filter.answered_at['desk'] = self.now
+        self.filter.assign('desk', members(2, 0))
+        self.now += FIRST_SIGHT_S + 1
+        self.members = members(2, 4)
+        self.assertThat(self.versions(), Equals({'v1'}))
 
     def test_unordered_version_is_held_back(self) -> None:
-        self.filter.assign('desk', members(4, 0))
-        self.now += JOIN_WAIT_S
-        self.filter.assign('desk', members(4, 0))
+        self.filter.state('desk').adopt(ESTABLISHED, self.now)
         self.assertThat(self.versions(), Equals({'v1'}))
         self.now += HOLD_S * 2
-        # The driver has not replied that there is no order.
-        self.assertThat(self.versions(), Equals({'v1'}))
         self.filter.answered_at['desk'] = self.now
-        self.config_age_s = HOLD_S * 2
-        self.now += 1
         self.assertThat(self.versions(), Equals({'v1'}))
-        self.config_age_s = 1
-        self.now += 1
-        self.assertThat(self.versions(), Equals({'v1', 'v2'}))
+
+
+class RecordTest(TestCase):
+    """The record of the versions that serve without an order."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.view = FleetView('desk', ('v1',), new_targets=3)
+        self.times = Times(100, 90, 95)
+
+    def decide(
+        self, step: Step | None, order: Order | None = None
+    ) -> Decision | None:
+        """Return the next step."""
+        return decide(step, order, self.view, self.times, Bounds())
+
+    def test_order_waits_for_the_record(self) -> None:
+        """Guards against a roll-out that begins with no old version."""
+        self.view = FleetView('desk', None, new_targets=3)
+        self.assertIsNone(self.decide(None, ORDER))
+        self.view = FleetView('desk', ('v1',), new_targets=3)
+        first = self.decide(None, ORDER)
+        assert first is not None
+        self.assertThat(first.phase, Equals(Phase.ESTABLISHED))
+        self.assertThat(first.old_versions, Equals(('v1',)))
+        trial = self.decide(number_after(None, first, 'a'), ORDER)
+        assert trial is not None
+        self.assertThat(trial.phase, Equals(Phase.TRIAL))
+        self.assertThat(trial.old_versions, Equals(('v1',)))
+
+    def test_order_goes_by_the_record(self) -> None:
+        """Guards against what a driver that has just started sees."""
+        for seen in (None, (), ('v2',)):
+            self.view = FleetView('desk', seen, new_targets=3)
+            trial = self.decide(ESTABLISHED, ORDER)
+            assert trial is not None
+            self.assertThat(trial.old_versions, Equals(('v1',)))
+
+    def test_versions_that_differ(self) -> None:
+        state = self.states()
+        second = replace(ESTABLISHED, number=2, old_versions=('v2',))
+        self.assertTrue(state.adopt(second, 0))
+        self.assertFalse(state.adopt(ESTABLISHED, 0))
+        self.assertThat(state.step, Is(second))
+
+    def test_version_that_changes_in_place(self) -> None:
+        self.view = FleetView('desk', ('v3',), ('v3',))
+        self.assertIsNone(self.decide(ESTABLISHED))
+        self.times = Times(100, 90, 95, unserved_at=99 - GONE_S)
+        decision = self.decide(replace(TRIAL, phase=Phase.COMPLETED))
+        assert decision is not None
+        self.assertThat(decision.old_versions, Equals(('v3',)))
+        self.assertThat(decision.order, Is(ORDER))
+
+    def test_message(self) -> None:
+        message = step_to_message(ESTABLISHED, 0)
+        self.assertThat(step_from_message(message), Equals(ESTABLISHED))
+
+    def states(self) -> ServiceState:
+        """Return the state of a service that knows the record."""
+        state = new_state(random.Random(1))
+        state.adopt(ESTABLISHED, 0)
+        return state
 
 
 class ReporterTest(TestCase):
@@ -164,9 +249,7 @@
 
     def setUp(self) -> None:
         super().setUp()
-        self.filter = VersionFilter(
-            0.1, lambda: 100.0, lambda: 1.0, random.Random(1)
-        )
+        self.filter = VersionFilter(0.1, lambda: 100.0, random.Random(1))
 
     def reporter(self, generation: int) -> Reporter:
         """Return the reporter of one process of the node."""
