Serve other versions after a roll-back without old ones

Cause: with a step that names no old versions, an ingress let the ordered version serve in every phase, also once it was rolled back.

Change: after a roll-back without old versions, all versions serve but the one that was rolled back.

Test: FilterTest.test_rollback_without_an_old_version failed before (v2 in place of v1), passes now.

--- a/filbertdrift/rollouts/filter.py
+++ b/filbertdrift/rollouts/filter.py
@@ -10,7 +10,7 @@
 from filbertdrift.rendezvous import rank
 from filbertdrift.rollouts.established import find_established
 from filbertdrift.rollouts.state import ServiceState, new_state
-from filbertdrift.rollouts.steps import Phase
+from filbertdrift.rollouts.steps import Phase, Step
 
 # Part of the allowed share that a trial uses. The rest is for the shift, which
 # needs a second or two before the deadline.
@@ -197,10 +197,7 @@
         if state is None or state.step is None:
             return self._build_without_step(service, members, now)
         step = state.step
-        target = step.order.target_version
-        serving = set(step.old_versions)
-        if step.phase in {Phase.SHIFT, Phase.COMPLETED} or not serving:
-            serving = {target}
+        serving = _find_serving(step, seen)
         view = _View(
             members,
             step.number,
@@ -263,3 +260,16 @@
 ) -> Sequence[Member]:
     found = [member for member in members if member.target_version in versions]
     return members if len(found) == len(members) else found
+
+
+def _find_serving(step: Step, present: Collection[str]) -> Collection[str]:
+    """Return the versions that requests go to by a step."""
+    target = step.order.target_version
+    if step.phase in {Phase.SHIFT, Phase.COMPLETED}:
+        return {target}
+    if step.old_versions or not step.has_status:
+        return step.old_versions
+    if step.phase == Phase.ROLLED_BACK:
+        # None served before that is known: any other is better.
+        return set(present) - {target}
+    return {target}
--- a/tests/test_rollouts_units.py
+++ b/tests/test_rollouts_units.py
@@ -131,6 +131,12 @@
         found = {member.target_version for member in renewed}
         self.assertThat(found, Equals({'v1'}))
 
+    def test_rollback_without_an_old_version(self) -> None:
+        """Guards against a service that is down after its roll-back."""
+        rolled_back = replace(TRIAL, phase=Phase.ROLLED_BACK, old_versions=())
+        self.filter.state('desk').adopt(rolled_back, self.now)
+        self.assertThat(self.versions(), Equals({'v1'}))
+
     def test_late_step_changes_nothing(self) -> None:
         completed = replace(TRIAL, number=3, phase=Phase.COMPLETED)
         self.filter.state('desk').adopt(completed, self.now)
