Judge a new version by a part of slow responses as well

Cause: latency was judged by "all responses are slower" against "as fast as before", where a quick response counts as much as a slow one.

Change: a further sum of log-likelihood ratios, "three in ten responses are 4 to 16 times slower", with the limits of the others.

Test: JudgeTest.test_version_that_is_slow_in_part failed before (400 slow responses without a verdict, 50 allowed), passes now.

--- a/filbertdrift/rollouts/judge.py
+++ b/filbertdrift/rollouts/judge.py
@@ -2,7 +2,8 @@
 
 For each route and over all routes, failures and slow responses of the new
 version feed a cumulative sum (CUSUM) of log-likelihood ratios: "as good as the
-old version lately" against "several times worse".
+old version lately" against "several times worse", and for latency also "a part
+of the responses is several times slower".
 """
 
 import math
@@ -28,6 +29,10 @@
 # where queues change as well, 4, 8 and 16 times.
 TRIAL_SLOWDOWN = ((3, 0.5), (5, 0.3), (8, 0.2))
 SHIFT_SLOWDOWN = ((4, 0.5), (6, 0.3), (8, 0.2))
+# A version that is slow in part: this share of its responses takes 4 to 16
+# times as long.
+SLOW_PART = 0.3
+PART_SLOWDOWN = ((4, 0.25), (5, 0.25), (6, 0.25), (8, 0.25))
 # Responses that each bucket has in advance: a bucket without responses of the
 # old version is unlikely, not impossible.
 PRIOR_RESPONSES = 0.5
@@ -51,14 +56,26 @@
         recent: Responses of the old version by time of arrival.
         failing: Sum of the failures' ratios.
         slow: Sum of the slow responses' ratios.
+        partly_slow: The same, if a part of the responses is slow.
         new: All responses of the new version.
     """
 
     recent: deque[tuple[float, Outcomes]] = field(default_factory=deque)
     failing: float = 0.0
     slow: float = 0.0
+    partly_slow: float = 0.0
     new: Outcomes = field(default_factory=Outcomes)
 
+    @property
+    def highest(self) -> float:
+        """Return the highest of the sums."""
+        return max(self.failing, self.slow, self.partly_slow)
+
+    def add_slow(self, ratios: '_SlowRatios') -> None:
+        """Add the ratios of some responses."""
+        self.slow = max(self.slow + ratios.all_slow, 0)
+        self.partly_slow = max(self.partly_slow + ratios.partly_slow, 0)
+
     def old_since(self, since: float) -> Outcomes:
         """Return the old version's responses since a time."""
         found = Outcomes()
@@ -68,6 +85,24 @@
         return found
 
 
+@dataclass(slots=True)
+class _SlowRatios:
+    """Log-likelihood ratios of the latencies of some responses.
+
+    Args:
+        all_slow: That the version is slow.
+        partly_slow: That a part of its responses is.
+    """
+
+    all_slow: float = 0.0
+    partly_slow: float = 0.0
+
+    def add(self, other: '_SlowRatios') -> None:
+        """Add those of other responses."""
+        self.all_slow += other.all_slow
+        self.partly_slow += other.partly_slow
+
+
 @dataclass(frozen=True, slots=True)
 class Verdict:
     """Why a version is bad.
@@ -95,10 +130,7 @@
     def doubt(self) -> float:
         """Return the highest of the sums."""
         return max(
-            (
-                max(evidence.failing, evidence.slow)
-                for evidence in self._routes.values()
-            ),
+            (evidence.highest for evidence in self._routes.values()),
             default=0.0,
         )
 
@@ -117,14 +149,14 @@
             is_shifted: All requests go to the new version.
         """
         total = RouteCounts()
-        slow = 0.0
+        slow = _SlowRatios()
         for route, counts in fresh.items():
             windows = self._add(route, counts, now, is_shifted=is_shifted)
-            ratio = _slow_ratio(counts.new, windows, is_shifted=is_shifted)
-            self._judge(route, counts.new, windows, ratio)
+            ratios = _slow_ratios(counts.new, windows, is_shifted=is_shifted)
+            self._judge(route, counts.new, windows, ratios)
             total.old.add(counts.old)
             total.new.add(counts.new)
-            slow += ratio
+            slow.add(ratios)
         if fresh:
             windows = self._add(ALL_ROUTES, total, now, is_shifted=is_shifted)
             self._judge(ALL_ROUTES, total.new, windows, slow)
@@ -171,19 +203,23 @@
         route: str,
         new: Outcomes,
         windows: tuple[Outcomes, Outcomes],
-        slow_ratio: float,
+        slow: _SlowRatios,
     ) -> None:
         if not new.total:
             return
         evidence = self._routes[route]
         evidence.failing = _add_failures(evidence.failing, new, windows)
-        evidence.slow = max(evidence.slow + slow_ratio, 0)
+        evidence.add_slow(slow)
         self._conclude(route, evidence)
 
     def _conclude(self, route: str, evidence: _RouteEvidence) -> None:
-        if self.verdict or max(evidence.failing, evidence.slow) < ALARM:
+        if self.verdict or evidence.highest < ALARM:
             return
-        kind = 'fails' if evidence.failing >= ALARM else 'is slow'
+        kind = 'is slow'
+        if evidence.failing >= ALARM:
+            kind = 'fails'
+        elif evidence.slow < ALARM:
+            kind = 'is slow in part'
         new, old = evidence.new, evidence.old_since(0)
         self.verdict = Verdict(
             f'{kind} on {route}: {new.failures} of {new.total} failed,'
@@ -207,10 +243,10 @@
     return _add_ratio(before, new.failures, new.total, good, bad)
 
 
-def _slow_ratio(
+def _slow_ratios(
     new: Outcomes, windows: tuple[Outcomes, Outcomes], *, is_shifted: bool
-) -> float:
-    """Return the log-likelihood ratio of "slow" of some responses.
+) -> _SlowRatios:
+    """Return the log-likelihood ratios of "slow" of some responses.
 
     Args:
         new: The responses.
@@ -218,30 +254,49 @@
         is_shifted: All requests go to the new version.
     """
     slowdown = SHIFT_SLOWDOWN if is_shifted else TRIAL_SLOWDOWN
-    ratios = [
-        _bucket_ratios(old, slowdown)
-        for old in windows
-        if old.near >= MIN_OLD_SAMPLES
-    ]
+    known = [old for old in windows if old.near >= MIN_OLD_SAMPLES]
+    return _SlowRatios(
+        _sum_lowest(
+            new.latencies, [_bucket_ratios(old, slowdown) for old in known]
+        ),
+        _sum_lowest(
+            new.latencies,
+            [_bucket_ratios(old, PART_SLOWDOWN, SLOW_PART) for old in known],
+        ),
+    )
+
+
+def _sum_lowest(
+    counts: Sequence[int], ratios: Sequence[Sequence[float]]
+) -> float:
+    """Return the sum of ratios over buckets, the lowest of each bucket."""
     if not ratios:
         return 0
     lowest = [min(column) for column in zip(*ratios, strict=True)]
     return sum(
-        count * ratio
-        for count, ratio in zip(new.latencies, lowest, strict=True)
+        count * ratio for count, ratio in zip(counts, lowest, strict=True)
     )
 
 
 def _bucket_ratios(
-    old: Outcomes, slowdown: Sequence[tuple[int, float]]
+    old: Outcomes,
+    slowdown: Sequence[tuple[int, float]],
+    slow_share: float = 1,
 ) -> Sequence[float]:
-    """Return the log-likelihood ratio of "slow" of one response by bucket."""
+    """Return the log-likelihood ratio of "slow" of one response by bucket.
+
+    Args:
+        old: Responses of the old version.
+        slowdown: By how many buckets slow responses are slower, with weights.
+        slow_share: The share of responses that are slow.
+    """
     total = old.near + PRIOR_RESPONSES * BUCKETS
     good = [(count + PRIOR_RESPONSES) / total for count in old.latencies]
-    bad = [0.0] * BUCKETS
+    bad = [share * (1 - slow_share) for share in good]
     for bucket, share in enumerate(good):
         for shift, weight in slowdown:
-            bad[min(bucket + shift, BUCKETS - 1)] += share * weight
+            slower = min(bucket + shift, BUCKETS - 1)
+            bad[slower] += share * weight * slow_share
     return [
         max(min(math.log(one / other), MAX_RATIO), -MAX_RATIO)
         if one
--- a/standins/rollout_fleet.py
+++ b/standins/rollout_fleet.py
@@ -430,6 +430,38 @@
     return serve
 
 
+def steady(work_s: float) -> Behaviour:
+    """Return a behaviour that always takes the same time.
+
+    Args:
+        work_s: The time.
+    """
+    return lambda route, since_s, load, rng: Work(work_s)
+
+
+def partly_slow(
+    usual: Behaviour, share: float, factor: float, min_load: float = 0
+) -> Behaviour:
+    """Return a behaviour with which a part of responses are slower.
+
+    Args:
+        usual: The behaviour of the others.
+        share: The part.
+        factor: How many times slower.
+        min_load: The requests in progress for each target from which it does.
+    """
+
+    def serve(
+        route: str, since_s: float, load: float, rng: random.Random
+    ) -> Work:
+        work = usual(route, since_s, load, rng)
+        if load < min_load or rng.random() >= share:
+            return work
+        return Work(work.latency_s * factor, work.is_failure, is_bad=True)
+
+    return serve
+
+
 def _with_target(member: Member, version: str) -> Member:
     return replace(
         member,
--- a/tests/test_rollouts_units.py
+++ b/tests/test_rollouts_units.py
@@ -44,7 +44,13 @@
     step_from_message,
     step_to_message,
 )
-from standins.rollout_fleet import Behaviour, good, slow
+from standins.rollout_fleet import (
+    Behaviour,
+    good,
+    partly_slow,
+    slow,
+    steady,
+)
 
 ORDER = Order('desk', 'v2', 30, 1, 1, 5)
 TRIAL = Step(2, Phase.TRIAL, ORDER, ('v1',), 2)
@@ -310,14 +316,16 @@
 class JudgeTest(TestCase):
     """Good versions are not taken for bad ones."""
 
-    def responses_until_verdict(self, seed: int, behaviour: Behaviour) -> int:
+    def responses_until_verdict(
+        self, seed: int, behaviour: Behaviour, old: Behaviour = good
+    ) -> int:
         """Return the responses of the new version, 1000 if it passed."""
         rng = random.Random(seed)
         judge = Judge()
         for number in range(1000):
             fresh = {'read': RouteCounts()}
             for _ in range(40):
-                work = good('read', 0, 0, rng)
+                work = old('read', 0, 0, rng)
                 fresh['read'].old.failures += work.is_failure
                 fresh['read'].old.latencies[bucket_of(work.latency_s)] += 1
             work = behaviour('read', 0, 0, rng)
@@ -337,3 +345,18 @@
         for seed in range(10):
             needed = self.responses_until_verdict(seed, slow(3))
             self.assertThat(needed, LessThan(50))
+
+    def test_version_that_is_slow_in_part(self) -> None:
+        """Guards against slow responses that the others make up for."""
+        for seed in range(4):
+            for old in (good, steady(0.2)):
+                for share in (0.4, 0.6):
+                    behaviour = partly_slow(old, share, 5)
+                    needed = self.responses_until_verdict(seed, behaviour, old)
+                    self.assertThat(needed * share, LessThan(50))
+
+    def test_target_that_is_a_little_slower(self) -> None:
+        """Guards against a machine that is taken for its version."""
+        for seed in range(8):
+            passed = self.responses_until_verdict(seed, slow(1.3))
+            self.assertThat(passed, Equals(1000))
