Complete a roll-out once responses of the shift have been judged

Cause: a shift ended after 0.6 s if no request was left at old targets. Nothing asked for responses to the requests that had gone to new ones, and the slow ones were not there yet.

Change: completed waits for 25 responses of the shift, and for twice the time that half of the old version's responses take, 6 s at most. Attempts that wait for a response are reported by age and add to the doubt that holds completed back; they lead to no verdict. Reports of the shift come every 0.1 s.

--- a/filbertdrift/gen/ttypes.py
+++ b/filbertdrift/gen/ttypes.py
@@ -1484,6 +1484,7 @@
      - new_latencies
      - old_far: Responses from other failure domains, whose latency is not compared.
      - new_far
+     - new_waiting: Attempts at the new version without a response yet, by their age.
 
     """
 
@@ -1495,10 +1496,11 @@
         'new_latencies',
         'old_far',
         'new_far',
+        'new_waiting',
     )
 
 
-    def __init__(self, route_name=None, old_failures=None, new_failures=None, old_latencies=None, new_latencies=None, old_far=None, new_far=None,):
+    def __init__(self, route_name=None, old_failures=None, new_failures=None, old_latencies=None, new_latencies=None, old_far=None, new_far=None, new_waiting=None,):
         self.route_name = route_name
         self.old_failures = old_failures
         self.new_failures = new_failures
@@ -1506,6 +1508,7 @@
         self.new_latencies = new_latencies
         self.old_far = old_far
         self.new_far = new_far
+        self.new_waiting = new_waiting
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1561,6 +1564,16 @@
                     self.new_far = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.LIST:
+                    self.new_waiting = []
+                    (_etype50, _size47) = iprot.readListBegin()
+                    for _i51 in range(_size47):
+                        _elem52 = iprot.readI64()
+                        self.new_waiting.append(_elem52)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1586,15 +1599,15 @@
         if self.old_latencies is not None:
             oprot.writeFieldBegin('old_latencies', TType.LIST, 4)
             oprot.writeListBegin(TType.I64, len(self.old_latencies))
-            for iter47 in self.old_latencies:
-                oprot.writeI64(iter47)
+            for iter53 in self.old_latencies:
+                oprot.writeI64(iter53)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.new_latencies is not None:
             oprot.writeFieldBegin('new_latencies', TType.LIST, 5)
             oprot.writeListBegin(TType.I64, len(self.new_latencies))
-            for iter48 in self.new_latencies:
-                oprot.writeI64(iter48)
+            for iter54 in self.new_latencies:
+                oprot.writeI64(iter54)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.old_far is not None:
@@ -1605,6 +1618,13 @@
             oprot.writeFieldBegin('new_far', TType.I64, 7)
             oprot.writeI64(self.new_far)
             oprot.writeFieldEnd()
+        if self.new_waiting is not None:
+            oprot.writeFieldBegin('new_waiting', TType.LIST, 8)
+            oprot.writeListBegin(TType.I64, len(self.new_waiting))
+            for iter55 in self.new_waiting:
+                oprot.writeI64(iter55)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1723,11 +1743,11 @@
             elif fid == 9:
                 if ftype == TType.LIST:
                     self.routes = []
-                    (_etype52, _size49) = iprot.readListBegin()
-                    for _i53 in range(_size49):
-                        _elem54 = RouteOutcomes()
-                        _elem54.read(iprot)
-                        self.routes.append(_elem54)
+                    (_etype59, _size56) = iprot.readListBegin()
+                    for _i60 in range(_size56):
+                        _elem61 = RouteOutcomes()
+                        _elem61.read(iprot)
+                        self.routes.append(_elem61)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1776,8 +1796,8 @@
         if self.routes is not None:
             oprot.writeFieldBegin('routes', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.routes))
-            for iter55 in self.routes:
-                iter55.write(oprot)
+            for iter62 in self.routes:
+                iter62.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2093,11 +2113,11 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.wants = []
-                    (_etype59, _size56) = iprot.readListBegin()
-                    for _i60 in range(_size56):
-                        _elem61 = QuotaWant()
-                        _elem61.read(iprot)
-                        self.wants.append(_elem61)
+                    (_etype66, _size63) = iprot.readListBegin()
+                    for _i67 in range(_size63):
+                        _elem68 = QuotaWant()
+                        _elem68.read(iprot)
+                        self.wants.append(_elem68)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2130,8 +2150,8 @@
         if self.wants is not None:
             oprot.writeFieldBegin('wants', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.wants))
-            for iter62 in self.wants:
-                iter62.write(oprot)
+            for iter69 in self.wants:
+                iter69.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2302,11 +2322,11 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.grants = []
-                    (_etype66, _size63) = iprot.readListBegin()
-                    for _i67 in range(_size63):
-                        _elem68 = QuotaTokens()
-                        _elem68.read(iprot)
-                        self.grants.append(_elem68)
+                    (_etype73, _size70) = iprot.readListBegin()
+                    for _i74 in range(_size70):
+                        _elem75 = QuotaTokens()
+                        _elem75.read(iprot)
+                        self.grants.append(_elem75)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2335,8 +2355,8 @@
         if self.grants is not None:
             oprot.writeFieldBegin('grants', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.grants))
-            for iter69 in self.grants:
-                iter69.write(oprot)
+            for iter76 in self.grants:
+                iter76.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2493,11 +2513,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.wants = []
-                    (_etype73, _size70) = iprot.readListBegin()
-                    for _i74 in range(_size70):
-                        _elem75 = QuotaShare()
-                        _elem75.read(iprot)
-                        self.wants.append(_elem75)
+                    (_etype80, _size77) = iprot.readListBegin()
+                    for _i81 in range(_size77):
+                        _elem82 = QuotaShare()
+                        _elem82.read(iprot)
+                        self.wants.append(_elem82)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2518,8 +2538,8 @@
         if self.wants is not None:
             oprot.writeFieldBegin('wants', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.wants))
-            for iter76 in self.wants:
-                iter76.write(oprot)
+            for iter83 in self.wants:
+                iter83.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2582,11 +2602,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.loans = []
-                    (_etype80, _size77) = iprot.readListBegin()
-                    for _i81 in range(_size77):
-                        _elem82 = QuotaShare()
-                        _elem82.read(iprot)
-                        self.loans.append(_elem82)
+                    (_etype87, _size84) = iprot.readListBegin()
+                    for _i88 in range(_size84):
+                        _elem89 = QuotaShare()
+                        _elem89.read(iprot)
+                        self.loans.append(_elem89)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2607,8 +2627,8 @@
         if self.loans is not None:
             oprot.writeFieldBegin('loans', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.loans))
-            for iter83 in self.loans:
-                iter83.write(oprot)
+            for iter90 in self.loans:
+                iter90.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3126,11 +3146,11 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.files = []
-                    (_etype87, _size84) = iprot.readListBegin()
-                    for _i88 in range(_size84):
-                        _elem89 = ConfigFile()
-                        _elem89.read(iprot)
-                        self.files.append(_elem89)
+                    (_etype94, _size91) = iprot.readListBegin()
+                    for _i95 in range(_size91):
+                        _elem96 = ConfigFile()
+                        _elem96.read(iprot)
+                        self.files.append(_elem96)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3165,8 +3185,8 @@
         if self.files is not None:
             oprot.writeFieldBegin('files', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.files))
-            for iter90 in self.files:
-                iter90.write(oprot)
+            for iter97 in self.files:
+                iter97.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.author is not None:
@@ -3458,22 +3478,22 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.files = []
-                    (_etype94, _size91) = iprot.readListBegin()
-                    for _i95 in range(_size91):
-                        _elem96 = StoredFile()
-                        _elem96.read(iprot)
-                        self.files.append(_elem96)
+                    (_etype101, _size98) = iprot.readListBegin()
+                    for _i102 in range(_size98):
+                        _elem103 = StoredFile()
+                        _elem103.read(iprot)
+                        self.files.append(_elem103)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.verdicts = []
-                    (_etype100, _size97) = iprot.readListBegin()
-                    for _i101 in range(_size97):
-                        _elem102 = StoredVerdict()
-                        _elem102.read(iprot)
-                        self.verdicts.append(_elem102)
+                    (_etype107, _size104) = iprot.readListBegin()
+                    for _i108 in range(_size104):
+                        _elem109 = StoredVerdict()
+                        _elem109.read(iprot)
+                        self.verdicts.append(_elem109)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3498,15 +3518,15 @@
         if self.files is not None:
             oprot.writeFieldBegin('files', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.files))
-            for iter103 in self.files:
-                iter103.write(oprot)
+            for iter110 in self.files:
+                iter110.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.verdicts is not None:
             oprot.writeFieldBegin('verdicts', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.verdicts))
-            for iter104 in self.verdicts:
-                iter104.write(oprot)
+            for iter111 in self.verdicts:
+                iter111.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3571,10 +3591,10 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.nodes = []
-                    (_etype108, _size105) = iprot.readListBegin()
-                    for _i109 in range(_size105):
-                        _elem110 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.nodes.append(_elem110)
+                    (_etype115, _size112) = iprot.readListBegin()
+                    for _i116 in range(_size112):
+                        _elem117 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.nodes.append(_elem117)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3595,8 +3615,8 @@
         if self.nodes is not None:
             oprot.writeFieldBegin('nodes', TType.LIST, 2)
             oprot.writeListBegin(TType.STRING, len(self.nodes))
-            for iter111 in self.nodes:
-                oprot.writeString(iter111.encode('utf-8') if sys.version_info[0] == 2 else iter111)
+            for iter118 in self.nodes:
+                oprot.writeString(iter118.encode('utf-8') if sys.version_info[0] == 2 else iter118)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3667,10 +3687,10 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.held_versions = []
-                    (_etype115, _size112) = iprot.readListBegin()
-                    for _i116 in range(_size112):
-                        _elem117 = iprot.readI64()
-                        self.held_versions.append(_elem117)
+                    (_etype122, _size119) = iprot.readListBegin()
+                    for _i123 in range(_size119):
+                        _elem124 = iprot.readI64()
+                        self.held_versions.append(_elem124)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3695,8 +3715,8 @@
         if self.held_versions is not None:
             oprot.writeFieldBegin('held_versions', TType.LIST, 3)
             oprot.writeListBegin(TType.I64, len(self.held_versions))
-            for iter118 in self.held_versions:
-                oprot.writeI64(iter118)
+            for iter125 in self.held_versions:
+                oprot.writeI64(iter125)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3766,11 +3786,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.records = []
-                    (_etype122, _size119) = iprot.readListBegin()
-                    for _i123 in range(_size119):
-                        _elem124 = OffsetRecord()
-                        _elem124.read(iprot)
-                        self.records.append(_elem124)
+                    (_etype129, _size126) = iprot.readListBegin()
+                    for _i130 in range(_size126):
+                        _elem131 = OffsetRecord()
+                        _elem131.read(iprot)
+                        self.records.append(_elem131)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3807,8 +3827,8 @@
         if self.records is not None:
             oprot.writeFieldBegin('records', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.records))
-            for iter125 in self.records:
-                iter125.write(oprot)
+            for iter132 in self.records:
+                iter132.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.config_offset is not None:
@@ -3884,10 +3904,10 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.buckets = []
-                    (_etype129, _size126) = iprot.readListBegin()
-                    for _i130 in range(_size126):
-                        _elem131 = iprot.readI64()
-                        self.buckets.append(_elem131)
+                    (_etype136, _size133) = iprot.readListBegin()
+                    for _i137 in range(_size133):
+                        _elem138 = iprot.readI64()
+                        self.buckets.append(_elem138)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3910,8 +3930,8 @@
         if self.buckets is not None:
             oprot.writeFieldBegin('buckets', TType.LIST, 1)
             oprot.writeListBegin(TType.I64, len(self.buckets))
-            for iter132 in self.buckets:
-                oprot.writeI64(iter132)
+            for iter139 in self.buckets:
+                oprot.writeI64(iter139)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.sender is not None:
@@ -3973,11 +3993,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.entries = []
-                    (_etype136, _size133) = iprot.readListBegin()
-                    for _i137 in range(_size133):
-                        _elem138 = MemberEntry()
-                        _elem138.read(iprot)
-                        self.entries.append(_elem138)
+                    (_etype143, _size140) = iprot.readListBegin()
+                    for _i144 in range(_size140):
+                        _elem145 = MemberEntry()
+                        _elem145.read(iprot)
+                        self.entries.append(_elem145)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3999,8 +4019,8 @@
         if self.entries is not None:
             oprot.writeFieldBegin('entries', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.entries))
-            for iter139 in self.entries:
-                iter139.write(oprot)
+            for iter146 in self.entries:
+                iter146.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.come_back_ms is not None:
@@ -4061,10 +4081,10 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.known_ids = []
-                    (_etype143, _size140) = iprot.readListBegin()
-                    for _i144 in range(_size140):
-                        _elem145 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.known_ids.append(_elem145)
+                    (_etype150, _size147) = iprot.readListBegin()
+                    for _i151 in range(_size147):
+                        _elem152 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.known_ids.append(_elem152)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4081,8 +4101,8 @@
         if self.known_ids is not None:
             oprot.writeFieldBegin('known_ids', TType.LIST, 1)
             oprot.writeListBegin(TType.STRING, len(self.known_ids))
-            for iter146 in self.known_ids:
-                oprot.writeString(iter146.encode('utf-8') if sys.version_info[0] == 2 else iter146)
+            for iter153 in self.known_ids:
+                oprot.writeString(iter153.encode('utf-8') if sys.version_info[0] == 2 else iter153)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -4137,11 +4157,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.notices = []
-                    (_etype150, _size147) = iprot.readListBegin()
-                    for _i151 in range(_size147):
-                        _elem152 = CrashNotice()
-                        _elem152.read(iprot)
-                        self.notices.append(_elem152)
+                    (_etype157, _size154) = iprot.readListBegin()
+                    for _i158 in range(_size154):
+                        _elem159 = CrashNotice()
+                        _elem159.read(iprot)
+                        self.notices.append(_elem159)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4158,8 +4178,8 @@
         if self.notices is not None:
             oprot.writeFieldBegin('notices', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.notices))
-            for iter153 in self.notices:
-                iter153.write(oprot)
+            for iter160 in self.notices:
+                iter160.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -4383,11 +4403,11 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.headers = []
-                    (_etype157, _size154) = iprot.readListBegin()
-                    for _i158 in range(_size154):
-                        _elem159 = Header()
-                        _elem159.read(iprot)
-                        self.headers.append(_elem159)
+                    (_etype164, _size161) = iprot.readListBegin()
+                    for _i165 in range(_size161):
+                        _elem166 = Header()
+                        _elem166.read(iprot)
+                        self.headers.append(_elem166)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4434,10 +4454,10 @@
             elif fid == 12:
                 if ftype == TType.LIST:
                     self.refusal_statuses = []
-                    (_etype163, _size160) = iprot.readListBegin()
-                    for _i164 in range(_size160):
-                        _elem165 = iprot.readI32()
-                        self.refusal_statuses.append(_elem165)
+                    (_etype170, _size167) = iprot.readListBegin()
+                    for _i171 in range(_size167):
+                        _elem172 = iprot.readI32()
+                        self.refusal_statuses.append(_elem172)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4533,8 +4553,8 @@
         if self.headers is not None:
             oprot.writeFieldBegin('headers', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.headers))
-            for iter166 in self.headers:
-                iter166.write(oprot)
+            for iter173 in self.headers:
+                iter173.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.remaining_ms is not None:
@@ -4572,8 +4592,8 @@
         if self.refusal_statuses is not None:
             oprot.writeFieldBegin('refusal_statuses', TType.LIST, 12)
             oprot.writeListBegin(TType.I32, len(self.refusal_statuses))
-            for iter167 in self.refusal_statuses:
-                oprot.writeI32(iter167)
+            for iter174 in self.refusal_statuses:
+                oprot.writeI32(iter174)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.generation is not None:
@@ -5000,11 +5020,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.headers = []
-                    (_etype171, _size168) = iprot.readListBegin()
-                    for _i172 in range(_size168):
-                        _elem173 = Header()
-                        _elem173.read(iprot)
-                        self.headers.append(_elem173)
+                    (_etype178, _size175) = iprot.readListBegin()
+                    for _i179 in range(_size175):
+                        _elem180 = Header()
+                        _elem180.read(iprot)
+                        self.headers.append(_elem180)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5057,8 +5077,8 @@
         if self.headers is not None:
             oprot.writeFieldBegin('headers', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.headers))
-            for iter174 in self.headers:
-                iter174.write(oprot)
+            for iter181 in self.headers:
+                iter181.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.body is not None:
@@ -5676,11 +5696,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.entries = []
-                    (_etype178, _size175) = iprot.readListBegin()
-                    for _i179 in range(_size175):
-                        _elem180 = ClaimEntry()
-                        _elem180.read(iprot)
-                        self.entries.append(_elem180)
+                    (_etype185, _size182) = iprot.readListBegin()
+                    for _i186 in range(_size182):
+                        _elem187 = ClaimEntry()
+                        _elem187.read(iprot)
+                        self.entries.append(_elem187)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5701,8 +5721,8 @@
         if self.entries is not None:
             oprot.writeFieldBegin('entries', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.entries))
-            for iter181 in self.entries:
-                iter181.write(oprot)
+            for iter188 in self.entries:
+                iter188.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -6271,6 +6291,7 @@
     (5, TType.LIST, 'new_latencies', (TType.I64, None, False), None, ),  # 5
     (6, TType.I64, 'old_far', None, None, ),  # 6
     (7, TType.I64, 'new_far', None, None, ),  # 7
+    (8, TType.LIST, 'new_waiting', (TType.I64, None, False), None, ),  # 8
 )
 all_structs.append(RolloutReport)
 RolloutReport.thrift_spec = (
--- a/filbertdrift/rollouts/counts.py
+++ b/filbertdrift/rollouts/counts.py
@@ -73,10 +73,35 @@
 
 @dataclass(slots=True)
 class RouteCounts:
-    """Responses of both versions on one route."""
+    """Responses of both versions on one route.
+
+    Args:
+        old: Those of the old version.
+        new: Those of the new one.
+        waiting: Attempts at targets of the new version in the failure domain
+            of the ingress that have no response yet, by bucket of their age.
+    """
 
     old: Outcomes = field(default_factory=Outcomes)
     new: Outcomes = field(default_factory=Outcomes)
+    waiting: Sequence[int] = ()
+
+
+@dataclass(frozen=True, slots=True, eq=False)
+class WaitingAttempt:
+    """An attempt at a target that has not responded yet.
+
+    Args:
+        service: The service.
+        version: The version of the target.
+        route: The name of the request's route.
+        since: When it began, on the loop's clock.
+    """
+
+    service: str
+    version: str
+    route: str
+    since: float
 
 
 class OutcomeCounter:
@@ -104,9 +129,55 @@
         self._find_state = find_state
         self._routes: dict[str, dict[str, RouteCounts]] = {}
         self._trial_numbers: dict[str, int] = {}
+        self._waiting: set[WaitingAttempt] = set()
+
+    def began(
+        self, member: Member, route: str = OTHER_ROUTES, now: float = 0
+    ) -> WaitingAttempt:
+        """Record that an attempt at a target begins.
+
+        Args:
+            member: The target's node.
+            route: The name of the request's route.
+            now: The time on the loop's clock.
+
+        Returns:
+            The attempt, for stop_waiting.
+        """
+        waiting = WaitingAttempt(
+            member.service, member.target_version, route, now
+        )
+        if member.domain == self._domain:
+            self._waiting.add(waiting)
+        self._count_begin(member)
+        return waiting
 
-    def began(self, member: Member) -> None:
-        """Record that an attempt at a target begins."""
+    def stop_waiting(self, waiting: WaitingAttempt) -> None:
+        """Record that an attempt has got its response or has ended."""
+        self._waiting.discard(waiting)
+
+    def find_waiting(self, service: str, now: float) -> dict[str, list[int]]:
+        """Return the attempts at the new version that wait for a response.
+
+        Args:
+            service: The service.
+            now: The time on the loop's clock.
+
+        Returns:
+            Their numbers by route and bucket of their age.
+        """
+        state = self._find_state(service)
+        if state is None or state.step is None or not state.step.is_running:
+            return {}
+        found: dict[str, list[int]] = {}
+        target = state.step.order.target_version
+        for waiting in self._waiting:
+            if (waiting.service, waiting.version) == (service, target):
+                ages = found.setdefault(waiting.route, [0] * BUCKETS)
+                ages[bucket_of(now - waiting.since)] += 1
+        return found
+
+    def _count_begin(self, member: Member) -> None:
         state = self._find_state(member.service)
         if state is None:
             return
@@ -177,8 +248,21 @@
     return min(1 + int(octaves * BUCKETS_PER_OCTAVE), BUCKETS - 1)
 
 
-def to_message(route: str, counts: RouteCounts) -> ttypes.RouteOutcomes:
-    """Convert the counts of a route to their message."""
+def bucket_end_s(bucket: int) -> float:
+    """Return the highest latency of a bucket."""
+    return float(LOWEST_S * 2 ** (bucket / BUCKETS_PER_OCTAVE))
+
+
+def to_message(
+    route: str, counts: RouteCounts, waiting: Sequence[int] = ()
+) -> ttypes.RouteOutcomes:
+    """Convert the counts of a route to their message.
+
+    Args:
+        route: The name of the route.
+        counts: Its responses.
+        waiting: Attempts without a response, by bucket of their age.
+    """
     return ttypes.RouteOutcomes(
         route_name=route,
         old_failures=counts.old.failures,
@@ -187,6 +271,7 @@
         new_latencies=_trim(counts.new.latencies),
         old_far=counts.old.far,
         new_far=counts.new.far,
+        new_waiting=_trim(waiting) or None,
     )
 
 
@@ -203,6 +288,7 @@
             _pad(message.new_latencies),
             message.new_far or 0,
         ),
+        _pad(message.new_waiting),
     )
 
 
@@ -311,6 +397,25 @@
         self._fresh = {}
         return fresh
 
+    def find_waiting(self, since: float) -> dict[str, list[int]]:
+        """Return the attempts that wait for a response of the new version.
+
+        Args:
+            since: Reports that arrived earlier do not count.
+
+        Returns:
+            Their numbers by route and bucket of their age.
+        """
+        found: dict[str, list[int]] = {}
+        for report in self.reports.values():
+            if report.received_at < since:
+                continue
+            for route, counts in report.routes.items():
+                ages = found.setdefault(route, [0] * BUCKETS)
+                for bucket, count in enumerate(counts.waiting):
+                    ages[bucket] += count
+        return found
+
     def rate_per_s(self, now: float, ordered_at: float) -> float:
         """Return the requests a second, of late or on average if higher.
 
--- a/filbertdrift/rollouts/driver.py
+++ b/filbertdrift/rollouts/driver.py
@@ -87,6 +87,8 @@
         self._on_written = on_written
         self._step_number = NO_STEP
         self._step_at = LONG_AGO
+        # Responses of the new version until the newest step.
+        self._responses_before = 0
         self._status_number = NO_STEP
         self._status_era = NO_ERA
         self._no_targets_at: float | None = None
@@ -220,9 +222,11 @@
         now = asyncio.get_running_loop().time()
         self._step_number = step.number
         self._step_at = now
+        self._responses_before = self.judge.responses
         if self.counts.trial_number != step.trial_number:
             self.counts = FleetCounts(step.trial_number, now)
             self.judge = Judge()
+            self._responses_before = 0
             self._no_targets_at = None
 
     def _judge(self) -> None:
@@ -239,6 +243,9 @@
             now,
             is_shifted=not step.is_trial,
         )
+        if not step.is_trial:
+            waiting = self.counts.find_waiting(now - SILENT_AFTER_S)
+            self.judge.weigh_waiting(waiting)
         verdict = self.judge.verdict
         if verdict is not None and before is None:
             logger.bind(
@@ -321,6 +328,8 @@
                 self.counts.started_at - state.ordered_at <= WHOLE_COUNT_S
             ),
             rate_per_s=self.counts.rate_per_s(now, state.ordered_at),
+            shift_responses=self.judge.responses - self._responses_before,
+            usual_latency_s=self.judge.usual_latency_s,
             verdict=self.judge.verdict,
             doubt=self.judge.doubt,
         )
--- a/filbertdrift/rollouts/judge.py
+++ b/filbertdrift/rollouts/judge.py
@@ -10,8 +10,14 @@
 from collections import deque
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field
+from itertools import accumulate
 
-from filbertdrift.rollouts.counts import BUCKETS, Outcomes, RouteCounts
+from filbertdrift.rollouts.counts import (
+    BUCKETS,
+    Outcomes,
+    RouteCounts,
+    bucket_end_s,
+)
 
 # Limit of the sums. None of 400 simulated roll-outs of a good version passed
 # it, of six routes and 150 responses of the new version each; 9 of 10 stayed
@@ -84,6 +90,14 @@
                 found.add(outcomes)
         return found
 
+    def find_windows(self) -> tuple[Outcomes, Outcomes]:
+        """Return the old version's responses in the long and short window."""
+        newest_at = self.recent[-1][0] if self.recent else 0
+        return (
+            self.old_since(newest_at - LONG_WINDOW_S),
+            self.old_since(newest_at - SHORT_WINDOW_S),
+        )
+
 
 @dataclass(slots=True)
 class _SlowRatios:
@@ -125,15 +139,33 @@
         """Start without evidence."""
         self.verdict: Verdict | None = None
         self._routes: dict[str, _RouteEvidence] = {}
+        self._waiting_doubt = 0.0
 
     @property
     def doubt(self) -> float:
-        """Return the highest of the sums."""
+        """Return the highest of the sums.
+
+        Attempts that wait for a response count as far as they already took.
+        """
         return max(
-            (evidence.highest for evidence in self._routes.values()),
-            default=0.0,
+            self._waiting_doubt,
+            *(evidence.highest for evidence in self._routes.values()),
+            0,
         )
 
+    @property
+    def responses(self) -> int:
+        """Return the number of responses of the new version."""
+        evidence = self._routes.get(ALL_ROUTES)
+        return evidence.new.total if evidence else 0
+
+    @property
+    def usual_latency_s(self) -> float:
+        """Return a latency that half of the old version's do not exceed."""
+        evidence = self._routes.get(ALL_ROUTES)
+        old = evidence.old_since(0) if evidence else Outcomes()
+        return bucket_end_s(_quantile(old, 1 / 2)) if old.near else 0
+
     def record(
         self,
         fresh: Mapping[str, RouteCounts],
@@ -161,6 +193,28 @@
             windows = self._add(ALL_ROUTES, total, now, is_shifted=is_shifted)
             self._judge(ALL_ROUTES, total.new, windows, slow)
 
+    def weigh_waiting(self, waiting: Mapping[str, Sequence[int]]) -> None:
+        """Weigh the attempts at the new version that wait for a response.
+
+        They add to the doubt only: that a target does not respond may also be
+        due to the link.
+
+        Args:
+            waiting: Their numbers by route and bucket of their age.
+        """
+        doubts = [0.0]
+        total = 0.0
+        for route, ages in waiting.items():
+            evidence = self._routes.get(route)
+            if evidence is not None:
+                ratio = _waiting_ratio(ages, evidence.find_windows())
+                doubts.append(evidence.partly_slow + ratio)
+                total += ratio
+        everything = self._routes.get(ALL_ROUTES)
+        if everything is not None:
+            doubts.append(everything.partly_slow + total)
+        self._waiting_doubt = max(doubts)
+
     def describe(self) -> dict[str, object]:
         """Return the evidence as fields of a log line."""
         evidence = self._routes.get(ALL_ROUTES) or _RouteEvidence()
@@ -192,11 +246,7 @@
         # After the shift the old version responds no more.
         while recent and not is_shifted and now - recent[0][0] > LONG_WINDOW_S:
             recent.popleft()
-        newest_at = recent[-1][0] if recent else now
-        return (
-            evidence.old_since(newest_at - LONG_WINDOW_S),
-            evidence.old_since(newest_at - SHORT_WINDOW_S),
-        )
+        return evidence.find_windows()
 
     def _judge(
         self,
@@ -266,6 +316,25 @@
     )
 
 
+def _waiting_ratio(
+    ages: Sequence[int], windows: tuple[Outcomes, Outcomes]
+) -> float:
+    """Return the ratio of "slow in part" of attempts without a response.
+
+    Args:
+        ages: Their numbers by bucket of their age.
+        windows: Responses of the old version.
+    """
+    known = [_shares(old) for old in windows if old.near >= MIN_OLD_SAMPLES]
+    ratios = [
+        _clipped_ratios(
+            _survival(_slowed(good, PART_SLOWDOWN, SLOW_PART)), _survival(good)
+        )
+        for good in known
+    ]
+    return _sum_lowest(ages, ratios)
+
+
 def _sum_lowest(
     counts: Sequence[int], ratios: Sequence[Sequence[float]]
 ) -> float:
@@ -290,13 +359,38 @@
         slowdown: By how many buckets slow responses are slower, with weights.
         slow_share: The share of responses that are slow.
     """
+    good = _shares(old)
+    return _clipped_ratios(_slowed(good, slowdown, slow_share), good)
+
+
+def _shares(old: Outcomes) -> Sequence[float]:
+    """Return the share of the old version's responses in each bucket."""
     total = old.near + PRIOR_RESPONSES * BUCKETS
-    good = [(count + PRIOR_RESPONSES) / total for count in old.latencies]
+    return [(count + PRIOR_RESPONSES) / total for count in old.latencies]
+
+
+def _slowed(
+    good: Sequence[float],
+    slowdown: Sequence[tuple[int, float]],
+    slow_share: float,
+) -> Sequence[float]:
+    """Return the shares by bucket if a share of responses is slower."""
     bad = [share * (1 - slow_share) for share in good]
     for bucket, share in enumerate(good):
         for shift, weight in slowdown:
             slower = min(bucket + shift, BUCKETS - 1)
             bad[slower] += share * weight * slow_share
+    return bad
+
+
+def _survival(shares: Sequence[float]) -> Sequence[float]:
+    """Return the share of responses in each bucket or a slower one."""
+    return tuple(reversed(tuple(accumulate(reversed(shares)))))
+
+
+def _clipped_ratios(
+    bad: Sequence[float], good: Sequence[float]
+) -> Sequence[float]:
     return [
         max(min(math.log(one / other), MAX_RATIO), -MAX_RATIO)
         if one
--- a/filbertdrift/rollouts/plan.py
+++ b/filbertdrift/rollouts/plan.py
@@ -25,6 +25,11 @@
 MAX_SHIFT_S = 6.0
 # Responses of the shift are counted and judged for this time at least.
 MIN_SHIFT_S = 0.6
+# Reports of the shift come this often, and are judged at once.
+REPORT_LAG_S = 0.1
+# So many responses of the shift are judged, if they come within MAX_SHIFT_S.
+# Of a version that is slow in part, they leave a doubt.
+MIN_SHIFT_RESPONSES = 25
 # Targets may leave the table and return with a restarted node, so a version
 # without targets counts as gone only after this time.
 NO_TARGETS_S = 2.0
@@ -71,6 +76,8 @@
         exposed: Attempts at the ordered version.
         is_counted_whole: The driver has counted since the trial began.
         rate_per_s: Requests a second.
+        shift_responses: Responses of the ordered version since the shift.
+        usual_latency_s: How long responses of the old versions take.
         verdict: Why the version is bad, None if it is not known to be.
         doubt: The evidence that it is, see judge.DOUBT.
     """
@@ -86,6 +93,8 @@
     exposed: int = 0
     is_counted_whole: bool = False
     rate_per_s: float = 0.0
+    shift_responses: int = 0
+    usual_latency_s: float = 0.0
     verdict: Verdict | None = None
     doubt: float = 0.0
 
@@ -262,13 +271,25 @@
             reason = 'the version lost all its targets'
             return _follow(step, Phase.ROLLED_BACK, reason)
         return None
-    is_seen = times.now - times.step_at >= MIN_SHIFT_S
+    is_seen = _is_shift_seen(step, view, times.now - times.step_at)
     is_quiet = not (view.silent or view.behind or view.old_in_progress)
     if is_seen and is_quiet and view.doubt < DOUBT:
         return _follow(step, Phase.COMPLETED, 'all requests are at the version')
     return None
 
 
+def _is_shift_seen(step: Step, view: FleetView, shifted_s: float) -> bool:
+    """Return whether responses to requests of the full load have been judged.
+
+    The load takes as long as a response to build up.
+    """
+    if not step.old_versions:
+        return shifted_s >= MIN_SHIFT_S
+    needed_s = max(MIN_SHIFT_S, 2 * view.usual_latency_s + REPORT_LAG_S)
+    has_responses = view.shift_responses >= MIN_SHIFT_RESPONSES
+    return shifted_s >= MAX_SHIFT_S or (has_responses and shifted_s >= needed_s)
+
+
 def _has_passed(since: float | None, wait_s: float, times: Times) -> bool:
     return since is not None and times.now - since >= wait_s
 
--- a/filbertdrift/rollouts/reports.py
+++ b/filbertdrift/rollouts/reports.py
@@ -8,6 +8,7 @@
 from filbertdrift.rollouts.counts import (
     NodeReport,
     OutcomeCounter,
+    RouteCounts,
     from_message,
     to_message,
 )
@@ -20,7 +21,7 @@
 REPORT_INTERVAL_S = 0.4
 # In the shift, which lasts a second or two, each report may be the last one
 # that the end of the roll-out waits for.
-SHIFT_REPORT_INTERVAL_S = 0.2
+SHIFT_REPORT_INTERVAL_S = 0.1
 # Reports of all nodes together that one driver receives, at most.
 MAX_REPORTS_PER_S = 800.0
 # Without a roll-out, nodes that see several versions ask the driver this often.
@@ -151,8 +152,12 @@
         """Yield reports of at most the size of a datagram."""
         routes: list[ttypes.RouteOutcomes] = []
         size_bytes = 0
-        for route, counts in self._outcomes.routes(service).items():
-            message = to_message(route, counts)
+        waiting = self._outcomes.find_waiting(service, now)
+        routes_known = self._outcomes.routes(service)
+        for route in waiting:
+            routes_known.setdefault(route, RouteCounts())
+        for name, counts in routes_known.items():
+            message = to_message(name, counts, waiting.get(name, ()))
             message_bytes = len(encode(message))
             if routes and size_bytes + message_bytes > MAX_ROUTE_BYTES:
                 yield self._build_one(service, state, routes, now)
--- a/filbertdrift/target_attempt.py
+++ b/filbertdrift/target_attempt.py
@@ -24,7 +24,7 @@
 from filbertdrift.knowntargets import KnownTargets
 from filbertdrift.link import SUSPECT_AFTER_S, LinkPool, PeerLink
 from filbertdrift.members import Member
-from filbertdrift.rollouts.counts import OutcomeCounter
+from filbertdrift.rollouts.counts import OutcomeCounter, WaitingAttempt
 from filbertdrift.routed import RoutedRequest, RoutedResponse
 
 MS_PER_S = 1000
@@ -106,6 +106,7 @@
         self.may_wait = may_wait
         self._patience_s = patience_s
         self._outcomes = outcomes
+        self._waiting: WaitingAttempt | None = None
         self._started_at = 0.0
         self._req = routed.req
         self._may_have_run_before = routed.req.may_have_run
@@ -535,11 +536,15 @@
         self._chooser.began(self._member, now)
         self._cleanup.callback(_record_end, self._chooser, self._member)
         if self._outcomes:
-            self._outcomes.began(self._member)
+            self._waiting = self._outcomes.began(
+                self._member, self._routed.route.name, now
+            )
             self._cleanup.callback(self._outcomes.ended, self._member)
+            self._cleanup.callback(self._outcomes.stop_waiting, self._waiting)
 
     def _record_outcome(self, *, is_failure: bool, now: float) -> None:
-        if self._outcomes:
+        if self._outcomes and self._waiting:
+            self._outcomes.stop_waiting(self._waiting)
             self._outcomes.record(
                 self._member,
                 self._routed.route.name,
--- a/idl/filbertdrift.thrift
+++ b/idl/filbertdrift.thrift
@@ -136,6 +136,8 @@
   /** Responses from other failure domains, whose latency is not compared. */
   6: i64 old_far
   7: i64 new_far
+  /** Attempts at the new version without a response yet, by their age. */
+  8: optional list<i64> new_waiting
 }
 
 /** Cumulative counts of an ingress since the trial began. */
--- a/standins/rollout_fleet.py
+++ b/standins/rollout_fleet.py
@@ -20,6 +20,7 @@
     STATUS_STREAM,
 )
 from filbertdrift.rollouts.control import RolloutControl, RolloutSettings
+from filbertdrift.rollouts.counts import WaitingAttempt
 from filbertdrift.rollouts.plan import Bounds
 from standins.mesh_fleet import PartitionableLog
 
@@ -350,20 +351,23 @@
         now = loop.time()
         attempt = Attempt(now, now + work.latency_s, version, work.is_bad, name)
         self.attempts.append(attempt)
-        control.outcomes.began(member)
-        loop.call_later(work.latency_s, self._end, control, member, route, work)
+        waiting = control.outcomes.began(member, route, now)
+        loop.call_later(
+            work.latency_s, self._end, control, member, waiting, work
+        )
 
     def _end(
         self,
         control: RolloutControl,
         member: Member,
-        route: str,
+        waiting: WaitingAttempt,
         work: Work,
     ) -> None:
         self._running[member.target_version] -= 1
+        control.outcomes.stop_waiting(waiting)
         control.outcomes.record(
             member,
-            route,
+            waiting.route,
             is_failure=work.is_failure,
             latency_s=work.latency_s,
         )
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -13,7 +13,9 @@
     Work,
     failing,
     good,
+    partly_slow,
     slow,
+    steady,
 )
 from tests.builders import run_virtual
 
@@ -52,6 +54,28 @@
     return fleet, await fleet.run_until_ended(duration_s + LIMIT_S)
 
 
+async def roll_out_few(
+    behaviour: Behaviour, usual: Behaviour, duration_s: float
+) -> tuple[RolloutFleet, str]:
+    """Run one roll-out with three targets of each version.
+
+    Args:
+        behaviour: How the new version behaves.
+        usual: How the old one does.
+        duration_s: The duration of the order.
+    """
+    fleet = RolloutFleet(6, 3, 90)
+    fleet.behaviours = {'v1': usual, 'v2': behaviour}
+    await fleet.start()
+    await asyncio.sleep(4)
+    fleet.start_new_targets()
+    await asyncio.sleep(5)
+    await fleet.order(duration_s)
+    state = await fleet.run_until_ended(duration_s + LIMIT_S)
+    await asyncio.sleep(8)
+    return fleet, state
+
+
 class RolloutCase(TestCase):
     """Asserts the bounds that hold for each roll-out."""
 
@@ -103,6 +127,13 @@
             exposed, limit = fleet.exposure()
             self.assertThat(exposed, LessThan(limit))
 
+    def test_few_targets(self) -> None:
+        """Guards against an end that waits for too many responses."""
+        for usual in (good, steady(0.02), steady(0.2)):
+            fleet, state = run_virtual(roll_out_few(usual, usual, 20))
+            self.assertThat(state, Equals('completed'))
+            self.assertThat(fleet.ended_at(), LessThan(20))
+
     def test_rate_that_rises_with_the_shift(self) -> None:
         """Guards against a plan that holds only at a constant rate."""
 
@@ -149,6 +180,17 @@
         self.rolls_back(65, 1, failing(0.4, route_name='search'))
         self.rolls_back(300, 2, failing(0.4, route_name='search'))
 
+    def test_slow_responses_that_come_after_the_shift(self) -> None:
+        """Guards against an end before the responses of the shift arrive."""
+        for work_s in (0.2, 1.0):
+            usual = steady(work_s)
+            behaviour = partly_slow(usual, 0.4, 5, min_load=3)
+            fleet, state = run_virtual(roll_out_few(behaviour, usual, 12))
+            self.assertThat(state, Equals('rolled_back'))
+            self.assertThat(fleet.late_exposures(), Equals(0))
+            exposed, limit = fleet.exposure()
+            self.assertThat(exposed, LessThan(limit))
+
     def test_three_times_slower(self) -> None:
         self.rolls_back(65, 1, slow(3))
         self.rolls_back(300, 2, slow(3))
