Grant nothing of a limit before the size of the fleet is known

Cause: a node owns one part in N of all limits, N being the members that it knows. A process that has just started knows only itself until it has read the directory of nodes, so each node owned the whole limit.

Change: a node owns nothing until it has read the directory, or has known other members for 5 s; nodes that are listed count for 5 s, until they joined.

--- a/filbertdrift/accounts/fleet_view.py
+++ b/filbertdrift/accounts/fleet_view.py
@@ -9,6 +9,11 @@
 
 # A node whose first two keepers do not respond is its own keeper.
 CANDIDATES = 2
+# A node that cannot read the directory counts the members that others have told
+# it of after this time.
+TOLD_S = 5.0
+# Nodes that the directory lists, and that have not joined, count for this time.
+JOIN_S = 5.0
 
 
 class Members(Protocol):
@@ -24,6 +29,52 @@
         """Return all members, the dead included."""
 
 
+class FleetEvidence:
+    """What a node that has started knows of the size of its fleet.
+
+    Until it has read the directory of nodes, the members that it knows may be
+    a few of many, or none but itself.
+
+    Args:
+        seeds: How many nodes the settings name.
+        clock: Returns the time on the loop's clock.
+    """
+
+    def __init__(self, seeds: int, clock: Callable[[], float]) -> None:
+        """Start without evidence."""
+        self._seeds = seeds
+        self._clock = clock
+        self._asked_at: float | None = None
+        self._listed = 0
+        self._listed_at: float | None = None
+
+    def record_listed(self, count: int) -> None:
+        """Record that the directory has been read.
+
+        Args:
+            count: How many nodes it lists.
+        """
+        self._listed = count
+        if self._listed_at is None:
+            self._listed_at = self._clock()
+
+    def find_least(self, members: int) -> int | None:
+        """Return how many nodes there are at least, None if it is unknown.
+
+        Args:
+            members: How many members are known, this node included.
+        """
+        now = self._clock()
+        if self._asked_at is None:
+            self._asked_at = now
+        if self._listed_at is None:
+            is_told = members > 1 and now - self._asked_at >= TOLD_S
+            return self._seeds + 1 if is_told else None
+        if now - self._listed_at < JOIN_S:
+            return max(self._listed, self._seeds + 1)
+        return self._seeds + 1
+
+
 class FleetView:
     """Size of the fleet, and the keepers of slots, as this node sees them.
 
@@ -31,7 +82,8 @@
         node: This node's address.
         domain: Its failure domain.
         members: The table of members.
-        min_size: Returns how many nodes there are at least.
+        find_least: Returns how many nodes there are at least, given the number
+            of those that are known; None if that cannot be told yet.
     """
 
     def __init__(
@@ -39,19 +91,19 @@
         node: str,
         domain: str,
         members: Members,
-        min_size: Callable[[], int],
+        find_least: Callable[[int], int | None],
     ) -> None:
         """Start without any member counted."""
         self.node = node
         self.domain = domain
         self._members = members
-        self._min_size = min_size
+        self._find_least = find_least
         self._ranked: dict[
             tuple[str, int], tuple[Sequence[Member], Sequence[str]]
         ] = {}
 
     def share_millionths(self) -> int:
-        """Return this node's share of all limits.
+        """Return this node's share of all limits, 0 while it may be any.
 
         Members that are cut off stay members. Where most of a domain is dead,
         the dead count too: this node may be the one that is cut off.
@@ -66,7 +118,10 @@
         for domain, count in dead.items():
             if count >= alive.get(domain, 0):
                 size += count
-        return int(MILLION * SPREAD_SHARE / max(size, self._min_size(), 1))
+        least = self._find_least(size)
+        if least is None:
+            return 0
+        return int(MILLION * SPREAD_SHARE / max(size, least, 1))
 
     def candidates(self, slot: int) -> Sequence[str]:
         """Return the nodes to ask for tokens, the preferred one first."""
--- a/filbertdrift/accounts/quota.py
+++ b/filbertdrift/accounts/quota.py
@@ -13,7 +13,7 @@
 from loguru import logger
 
 from filbertdrift.accounts.directory import ClientAccount
-from filbertdrift.accounts.fleet_view import FleetView
+from filbertdrift.accounts.fleet_view import FleetEvidence, FleetView
 from filbertdrift.accounts.lease import Lease
 from filbertdrift.accounts.quota_bounds import RETURN_S, QuotaBounds
 from filbertdrift.accounts.quota_keeper import SLOTS, QuotaKeeper, slot_of
@@ -89,6 +89,8 @@
     Attributes:
         suspended_s: Returns for how long this machine was suspended since
             boot.
+        on_listed: To call with the number of nodes that are registered, each
+            time it was read.
     """
 
     def __init__(
@@ -104,6 +106,7 @@
         self.asks = AskCounters()
         self.keeper = QuotaKeeper(bounds, rng)
         self.suspended_s: Callable[[], float] = read_suspended_s
+        self.on_listed: Callable[[int], None] = _ignore_count
         self._seen_suspended_s = self.suspended_s()
         self._view = view
         self._generation = generation
@@ -238,6 +241,8 @@
         if now - self._counted_at >= COUNT_INTERVAL_S:
             self._counted_at = now
             share = self._view.share_millionths()
+            if not share:
+                self._counted_at = float('-inf')
             for client in self._clients:
                 client.share_millionths = share
         for client in self._clients:
@@ -402,10 +407,17 @@
     def send(node: str, body: object) -> None:
         network.send(node, generation(), body)
 
+    evidence = FleetEvidence(seeds, _now)
     view = FleetView(
-        local.node, local.domain, membership.table, lambda: seeds + 1
+        local.node, local.domain, membership.table, evidence.find_least
     )
-    return QuotaLimiter(view, generation, send, bounds, rng)
+    limiter = QuotaLimiter(view, generation, send, bounds, rng)
+    limiter.on_listed = evidence.record_listed
+    return limiter
+
+
+def _ignore_count(count: int) -> None:
+    """Do nothing."""
 
 
 def _now() -> float:
--- a/filbertdrift/directory.py
+++ b/filbertdrift/directory.py
@@ -50,6 +50,7 @@
     Attributes:
         on_absent: Called with the nodes whose entries are dropped next; raises
             LogUnavailable if they are not to be dropped yet.
+        on_listed: Called with the number of nodes each time it was read.
     """
 
     def __init__(
@@ -66,6 +67,7 @@
         self.on_absent: Callable[[Collection[str]], Awaitable[None]] = (
             _ignore_absent
         )
+        self.on_listed: Callable[[int], None] = _ignore_count
         # Set when the first node has replied, or none has.
         self.has_tried = asyncio.Event()
         self._log = log
@@ -125,6 +127,7 @@
             record.key: record.payload.decode('utf-8', 'replace')
             for record in page.records
         }
+        self.on_listed(len(entries))
         is_outdated = NO_ERA < page.era < self._era
         if is_outdated or not self._is_listed(entries):
             self.is_registered = False
@@ -271,6 +274,10 @@
     """Do nothing."""
 
 
+def _ignore_count(count: int) -> None:
+    """Do nothing."""
+
+
 def _is_usable(node: str) -> bool:
     """Return whether an entry names a node; log one that does not."""
     if has_valid_port(node):
--- a/filbertdrift/mesh.py
+++ b/filbertdrift/mesh.py
@@ -201,6 +201,7 @@
             len(settings.seeds),
             rng,
         )
+        self.directory.on_listed = self.quota.on_listed
         self.limiter: admission.AccountLimiter = self.quota
         self.holder.on_adopt = self._on_config_adopted
         self.wait_estimator = CallerWaitEstimator()
--- a/standins/quota_fleet.py
+++ b/standins/quota_fleet.py
@@ -107,7 +107,7 @@
         table = MemberTable()
         for other in self._members:
             table.apply(other, 0)
-        view = FleetView(member.node, member.domain, table, int)
+        view = FleetView(member.node, member.domain, table, _count)
         limiter = QuotaLimiter(
             view,
             lambda: member.generation,
@@ -253,3 +253,8 @@
         elif receiver is not None:
             _, _, body = wire.unpack_datagram(raw)
             assert receiver.limiter.on_datagram(sender, generation, body)
+
+
+def _count(members: int) -> int:
+    """Return the number of members: all are known from the start."""
+    return members
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -15,7 +15,9 @@
 from filbertdrift.accounts.lease import Lease
 from filbertdrift.accounts.pledges import Pledge
 from filbertdrift.accounts.quota import QuotaExceeded
+from filbertdrift.accounts.quota_bounds import QuotaBounds
 from filbertdrift.gen import ttypes
+from filbertdrift.mesh import MeshNode
 from standins.mesh_fleet import MeshFleet, config_document
 from standins.quota_fleet import QuotaFleet
 from tests.builders import run_virtual
@@ -408,3 +410,62 @@
         self.assertThat(results, Equals([None] * 2 * len(nodes)))
         for address in list(fleet.instances):
             await fleet.kill(address)
+
+    def test_all_nodes_killed_beside_an_outage_of_the_log(self) -> None:
+        """Guards against nodes that each count themselves as the fleet."""
+        for away_s in (0, 4.5, 7):
+            run_virtual(self._killed(away_s))
+
+    async def _killed(self, away_s: float) -> None:
+        fleet = MeshFleet(5)
+        for domain in 'abcabc':
+            await fleet.add(domain, 'desk')
+        tenants = {'shop': {'api_keys': ['k'], 'rate_per_s': 100, 'burst': 0}}
+        await fleet.publish({**config_document(), 'tenants': tenants})
+        await asyncio.sleep(STARTED_S)
+        fleet.log.is_down = away_s > 0
+        instances = [
+            await fleet.kill(address) for address in list(fleet.instances)
+        ]
+        for instance in instances:
+            await fleet.restart(instance)
+        run_at: list[float] = []
+        loop = asyncio.get_running_loop()
+        callers = [
+            loop.create_task(_take_all(instance.node, run_at))
+            for instance in fleet.instances.values()
+        ]
+        # The topic of the configuration is read before that of the nodes.
+        await asyncio.sleep(away_s)
+        fleet.log.is_down = False
+        await asyncio.sleep(12)
+        for caller in callers:
+            caller.cancel()
+        bounds = QuotaBounds()
+        most = max(
+            sum(at <= other < at + bounds.window_s for other in run_at)
+            for at in run_at
+        )
+        self.assertThat(most, LessThan(bounds.allowed(100, 0)))
+        late = [at for at in run_at if at > loop.time() - bounds.window_s]
+        self.assertThat(len(late), GreaterThan(0.8 * 100 * bounds.window_s))
+
+
+async def _take_all(node: MeshNode, run_at: list[float]) -> None:
+    """Take tokens of an account as often as a node has some.
+
+    Args:
+        node: The node, whose configuration may be missing.
+        run_at: Receives when.
+    """
+    loop = asyncio.get_running_loop()
+    account = ClientAccount('shop', 1, 100, 0)
+    while True:
+        await asyncio.sleep(0.01)
+        if not node.has_config:
+            continue
+        try:
+            await node.quota.take(account, loop.time() + 1)
+        except QuotaExceeded:
+            continue
+        run_at.append(loop.time())
