--- a/filbertdrift/accounts/quota.py
+++ b/filbertdrift/accounts/quota.py
@@ -13,7 +13,7 @@
 from loguru import logger
 
 from filbertdrift.accounts.directory import ClientAccount
-from filbertdrift.accounts.fleet_view import FleetEvidence, FleetView
+from filbertdrift.accounts.fleet_view import FleetView
 from filbertdrift.accounts.lease import Lease
 from filbertdrift.accounts.quota_bounds import RETURN_S, QuotaBounds
 from filbertdrift.accounts.quota_keeper import SLOTS, QuotaKeeper, slot_of
@@ -89,8 +89,6 @@
     Attributes:
         suspended_s: Returns for how long this machine was suspended since
             boot.
-        on_listed: To call with the number of nodes that are registered, each
-            time it was read.
     """
 
     def __init__(
@@ -106,7 +104,6 @@
         self.asks = AskCounters()
         self.keeper = QuotaKeeper(bounds, rng)
         self.suspended_s: Callable[[], float] = read_suspended_s
-        self.on_listed: Callable[[int], None] = _ignore_count
         self._seen_suspended_s = self.suspended_s()
         self._view = view
         self._generation = generation
@@ -387,7 +384,7 @@
     membership: Membership,
     network: Network,
     bounds: QuotaBounds,
-    seeds: int,
+    find_least: Callable[[int], int | None],
     rng: random.Random,
 ) -> QuotaLimiter:
     """Build the limiter of a mesh node.
@@ -396,7 +393,7 @@
         membership: The members, and this node's own record.
         network: Sends datagrams.
         bounds: The rule.
-        seeds: How many nodes this node knows from its settings.
+        find_least: As in FleetView.
         rng: Source of random choices.
     """
     local = membership.local_member
@@ -407,17 +404,8 @@
     def send(node: str, body: object) -> None:
         network.send(node, generation(), body)
 
-    evidence = FleetEvidence(seeds, _now)
-    view = FleetView(
-        local.node, local.domain, membership.table, evidence.find_least
-    )
-    limiter = QuotaLimiter(view, generation, send, bounds, rng)
-    limiter.on_listed = evidence.record_listed
-    return limiter
-
-
-def _ignore_count(count: int) -> None:
-    """Do nothing."""
+    view = FleetView(local.node, local.domain, membership.table, find_least)
+    return QuotaLimiter(view, generation, send, bounds, rng)
 
 
 def _now() -> float:
--- a/filbertdrift/directory.py
+++ b/filbertdrift/directory.py
@@ -17,6 +17,7 @@
 
 from filbertdrift.address import has_valid_port
 from filbertdrift.errors import LogUnavailable
+from filbertdrift.fleet_size import FleetSize
 from filbertdrift.keyedlog import NO_ERA, KeyedLog, KeyedRecord
 from filbertdrift.membership import Membership
 from filbertdrift.rendezvous import rank
@@ -50,7 +51,7 @@
     Attributes:
         on_absent: Called with the nodes whose entries are dropped next; raises
             LogUnavailable if they are not to be dropped yet.
-        on_listed: Called with the number of nodes each time it was read.
+        size: How many nodes are known to be registered.
     """
 
     def __init__(
@@ -67,7 +68,9 @@
         self.on_absent: Callable[[Collection[str]], Awaitable[None]] = (
             _ignore_absent
         )
-        self.on_listed: Callable[[int], None] = _ignore_count
+        self.size = FleetSize(
+            len(seeds), lambda: asyncio.get_running_loop().time()
+        )
         # Set when the first node has replied, or none has.
         self.has_tried = asyncio.Event()
         self._log = log
@@ -127,7 +130,7 @@
             record.key: record.payload.decode('utf-8', 'replace')
             for record in page.records
         }
-        self.on_listed(len(entries))
+        self.size.record_listed(len(entries))
         is_outdated = NO_ERA < page.era < self._era
         if is_outdated or not self._is_listed(entries):
             self.is_registered = False
@@ -274,10 +277,6 @@
     """Do nothing."""
 
 
-def _ignore_count(count: int) -> None:
-    """Do nothing."""
-
-
 def _is_usable(node: str) -> bool:
     """Return whether an entry names a node; log one that does not."""
     if has_valid_port(node):
--- a/filbertdrift/mesh.py
+++ b/filbertdrift/mesh.py
@@ -198,10 +198,9 @@
             self.membership,
             network,
             settings.quota_bounds,
-            len(settings.seeds),
+            self.directory.size.find_least,
             rng,
         )
-        self.directory.on_listed = self.quota.on_listed
         self.limiter: admission.AccountLimiter = self.quota
         self.holder.on_adopt = self._on_config_adopted
         self.wait_estimator = CallerWaitEstimator()
