Spend no shared retries before the size of the fleet is known

What happens: nodes that start while the log is down each count themselves as the fleet and spend the whole constant part of the retry budget (found on the same path as the fault of quotas; not seen by callers).

Cause: the constant part is divided by the number of members known, which is one until the directory of nodes has been read.

Test: FleetTest.test_nodes_that_start_beside_an_outage_of_the_log failed before (216 retries left, 60 allowed), passes now.

--- a/filbertdrift/directory.py
+++ b/filbertdrift/directory.py
@@ -87,6 +87,12 @@
         self._has_read_without_era = False
         self._has_new_era = asyncio.Event()
 
+    def count_nodes(self) -> int | None:
+        """Return how many nodes there are, None if that is not known yet."""
+        members = len(self._membership.table)
+        least = self.size.find_least(members)
+        return None if least is None else max(members, least)
+
     def on_era(self, era: int) -> None:
         """Register again, soon, if the log is in a newer era than known.
 
--- a/filbertdrift/mesh.py
+++ b/filbertdrift/mesh.py
@@ -175,8 +175,7 @@
         )
         self.chooser.is_suspect = self.links.is_suspect
         self.budget = SharedRetryBudget(
-            settings.retry_limits,
-            lambda: len(self.membership.table),
+            settings.retry_limits, self.directory.count_nodes
         )
         self.dispatcher = Dispatcher(
             self.links,
--- a/filbertdrift/retrybudget.py
+++ b/filbertdrift/retrybudget.py
@@ -49,7 +49,8 @@
 
     Args:
         limits: The budget of a service, for all nodes together.
-        node_count: Returns how many nodes share the budget.
+        node_count: Returns how many nodes share the budget, None if that is
+            not known yet: then the constant is left to the others.
 
     Attributes:
         spent: Retries allowed.
@@ -59,7 +60,7 @@
     def __init__(
         self,
         limits: RetryLimits,
-        node_count: Callable[[], int],
+        node_count: Callable[[], int | None],
     ) -> None:
         """Start with an empty window."""
         self.denied = 0
@@ -86,7 +87,9 @@
         window = self._window(service)
         limits = self.limits
         allowed = limits.ratio * len(window.requests)
-        allowed += limits.extra / max(self._node_count(), 1)
+        nodes = self._node_count()
+        if nodes is not None:
+            allowed += limits.extra / max(nodes, 1)
         return allowed * USABLE_SHARE - len(window.repeats)
 
     def _window(self, service: str) -> _Window:
--- a/tests/test_retrybudget.py
+++ b/tests/test_retrybudget.py
@@ -3,9 +3,10 @@
 import asyncio
 
 from testtools import TestCase
-from testtools.matchers import Equals, LessThan
+from testtools.matchers import Equals, GreaterThan, LessThan
 
 from filbertdrift.retrybudget import RetryLimits, SharedRetryBudget
+from standins.mesh_fleet import MeshFleet, config_document
 from tests.builders import run_virtual
 
 LIMITS = RetryLimits(ratio=0.2, extra=60, window_s=10)
@@ -19,6 +20,14 @@
         is_left = budget.spend('desk')
 
 
+def _left(fleet: MeshFleet) -> float:
+    """Return what all nodes together may spend for the service desk."""
+    return sum(
+        instance.node.budget.left('desk')
+        for instance in fleet.instances.values()
+    )
+
+
 class FleetTest(TestCase):
     """Every request of every node fails and asks for a retry."""
 
@@ -38,6 +47,30 @@
         allowed = LIMITS.ratio * 100 * NODES + LIMITS.extra
         self.assertThat(spent, LessThan(allowed))
 
+    def test_nodes_that_start_beside_an_outage_of_the_log(self) -> None:
+        """Guards against nodes that each spend the budget of the fleet."""
+        run_virtual(self._killed())
+
+    async def _killed(self) -> None:
+        fleet = MeshFleet(limits=LIMITS)
+        for domain in 'abcabc':
+            await fleet.add(domain, 'desk')
+        await fleet.publish(config_document())
+        await asyncio.sleep(5)
+        fleet.log.is_down = True
+        instances = [
+            await fleet.kill(address) for address in list(fleet.instances)
+        ]
+        for instance in instances:
+            await fleet.restart(instance)
+        await asyncio.sleep(2)
+        self.assertThat(_left(fleet), LessThan(LIMITS.extra))
+        fleet.log.is_down = False
+        for _ in range(100):
+            await asyncio.sleep(0.1)
+            self.assertThat(_left(fleet), LessThan(LIMITS.extra))
+        self.assertThat(_left(fleet), GreaterThan(LIMITS.extra / 2))
+
     def test_services_have_budgets_of_their_own(self) -> None:
         run_virtual(self._services())
 
