Keep a record without versions from taking a service down

No record is written without a target or an order, and one that names no version lets all serve. Waiting attempts are counted under the same limit of routes as responses.

Test: RecordTest.test_no_record_without_targets.

--- a/filbertdrift/rollouts/counts.py
+++ b/filbertdrift/rollouts/counts.py
@@ -2,7 +2,7 @@
 
 import math
 from collections import deque
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Collection, Iterable, Sequence
 from dataclasses import dataclass, field
 
 from filbertdrift.gen import ttypes
@@ -171,9 +171,11 @@
             return {}
         found: dict[str, list[int]] = {}
         target = state.step.order.target_version
+        routes = self.routes(service)
         for waiting in self._waiting:
             if (waiting.service, waiting.version) == (service, target):
-                ages = found.setdefault(waiting.route, [0] * BUCKETS)
+                route = _limit_routes(routes, waiting.route)
+                ages = found.setdefault(route, [0] * BUCKETS)
                 ages[bucket_of(now - waiting.since)] += 1
         return found
 
@@ -214,10 +216,7 @@
         state = self._find_state(member.service)
         if state is None or state.step is None or not state.step.is_running:
             return
-        routes = self.routes(member.service)
-        if route not in routes and len(routes) >= MAX_ROUTES:
-            route = OTHER_ROUTES
-        counts = routes.setdefault(route, RouteCounts())
+        counts = self._counts_of(member.service, route)
         is_new = member.target_version == state.step.order.target_version
         outcomes = counts.new if is_new else counts.old
         outcomes.failures += is_failure
@@ -230,6 +229,11 @@
             self.responses[name] = self.responses.get(name, 0) + 1
             self.failures[name] = self.failures.get(name, 0) + is_failure
 
+    def _counts_of(self, service: str, route: str) -> RouteCounts:
+        routes = self.routes(service)
+        name = _limit_routes(routes, route)
+        return routes.setdefault(name, RouteCounts())
+
     def routes(self, service: str) -> dict[str, RouteCounts]:
         """Return the counts of a service since its trial began."""
         state = self._find_state(service)
@@ -240,6 +244,12 @@
         return self._routes.setdefault(service, {})
 
 
+def _limit_routes(routes: Collection[str], route: str) -> str:
+    """Return the name under which a route of a service is counted."""
+    is_room = route in routes or len(routes) < MAX_ROUTES
+    return route if is_room else OTHER_ROUTES
+
+
 def bucket_of(latency_s: float) -> int:
     """Return the bucket of a latency."""
     if latency_s <= LOWEST_S:
--- a/filbertdrift/rollouts/filter.py
+++ b/filbertdrift/rollouts/filter.py
@@ -263,13 +263,22 @@
 
 
 def _find_serving(step: Step, present: Collection[str]) -> Collection[str]:
-    """Return the versions that requests go to by a step."""
+    """Return the versions that requests go to by a step.
+
+    Args:
+        step: The step.
+        present: The versions of the targets.
+    """
     target = step.order.target_version
     if step.phase in {Phase.SHIFT, Phase.COMPLETED}:
         return {target}
-    if step.old_versions or not step.has_status:
+    if step.old_versions:
         return step.old_versions
-    if step.phase == Phase.ROLLED_BACK:
-        # None served before that is known: any other is better.
-        return set(present) - {target}
-    return {target}
+    if step.is_trial:
+        return {target}
+    # No version is on record: any is better than one that was rolled back.
+    return {
+        version
+        for version in present
+        if version != target or step.phase == Phase.ESTABLISHED
+    }
--- a/filbertdrift/rollouts/plan.py
+++ b/filbertdrift/rollouts/plan.py
@@ -153,7 +153,7 @@
         bounds: Limits on bad versions.
     """
     if step is None:
-        return _record_established(view)
+        return _record_established(order, view)
     if order is not None and order.is_newer(step.order):
         return _decide_order(step, order)
     if step.is_running:
@@ -203,13 +203,16 @@
     return max(min(window_s, MAX_SHIFT_S), 0)
 
 
-def _record_established(view: FleetView) -> Decision | None:
+def _record_established(
+    order: Order | None, view: FleetView
+) -> Decision | None:
     """Return the first step of a service, before any order is followed."""
-    if view.established is None:
+    if view.established is None or not (view.established or order):
         return None
-    order = no_order(view.service)
     reason = 'no step is on record'
-    return Decision(Phase.ESTABLISHED, order, view.established, reason)
+    return Decision(
+        Phase.ESTABLISHED, no_order(view.service), view.established, reason
+    )
 
 
 def _decide_successors(
--- a/filbertdrift/rollouts/reports.py
+++ b/filbertdrift/rollouts/reports.py
@@ -153,11 +153,10 @@
         routes: list[ttypes.RouteOutcomes] = []
         size_bytes = 0
         waiting = self._outcomes.find_waiting(service, now)
-        routes_known = self._outcomes.routes(service)
-        for route in waiting:
-            routes_known.setdefault(route, RouteCounts())
-        for name, counts in routes_known.items():
-            message = to_message(name, counts, waiting.get(name, ()))
+        counted = self._outcomes.routes(service)
+        for route in sorted({*counted, *waiting}):
+            counts = counted.get(route) or RouteCounts()
+            message = to_message(route, counts, waiting.get(route, ()))
             message_bytes = len(encode(message))
             if routes and size_bytes + message_bytes > MAX_ROUTE_BYTES:
                 yield self._build_one(service, state, routes, now)
--- a/tests/test_rollouts_units.py
+++ b/tests/test_rollouts_units.py
@@ -221,6 +221,16 @@
         self.assertThat(trial.phase, Equals(Phase.TRIAL))
         self.assertThat(trial.old_versions, Equals(('v1',)))
 
+    def test_no_record_without_targets(self) -> None:
+        """Guards against a service that is down when its targets come back."""
+        self.view = FleetView('desk', ())
+        self.assertIsNone(self.decide(None))
+        versions = VersionFilter(0.1, lambda: 100.0, random.Random(1))
+        empty = replace(ESTABLISHED, old_versions=())
+        versions.state('desk').adopt(empty, 0)
+        old = members(4, 0)
+        self.assertThat(list(versions.assign('desk', old)), Equals(old))
+
     def test_order_goes_by_the_record(self) -> None:
         """Guards against what a driver that has just started sees."""
         for seen in (None, (), ('v2',)):
