Weigh attempts that wait by how many would at the old version

Cause: attempts that wait are those that have not been quick, so each counted against the version, and at 900 requests a second their sum was a lasting doubt of 20 to 30.

Change: their number in each age is compared with what the old version would have at the same rate (Poisson), and completed needs evidence for the version from responses under the load of the shift, not only the absence of a doubt.

--- a/filbertdrift/rollouts/driver.py
+++ b/filbertdrift/rollouts/driver.py
@@ -13,6 +13,7 @@
 from filbertdrift.rollouts.judge import Judge
 from filbertdrift.rollouts.plan import (
     HOLD_S,
+    REPORT_LAG_S,
     Bounds,
     Decision,
     FleetView,
@@ -238,6 +239,9 @@
             return
         self._judged_at = now
         before = self.judge.verdict
+        shifted_s = now - self._step_at - REPORT_LAG_S
+        usual_s = self.judge.usual_latency_s
+        self.judge.is_loaded = not step.is_trial and shifted_s >= usual_s
         self.judge.record(
             self.counts.take_fresh(),
             now,
@@ -245,7 +249,7 @@
         )
         if not step.is_trial:
             waiting = self.counts.find_waiting(now - SILENT_AFTER_S)
-            self.judge.weigh_waiting(waiting)
+            self.judge.weigh_waiting(waiting, shifted_s)
         verdict = self.judge.verdict
         if verdict is not None and before is None:
             logger.bind(
@@ -330,6 +334,7 @@
             rate_per_s=self.counts.rate_per_s(now, state.ordered_at),
             shift_responses=self.judge.responses - self._responses_before,
             usual_latency_s=self.judge.usual_latency_s,
+            loaded_evidence=self.judge.loaded_evidence,
             verdict=self.judge.verdict,
             doubt=self.judge.doubt,
         )
--- a/filbertdrift/rollouts/judge.py
+++ b/filbertdrift/rollouts/judge.py
@@ -63,6 +63,8 @@
         failing: Sum of the failures' ratios.
         slow: Sum of the slow responses' ratios.
         partly_slow: The same, if a part of the responses is slow.
+        shifted: Responses of the new version in the shift whose latency
+            counts.
         new: All responses of the new version.
     """
 
@@ -70,6 +72,7 @@
     failing: float = 0.0
     slow: float = 0.0
     partly_slow: float = 0.0
+    shifted: int = 0
     new: Outcomes = field(default_factory=Outcomes)
 
     @property
@@ -133,13 +136,20 @@
 
     Attributes:
         verdict: Why the version is bad, None while it is not known to be.
+        is_loaded: All requests have gone to the new version for as long as
+            responses usually take.
     """
 
     def __init__(self) -> None:
         """Start without evidence."""
         self.verdict: Verdict | None = None
         self._routes: dict[str, _RouteEvidence] = {}
+        self.is_loaded = False
         self._waiting_doubt = 0.0
+        # Sum of the ratios of "slow in part" under the load of the shift, and
+        # those of the attempts that wait.
+        self._loaded_ratio = 0.0
+        self._waiting_ratio = 0.0
 
     @property
     def doubt(self) -> float:
@@ -159,6 +169,18 @@
         evidence = self._routes.get(ALL_ROUTES)
         return evidence.new.total if evidence else 0
 
+    @property
+    def loaded_evidence(self) -> float | None:
+        """Return the ratio of "slow in part" under the load of the shift.
+
+        Below zero, the version is more likely to be good; None if too few
+        responses of the old version are known to compare with.
+        """
+        evidence = self._routes.get(ALL_ROUTES)
+        if evidence is None or evidence.old_since(0).near < MIN_OLD_SAMPLES:
+            return None
+        return self._loaded_ratio + self._waiting_ratio
+
     @property
     def usual_latency_s(self) -> float:
         """Return a latency that half of the old version's do not exceed."""
@@ -192,8 +214,12 @@
         if fresh:
             windows = self._add(ALL_ROUTES, total, now, is_shifted=is_shifted)
             self._judge(ALL_ROUTES, total.new, windows, slow)
+        if self.is_loaded:
+            self._loaded_ratio += slow.partly_slow
 
-    def weigh_waiting(self, waiting: Mapping[str, Sequence[int]]) -> None:
+    def weigh_waiting(
+        self, waiting: Mapping[str, Sequence[int]], shifted_s: float
+    ) -> None:
         """Weigh the attempts at the new version that wait for a response.
 
         They add to the doubt only: that a target does not respond may also be
@@ -201,19 +227,19 @@
 
         Args:
             waiting: Their numbers by route and bucket of their age.
+            shifted_s: Time since the shift.
         """
+        total = [0] * BUCKETS
         doubts = [0.0]
-        total = 0.0
         for route, ages in waiting.items():
-            evidence = self._routes.get(route)
-            if evidence is not None:
-                ratio = _waiting_ratio(ages, evidence.find_windows())
-                doubts.append(evidence.partly_slow + ratio)
-                total += ratio
-        everything = self._routes.get(ALL_ROUTES)
-        if everything is not None:
-            doubts.append(everything.partly_slow + total)
-        self._waiting_doubt = max(doubts)
+            doubts.append(self._weigh_route(route, ages, shifted_s))
+            total = [
+                one + other for one, other in zip(total, ages, strict=True)
+            ]
+        doubt = self._weigh_route(ALL_ROUTES, total, shifted_s)
+        everything = self._routes.get(ALL_ROUTES) or _RouteEvidence()
+        self._waiting_ratio = doubt - everything.partly_slow
+        self._waiting_doubt = max(doubt, *doubts)
 
     def describe(self) -> dict[str, object]:
         """Return the evidence as fields of a log line."""
@@ -229,6 +255,20 @@
             'doubt': round(self.doubt, 2),
         }
 
+    def _weigh_route(
+        self, route: str, ages: Sequence[int], shifted_s: float
+    ) -> float:
+        evidence = self._routes.get(route)
+        if evidence is None or shifted_s <= 0:
+            return 0
+        rate_per_s = (evidence.shifted + sum(ages)) / shifted_s
+        ratios = [
+            _waiting_ratio(ages, old, rate_per_s, shifted_s)
+            for old in evidence.find_windows()
+            if old.near >= MIN_OLD_SAMPLES
+        ]
+        return evidence.partly_slow + min(ratios, default=0)
+
     def _add(
         self,
         route: str,
@@ -240,6 +280,7 @@
         """Add counts; return the old version's in the long and short window."""
         evidence = self._routes.setdefault(route, _RouteEvidence())
         evidence.new.add(counts.new)
+        evidence.shifted += counts.new.near if is_shifted else 0
         recent = evidence.recent
         if counts.old.total:
             recent.append((now, counts.old))
@@ -317,22 +358,40 @@
 
 
 def _waiting_ratio(
-    ages: Sequence[int], windows: tuple[Outcomes, Outcomes]
+    ages: Sequence[int], old: Outcomes, rate_per_s: float, shifted_s: float
 ) -> float:
-    """Return the ratio of "slow in part" of attempts without a response.
+    """Return the ratio of "slow in part" of the attempts that wait.
+
+    How many wait in each bucket of age is Poisson distributed; its mean is
+    the rate of attempts, times the width of the bucket, times the share of
+    attempts that take so long.
 
     Args:
-        ages: Their numbers by bucket of their age.
-        windows: Responses of the old version.
+        ages: Their numbers by bucket of age.
+        old: Responses of the old version.
+        rate_per_s: Attempts a second.
+        shifted_s: Time since the shift: none waits for longer.
     """
-    known = [_shares(old) for old in windows if old.near >= MIN_OLD_SAMPLES]
-    ratios = [
-        _clipped_ratios(
-            _survival(_slowed(good, PART_SLOWDOWN, SLOW_PART)), _survival(good)
-        )
-        for good in known
+    good = _shares(old)
+    usual = _waiting_shares(good)
+    slower = _waiting_shares(_slowed(good, PART_SLOWDOWN, SLOW_PART))
+    ratio = 0.0
+    begin_s = 0.0
+    for bucket, one in enumerate(slower):
+        end_s = min(bucket_end_s(bucket), shifted_s)
+        excess = rate_per_s * (end_s - begin_s) * (one - usual[bucket])
+        ratio += ages[bucket] * math.log(one / usual[bucket]) - excess
+        begin_s = end_s
+    return ratio
+
+
+def _waiting_shares(shares: Sequence[float]) -> Sequence[float]:
+    """Return the share of attempts that wait, on average in each bucket."""
+    longer = tuple(reversed(tuple(accumulate(reversed(shares)))))
+    return [
+        at_begin - share / 2
+        for at_begin, share in zip(longer, shares, strict=True)
     ]
-    return _sum_lowest(ages, ratios)
 
 
 def _sum_lowest(
@@ -383,11 +442,6 @@
     return bad
 
 
-def _survival(shares: Sequence[float]) -> Sequence[float]:
-    """Return the share of responses in each bucket or a slower one."""
-    return tuple(reversed(tuple(accumulate(reversed(shares)))))
-
-
 def _clipped_ratios(
     bad: Sequence[float], good: Sequence[float]
 ) -> Sequence[float]:
--- a/filbertdrift/rollouts/plan.py
+++ b/filbertdrift/rollouts/plan.py
@@ -25,10 +25,9 @@
 MAX_SHIFT_S = 6.0
 # Responses of the shift are counted and judged for this time at least.
 MIN_SHIFT_S = 0.6
-# Reports of the shift come this often, and are judged at once.
-REPORT_LAG_S = 0.1
+# Reports of the shift are this old when they are judged, at most.
+REPORT_LAG_S = 0.2
 # So many responses of the shift are judged, if they come within MAX_SHIFT_S.
-# Of a version that is slow in part, they leave a doubt.
 MIN_SHIFT_RESPONSES = 25
 # Targets may leave the table and return with a restarted node, so a version
 # without targets counts as gone only after this time.
@@ -78,6 +77,8 @@
         rate_per_s: Requests a second.
         shift_responses: Responses of the ordered version since the shift.
         usual_latency_s: How long responses of the old versions take.
+        loaded_evidence: The evidence under the load of the shift that the
+            version is slow in part, see Judge.loaded_evidence.
         verdict: Why the version is bad, None if it is not known to be.
         doubt: The evidence that it is, see judge.DOUBT.
     """
@@ -95,6 +96,7 @@
     rate_per_s: float = 0.0
     shift_responses: int = 0
     usual_latency_s: float = 0.0
+    loaded_evidence: float | None = None
     verdict: Verdict | None = None
     doubt: float = 0.0
 
@@ -290,7 +292,9 @@
         return shifted_s >= MIN_SHIFT_S
     needed_s = max(MIN_SHIFT_S, 2 * view.usual_latency_s + REPORT_LAG_S)
     has_responses = view.shift_responses >= MIN_SHIFT_RESPONSES
-    return shifted_s >= MAX_SHIFT_S or (has_responses and shifted_s >= needed_s)
+    evidence = view.loaded_evidence
+    is_clear = has_responses and (evidence is None or evidence <= -DOUBT)
+    return shifted_s >= MAX_SHIFT_S or (is_clear and shifted_s >= needed_s)
 
 
 def _has_passed(since: float | None, wait_s: float, times: Times) -> bool:
