Begin the trial anew if all nodes start again in the shift

Cause: a driver that adopts the shift from the log knows no responses of the old version to compare with.

Change: a driver that has not seen the trial and hears of no response of the old version writes a new trial step for the same order.

Tests: MeshRolloutTest.test_all_nodes_restarted_in_the_shift failed before (completed in place of trial); RecordTest.

--- a/filbertdrift/rollouts/driver.py
+++ b/filbertdrift/rollouts/driver.py
@@ -88,6 +88,8 @@
         self._on_written = on_written
         self._step_number = NO_STEP
         self._step_at = LONG_AGO
+        # The number of the last trial that this driver has seen running.
+        self._seen_trial = NO_STEP
         # Responses of the new version until the newest step.
         self._responses_before = 0
         self._status_number = NO_STEP
@@ -223,6 +225,8 @@
         now = asyncio.get_running_loop().time()
         self._step_number = step.number
         self._step_at = now
+        if step.is_trial:
+            self._seen_trial = step.trial_number
         self._responses_before = self.judge.responses
         if self.counts.trial_number != step.trial_number:
             self.counts = FleetCounts(step.trial_number, now)
@@ -335,10 +339,18 @@
             shift_responses=self.judge.responses - self._responses_before,
             usual_latency_s=self.judge.usual_latency_s,
             loaded_evidence=self.judge.loaded_evidence,
+            has_lost_trial=self._has_lost_trial(),
             verdict=self.judge.verdict,
             doubt=self.judge.doubt,
         )
 
+    def _has_lost_trial(self) -> bool:
+        """Return whether no node reports what the trial has shown."""
+        step = self._state.step
+        if step is None or step.trial_number == self._seen_trial:
+            return False
+        return not (self.judge.has_old_responses or self.silent_nodes())
+
     def _find_established(
         self, now: float, targets: Sequence[Member]
     ) -> tuple[str, ...] | None:
--- a/filbertdrift/rollouts/judge.py
+++ b/filbertdrift/rollouts/judge.py
@@ -181,6 +181,12 @@
             return None
         return self._loaded_ratio + self._waiting_ratio
 
+    @property
+    def has_old_responses(self) -> bool:
+        """Return whether any response of the old version is known."""
+        evidence = self._routes.get(ALL_ROUTES)
+        return evidence is not None and bool(evidence.recent)
+
     @property
     def usual_latency_s(self) -> float:
         """Return a latency that half of the old version's do not exceed."""
--- a/filbertdrift/rollouts/plan.py
+++ b/filbertdrift/rollouts/plan.py
@@ -79,6 +79,8 @@
         usual_latency_s: How long responses of the old versions take.
         loaded_evidence: The evidence under the load of the shift that the
             version is slow in part, see Judge.loaded_evidence.
+        has_lost_trial: The nodes have started again since the trial, so what
+            it has shown of the old versions is not known any more.
         verdict: Why the version is bad, None if it is not known to be.
         doubt: The evidence that it is, see judge.DOUBT.
     """
@@ -97,6 +99,7 @@
     shift_responses: int = 0
     usual_latency_s: float = 0.0
     loaded_evidence: float | None = None
+    has_lost_trial: bool = False
     verdict: Verdict | None = None
     doubt: float = 0.0
 
@@ -276,6 +279,9 @@
             reason = 'the version lost all its targets'
             return _follow(step, Phase.ROLLED_BACK, reason)
         return None
+    if view.has_lost_trial and not times.unserved_at and step.old_versions:
+        reason = 'the nodes have started again since the trial'
+        return _follow(step, Phase.TRIAL, reason)
     is_seen = _is_shift_seen(step, view, times.now - times.step_at)
     is_quiet = not (view.silent or view.behind or view.old_in_progress)
     if is_seen and is_quiet and view.doubt < DOUBT:
--- a/tests/test_rollouts_mesh.py
+++ b/tests/test_rollouts_mesh.py
@@ -19,6 +19,7 @@
 )
 from filbertdrift.rollouts.control import RolloutSettings
 from filbertdrift.rollouts.plan import Bounds
+from filbertdrift.rollouts.steps import Phase
 from standins.mesh_fleet import MeshFleet, MeshInstance, config_document
 from standins.scripted_target import TargetScript
 from tests.builders import run_virtual
@@ -210,6 +211,37 @@
         driver.stop()
         self._check_old_targets(driver)
 
+    def test_all_nodes_restarted_in_the_shift(self) -> None:
+        """Guards against an end without what the trial has shown."""
+        run_virtual(self._restarted_in_the_shift())
+
+    async def _restarted_in_the_shift(self) -> None:
+        driver = RolloutFleetDriver(9)
+        await driver.start()
+        await asyncio.sleep(3)
+        await driver.start_new()
+        await driver.order()
+        node = next(iter(driver.fleet.instances.values())).node
+        assert node.rollouts is not None
+        state = node.rollouts.filter.state('desk')
+        while state.step is None or state.step.phase != Phase.SHIFT:
+            await asyncio.sleep(0.02)
+        shifted = state.step.number
+        await driver.kill_all()
+        await driver.restart(driver.new)
+        await driver.restart(driver.old)
+        again = driver.old[0].node.rollouts
+        assert again is not None
+        await asyncio.sleep(3)
+        step = again.filter.state('desk').step
+        assert step is not None
+        self.assertThat(step.phase, Equals(Phase.TRIAL))
+        self.assertThat(step.number, GreaterThan(shifted))
+        await driver.wait_for('completed', DURATION_S + 10)
+        await asyncio.sleep(2)
+        driver.stop()
+        self._check_old_targets(driver)
+
     def test_all_nodes_restarted_after_the_end(self) -> None:
         """Guards against old targets that serve again, or a second trial."""
         run_virtual(self._restarted())
--- a/tests/test_rollouts_units.py
+++ b/tests/test_rollouts_units.py
@@ -246,6 +246,19 @@
         self.assertFalse(state.adopt(ESTABLISHED, 0))
         self.assertThat(state.step, Is(second))
 
+    def test_all_nodes_start_again_in_the_shift(self) -> None:
+        """Guards against an end without responses of the old version."""
+        shift = replace(TRIAL, number=3, phase=Phase.SHIFT)
+        self.view = FleetView(
+            'desk', new_targets=3, shift_responses=50, has_lost_trial=True
+        )
+        decision = self.decide(shift)
+        assert decision is not None
+        self.assertThat(decision.phase, Equals(Phase.TRIAL))
+        self.assertThat(decision.old_versions, Equals(('v1',)))
+        again = number_after(shift, decision, 'a')
+        self.assertThat(again.trial_number, Equals(again.number))
+
     def test_version_that_changes_in_place(self) -> None:
         self.view = FleetView('desk', ('v3',), ('v3',))
         self.assertIsNone(self.decide(ESTABLISHED))
